--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -135,3 +135,13 @@
 	}()
 	return ctx, cancel
 }
+
+// WithConfig returns the arguments with the settings file named in front, so
+// that an option on the command line goes before it; an empty file changes
+// nothing.
+func WithConfig(arguments []string, file string) []string {
+	if file == "" {
+		return arguments
+	}
+	return append([]string{"--config", file}, arguments...)
+}
--- /dev/null
+++ b/daemon/direct/entry.go
@@ -0,0 +1,104 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/presence"
+	"verbenaseam.example/verbenaseam/process/settings"
+	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/forward"
+	"verbenaseam.example/verbenaseam/version/config"
+)
+
+const (
+	// heartbeatEvery is the time between two heartbeats to each peer; they carry
+	// the load that the others place by.
+	heartbeatEvery = 100 * time.Millisecond
+	// silence is how long a live peer may be silent; the bound of the directory is
+	// the bounds' Contact and 3 s.
+	silence = time.Second
+)
+
+// Config is what an Entry is made of.
+type Config struct {
+	Settings settings.Direct
+	Store    *platform.Store
+	Clock    clockwork.Clock
+	Logger   *logrus.Logger
+}
+
+// Entry is the process.
+type Entry struct {
+	settings settings.Direct
+	store    *platform.Store
+	clock    clockwork.Clock
+	logger   *logrus.Logger
+	log      *logrus.Entry
+
+	self       presence.Peer
+	peers      *presence.Table
+	dispatcher *dispatch.Dispatcher
+	targets    *targets
+	budgets    *budgets
+	handler    *forward.Handler
+
+	version atomic.Pointer[config.Version]
+	// targetsKnown tells that the targets have been read.
+	targetsKnown atomic.Bool
+	leaving      atomic.Bool
+	// closing tells that callers are asked to leave their connections.
+	closing atomic.Bool
+}
+
+// New returns an entry that has opened nothing yet.
+func New(cfg Config) *Entry {
+	s := cfg.Settings
+	e := &Entry{
+		settings: s, store: cfg.Store, clock: cfg.Clock, logger: cfg.Logger,
+		log: logs.Part(cfg.Logger, "entry"),
+		self: presence.Peer{
+			Name: s.Name, Incarnation: rand.Uint64(), CallerAddress: s.CallerAddress,
+			PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain,
+		},
+		peers: presence.NewTable(s.Name, silence),
+		dispatcher: dispatch.New(dispatch.Config{
+			FailureDomain: s.FailureDomain,
+			Warmup:        dispatch.Warmup{Share: s.Bounds.WarmupShare, Slack: s.Bounds.WarmupSlack},
+		}),
+	}
+	e.targets = newTargets(e.dispatcher, e.clock, logs.Part(cfg.Logger, "targets"))
+	e.budgets = newBudgets(s.Bounds)
+	e.handler = forward.NewHandler(forward.Config{
+		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
+		Connections: e.targets.connections, Budget: e.budgets.of, Clock: e.clock,
+		Log: logs.Part(cfg.Logger, "forward"),
+	})
+	return e
+}
+
+// ready tells whether callers may be sent here.
+func (e *Entry) ready() bool {
+	return !e.leaving.Load() && e.version.Load() != nil && e.targetsKnown.Load()
+}
+
+// every calls f at each interval until the context ends.
+func every(ctx context.Context, clock clockwork.Clock, interval time.Duration, f func()) {
+	ticker := clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/daemon/direct/peers.go
@@ -0,0 +1,128 @@
+package direct
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/presence"
+)
+
+// datagramLimit is the longest datagram that is read.
+const datagramLimit = 64 << 10
+
+// registrations takes in the rows by which entries register themselves.
+type registrations struct {
+	entry *Entry
+	log   *logrus.Entry
+}
+
+// Whole implements follow.Observer.
+func (r *registrations) Whole(rows []platform.Row) { r.Changed(rows) }
+
+// Changed implements follow.Observer.
+func (r *registrations) Changed(rows []platform.Row) {
+	for _, row := range rows {
+		if row.Deleted {
+			r.entry.peers.Removed(row.Key)
+			continue
+		}
+		peer, err := platform.DecodePeer(row)
+		if err != nil {
+			r.log.WithError(err).Warn("registration cannot be read")
+			continue
+		}
+		r.entry.peers.Registered(peer, r.entry.clock.Now())
+	}
+}
+
+// Lost implements follow.Observer.
+func (r *registrations) Lost() {}
+
+// Regained implements follow.Observer.
+func (r *registrations) Regained() {}
+
+const (
+	// registerFirst and registerMost bound the pause between attempts to register.
+	registerFirst = 200 * time.Millisecond
+	registerMost  = 2 * time.Second
+)
+
+// register writes this entry's row until that succeeds.
+func (e *Entry) register(ctx context.Context) {
+	row, err := platform.EncodePeer(e.self)
+	if err != nil {
+		e.log.WithError(err).Error("cannot register")
+		return
+	}
+	for pause := registerFirst; ctx.Err() == nil; pause = min(2*pause, registerMost) {
+		if _, err = e.store.Apply(ctx, platform.Transaction{Writes: []platform.Row{row}}); err == nil {
+			return
+		}
+		e.log.WithError(err).Warn("registration failed")
+		select {
+		case <-ctx.Done():
+		case <-e.clock.After(pause):
+		}
+	}
+}
+
+// heartbeats tells the other entries of this one, and takes in what they tell.
+type heartbeats struct {
+	entry  *Entry
+	socket *net.UDPConn
+	sent   uint64
+	log    *logrus.Entry
+}
+
+// send sends one heartbeat to each peer. A datagram that is lost is made up for
+// by the next.
+func (h *heartbeats) send() {
+	e := h.entry
+	h.sent++
+	message, err := cbor.Marshal(presence.Heartbeat{
+		Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sent: h.sent,
+	})
+	if err != nil {
+		h.log.WithError(err).Error("heartbeat cannot be encoded")
+		return
+	}
+	for _, address := range e.peers.Addresses() {
+		to, err := net.ResolveUDPAddr("udp", address)
+		if err != nil {
+			continue
+		}
+		if _, err := h.socket.WriteToUDP(message, to); err != nil {
+			h.log.WithError(err).WithField("peer", address).Debug("heartbeat not sent")
+		}
+	}
+	now := e.clock.Now()
+	for _, name := range e.peers.Silent(now) {
+		e.dispatcher.SetOthers(name, nil, now)
+	}
+	e.dispatcher.SetProcesses(1 + e.peers.Count())
+}
+
+// receive takes heartbeats in until the socket is closed.
+func (h *heartbeats) receive() {
+	buffer := make([]byte, datagramLimit)
+	for {
+		n, _, err := h.socket.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		var beat presence.Heartbeat
+		if err := cbor.Unmarshal(buffer[:n], &beat); err != nil {
+			h.log.WithError(err).Warn("heartbeat cannot be read")
+			continue
+		}
+		now := h.entry.clock.Now()
+		if h.entry.peers.Heard(beat, now) {
+			h.entry.dispatcher.SetOthers(beat.Peer.Name, beat.Load, now)
+		}
+	}
+}
--- a/process/failure/failure.go
+++ b/process/failure/failure.go
@@ -29,6 +29,7 @@
 	BadRequest       Kind = "bad_request"
 	Unauthorized     Kind = "unauthorized"
 	TooLarge         Kind = "too_large"
+	HeadersTooLarge  Kind = "headers_too_large"
 	NoRoute          Kind = "no_route"
 	Overloaded       Kind = "overloaded"
 	QuotaExceeded    Kind = "quota_exceeded"
--- a/process/settings/reader.go
+++ b/process/settings/reader.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"net/netip"
 	"net/url"
 	"regexp"
@@ -190,6 +191,20 @@
 	*into = parsed
 }
 
+func (r *reader) number(section, key string, into *float64, low, high float64) {
+	expected := fmt.Sprintf("a number from %g to %g", low, high)
+	value, ok := r.take(section, key, optional, expected)
+	if !ok {
+		return
+	}
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(parsed >= low && parsed <= high) {
+		r.fault(section, key, value, expected)
+		return
+	}
+	*into = parsed
+}
+
 func (r *reader) flag(section, key string, into *bool) {
 	const expected = "true or false"
 	value, ok := r.take(section, key, optional, expected)
--- /dev/null
+++ b/request/forward/fail.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenaseam.example/verbenaseam/process/failure"
+)
+
+// statusOf is the status of a failure. 429 and 503 promise that the request has
+// not run and will not; 502 and 504 promise nothing.
+func statusOf(err *failure.Error) int {
+	switch err.Kind {
+	case failure.NoRoute:
+		return http.StatusNotFound
+	case failure.Unauthorized:
+		return http.StatusUnauthorized
+	case failure.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case failure.HeadersTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case failure.BadRequest:
+		return http.StatusBadRequest
+	}
+	if err.Outcome == failure.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	if err.Kind == failure.DeadlineExceeded {
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// refuse answers with a failure, at once.
+func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, c *call, err *failure.Error) {
+	status := statusOf(err)
+	if id := r.Header.Get(h.headers.Attempt); id != "" {
+		w.Header().Set(h.headers.Attempt, id)
+	}
+	if status == http.StatusServiceUnavailable && err.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+	if c != nil {
+		h.finish(c, string(err.Kind), err.Message)
+	}
+}
+
+// finish writes the line that tells how a call ended.
+func (h *Handler) finish(c *call, outcome, reason string) {
+	fields := logrus.Fields{
+		"request": c.id, "outcome": outcome, "version": c.version.Number,
+		"took_ms": h.clock.Since(c.started).Milliseconds(),
+	}
+	if c.route != nil {
+		fields["route"] = c.route.Name
+	}
+	if c.organisation != nil {
+		fields["organisation"] = c.organisation.Name
+	}
+	if c.target != "" {
+		fields["target"] = c.target
+		fields["attempts"] = len(c.work.Tried)
+	}
+	if c.waited > time.Millisecond {
+		fields["waited_ms"] = c.waited.Milliseconds()
+	}
+	if reason != "" {
+		fields["reason"] = reason
+	}
+	h.log.WithFields(fields).Info("request done")
+}
--- /dev/null
+++ b/request/forward/handler.go
@@ -0,0 +1,192 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/retry"
+	"verbenaseam.example/verbenaseam/version/config"
+)
+
+// Config is what a Handler is made of.
+type Config struct {
+	Headers Headers
+	// Version returns the configuration in force, nil before the first.
+	Version    func() *config.Version
+	Dispatcher *dispatch.Dispatcher
+	// Connections returns the connections to a target.
+	Connections func(*dispatch.Target) *direct.Pool
+	// Budget returns the retry budget of a service.
+	Budget func(service string) *retry.Budget
+	Clock  clockwork.Clock
+	Log    *logrus.Entry
+}
+
+// Handler is the callers' HTTP handler.
+type Handler struct {
+	headers     Headers
+	version     func() *config.Version
+	dispatcher  *dispatch.Dispatcher
+	connections func(*dispatch.Target) *direct.Pool
+	budget      func(service string) *retry.Budget
+	clock       clockwork.Clock
+	log         *logrus.Entry
+}
+
+// NewHandler returns a handler.
+func NewHandler(cfg Config) *Handler {
+	return &Handler{
+		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
+		connections: cfg.Connections, budget: cfg.Budget, clock: cfg.Clock, log: cfg.Log,
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, refused := h.read(w, r)
+	if refused != nil {
+		h.refuse(w, r, c, refused)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	for {
+		t, err := h.wait(ctx, c)
+		if err != nil {
+			h.refuse(w, r, c, err)
+			return
+		}
+		found, err := h.attempt(ctx, w, c, t)
+		if err == nil {
+			h.finish(c, "answered", "")
+			return
+		}
+		if !h.sendAgain(ctx, c, found) {
+			h.refuse(w, r, c, err)
+			return
+		}
+	}
+}
+
+// sendAgain decides whether there is one more attempt, and pays for it.
+func (h *Handler) sendAgain(ctx context.Context, c *call, found verdict) bool {
+	if ctx.Err() != nil || !c.again(found, h.clock.Now()) {
+		return false
+	}
+	paid := h.budget(c.service).Take()
+	h.log.WithFields(logrus.Fields{
+		"request": c.id, "target": c.target, "reason": found.reason, "again": paid,
+	}).Info("attempt failed")
+	return paid
+}
+
+// wait gets a target for a call, at once or within the time that it may wait.
+func (h *Handler) wait(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
+	now := h.clock.Now()
+	t, waiter := h.dispatcher.Take(c.work, now)
+	if t != nil {
+		return t, nil
+	}
+	if waiter == nil {
+		return nil, c.refusal(failure.NoTarget, "no target can take the request")
+	}
+	timer := h.clock.NewTimer(c.work.GiveUp.Sub(now))
+	defer timer.Stop()
+	select {
+	case t = <-waiter.Granted():
+	case <-timer.Chan():
+		t = h.dispatcher.GiveUp(waiter)
+	case <-ctx.Done():
+		if t = h.dispatcher.GiveUp(waiter); t != nil {
+			h.dispatcher.Done(t, dispatch.Abandoned, h.clock.Now())
+		}
+		return nil, c.timeUp()
+	}
+	c.waited += h.clock.Since(now)
+	if t == nil {
+		return nil, c.refusal(failure.Overloaded, "all targets are busy")
+	}
+	return t, nil
+}
+
+// refusal is the failure of a call that was not sent once more.
+func (c *call) refusal(kind failure.Kind, message string) *failure.Error {
+	outcome := failure.NotRun
+	if c.everRan != notRun {
+		outcome = failure.Unknown
+	}
+	return failure.New(kind, outcome, message).WithRetryAfter(retryAfter)
+}
+
+// timeUp is the failure of a call whose deadline has passed.
+func (c *call) timeUp() *failure.Error {
+	return c.refusal(failure.DeadlineExceeded, "the request's time ran out")
+}
+
+// retryAfter is when a refused caller is told to come back.
+const retryAfter = 500 * time.Millisecond
+
+// attempt sends a call to a target and relays its answer. A failure means that
+// nothing has been written to the caller.
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (verdict, *failure.Error) {
+	c.work.Tried = append(c.work.Tried, t)
+	c.target = t.ID()
+	answer, err := h.connections(t).Do(ctx, c.outgoing(&h.headers, t, h.clock.Now()), false)
+	if err != nil {
+		found := judgeError(err, ctx.Err() != nil)
+		h.dispatcher.Done(t, found.result, h.clock.Now())
+		return found, c.failed(found)
+	}
+	found := judgeAnswer(&h.headers, answer.Status, answer.Header, t.ID())
+	if !found.deliver || c.again(found, h.clock.Now()) && h.budget(c.service).Tokens() >= 1 {
+		h.discard(answer)
+		h.dispatcher.Done(t, found.result, h.clock.Now())
+		return found, c.failed(found)
+	}
+	c.everRan = max(c.everRan, found.ran)
+	if c.route.Direct.Streams && found.success {
+		return h.relayStream(ctx, w, c, t, answer)
+	}
+	return h.relayWhole(ctx, w, c, t, answer, found)
+}
+
+// discard reads a short answer to its end, so that its connection can be kept.
+func (h *Handler) discard(answer *direct.Answer) {
+	defer answer.Close()
+	if answer.Length < 0 || answer.Length > discardLimit {
+		return
+	}
+	buffer := make([]byte, discardLimit+1)
+	for {
+		if _, err := answer.Read(buffer); err != nil {
+			return
+		}
+	}
+}
+
+// discardLimit is the longest body that is read only to keep its connection.
+const discardLimit = 4 << 10
+
+// failed is the failure of an attempt, and notes what is known of it.
+func (c *call) failed(found verdict) *failure.Error {
+	c.everRan = max(c.everRan, found.ran)
+	switch {
+	case found.result == dispatch.Abandoned:
+		return c.timeUp()
+	case c.everRan == notRun:
+		return c.refusal(failure.Overloaded, "the targets refused the request")
+	default:
+		return c.refusal(failure.Incomplete, "the target gave no whole answer")
+	}
+}
+
+// asError is errors.As for a nil error too.
+func asError[T error](err error, into *T) bool { return err != nil && errors.As(err, into) }
--- /dev/null
+++ b/request/forward/relay.go
@@ -0,0 +1,122 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/dispatch"
+)
+
+// answerLimit bounds the bytes of an answer that is not a stream.
+const answerLimit = 64 << 20
+
+// relayWhole reads the whole answer and then writes it, so that no part of one
+// that breaks off reaches the caller.
+func (h *Handler) relayWhole(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, answer *direct.Answer, found verdict) (verdict, *failure.Error) {
+	defer answer.Close()
+	body, err := io.ReadAll(io.LimitReader(answer, answerLimit))
+	if err != nil {
+		found = broken(ctx)
+		h.dispatcher.Done(t, found.result, h.clock.Now())
+		return found, c.failed(found)
+	}
+	h.dispatcher.Done(t, found.result, h.clock.Now())
+	if found.success {
+		h.budget(c.service).Succeeded()
+	}
+	writeHead(w, answer)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(answer.Status)
+	// A caller that has left reads nothing; there is nobody to tell.
+	_, _ = w.Write(body)
+	return found, nil
+}
+
+// broken is the verdict on an answer that broke off.
+func broken(ctx context.Context) verdict {
+	if ctx.Err() != nil {
+		return verdict{ran: mayHaveRun, result: dispatch.Abandoned, reason: "caller left or time ran out"}
+	}
+	return verdict{ran: mayHaveRun, result: dispatch.Failed, reason: "the answer broke off"}
+}
+
+func writeHead(w http.ResponseWriter, answer *direct.Answer) {
+	header := w.Header()
+	for name, values := range endToEnd(answer.Header) {
+		header[name] = values
+	}
+}
+
+// relayStream passes the events of a stream on as they come. A stream that
+// breaks before its first event is a failed attempt; one that breaks later goes
+// on at another target where the route allows it, and is cut off otherwise.
+func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, answer *direct.Answer) (verdict, *failure.Error) {
+	out := &streamWriter{w: w, control: http.NewResponseController(w), last: c.lastEvent}
+	for {
+		first := answer
+		err := out.copy(answer, func() { writeHead(w, first) })
+		answer.Close()
+		c.lastEvent = out.last
+		if err == nil {
+			h.dispatcher.Done(t, dispatch.Served, h.clock.Now())
+			h.budget(c.service).Succeeded()
+			out.finish(answer)
+			return verdict{ran: hasRun, deliver: true, success: true}, nil
+		}
+		found := broken(ctx)
+		if errors.Is(err, errCallerGone) {
+			found.result = dispatch.Abandoned
+		}
+		h.dispatcher.Done(t, found.result, h.clock.Now())
+		if !out.started {
+			return found, c.failed(found)
+		}
+		if found.result == dispatch.Abandoned || !h.sendAgain(ctx, c, found) {
+			h.cut(c, found)
+		}
+		t, answer = h.resume(ctx, c)
+	}
+}
+
+// resume gets another target to go on with a stream; it cuts the stream off if
+// there is none.
+func (h *Handler) resume(ctx context.Context, c *call) (*dispatch.Target, *direct.Answer) {
+	c.work.GiveUp = h.clock.Now().Add(c.route.Direct.Latency)
+	for {
+		t, refused := h.wait(ctx, c)
+		if refused != nil {
+			h.cut(c, verdict{reason: "no target goes on with the stream"})
+		}
+		c.work.Tried = append(c.work.Tried, t)
+		c.target = t.ID()
+		answer, err := h.connections(t).Do(ctx, c.outgoing(&h.headers, t, h.clock.Now()), false)
+		var found verdict
+		if err != nil {
+			found = judgeError(err, ctx.Err() != nil)
+		} else {
+			found = judgeAnswer(&h.headers, answer.Status, answer.Header, t.ID())
+		}
+		if found.success {
+			return t, answer
+		}
+		if answer != nil {
+			h.discard(answer)
+		}
+		h.dispatcher.Done(t, found.result, h.clock.Now())
+		if !h.sendAgain(ctx, c, found) {
+			h.cut(c, found)
+		}
+	}
+}
+
+// cut ends a stream that cannot be finished so that nobody takes it for whole.
+// It does not return.
+func (h *Handler) cut(c *call, found verdict) {
+	h.finish(c, "cut", found.reason)
+	panic(http.ErrAbortHandler)
+}
--- a/version/table/fields.go
+++ b/version/table/fields.go
@@ -34,6 +34,7 @@
 }
 
 var routeFields = []field[Route]{
+	textField("host", func(r *Route) *string { return &r.Match.Host }),
 	textField("path", func(r *Route) *string { return &r.Match.Path }),
 	textField("model", func(r *Route) *string { return &r.Match.Model }),
 	textField("organisation", func(r *Route) *string { return &r.Match.Organisation }),
--- a/version/table/overlap.go
+++ b/version/table/overlap.go
@@ -78,7 +78,7 @@
 
 // overlaps tells whether some request matches both.
 func (m Match) overlaps(other Match) bool {
-	if !compatible(m.Model, other.Model) || !compatible(m.Organisation, other.Organisation) {
+	if !compatible(m.Host, other.Host) || !compatible(m.Model, other.Model) || !compatible(m.Organisation, other.Organisation) {
 		return false
 	}
 	if !compatible(string(m.Class), string(other.Class)) {
--- a/version/table/route_index.go
+++ b/version/table/route_index.go
@@ -10,6 +10,8 @@
 
 // Query is what routing looks at in a request.
 type Query struct {
+	// Host is in lower case and without a port.
+	Host         string
 	Path         string
 	Model        string
 	Organisation string
@@ -25,10 +27,10 @@
 	groups map[routeGroupKey]*routeGroup
 }
 
-// routeGroupKey is the model and organisation that a group's routes name.
-type routeGroupKey struct{ model, organisation string }
+// routeGroupKey is the host, model and organisation that a group's routes name.
+type routeGroupKey struct{ host, model, organisation string }
 
-// routeGroup holds the routes that name the same model and organisation.
+// routeGroup holds the routes that name the same host, model and organisation.
 type routeGroup struct {
 	// members are the group's routes by name.
 	members map[string]*Route
@@ -103,7 +105,7 @@
 }
 
 func groupKeyOf(route Route) routeGroupKey {
-	return routeGroupKey{route.Match.Model, route.Match.Organisation}
+	return routeGroupKey{route.Match.Host, route.Match.Model, route.Match.Organisation}
 }
 
 func newRouteGroup(members map[string]*Route) *routeGroup {
@@ -157,15 +159,24 @@
 
 // find returns the matching route of highest priority, nil if there is none.
 func (x *routeIndex) find(query *Query) *Route {
-	best := x.findIn(routeGroupKey{query.Model, query.Organisation}, query, nil)
+	best := x.findForHost(query.Host, query, nil)
+	if query.Host != "" {
+		best = x.findForHost("", query, best)
+	}
+	return best
+}
+
+// findForHost looks at the routes that name the host, or none for "".
+func (x *routeIndex) findForHost(host string, query *Query, best *Route) *Route {
+	best = x.findIn(routeGroupKey{host, query.Model, query.Organisation}, query, best)
 	if query.Organisation != "" {
-		best = x.findIn(routeGroupKey{query.Model, ""}, query, best)
+		best = x.findIn(routeGroupKey{host, query.Model, ""}, query, best)
 	}
 	if query.Model != "" {
-		best = x.findIn(routeGroupKey{"", query.Organisation}, query, best)
+		best = x.findIn(routeGroupKey{host, "", query.Organisation}, query, best)
 	}
 	if query.Model != "" && query.Organisation != "" {
-		best = x.findIn(routeGroupKey{}, query, best)
+		best = x.findIn(routeGroupKey{host, "", ""}, query, best)
 	}
 	return best
 }
@@ -184,6 +195,12 @@
 		if set := group.byPath[query.Path[:end]]; set != nil {
 			best = set.find(query, best)
 		}
+		if end == len(query.Path) {
+			break
+		}
+		if set := group.byPath[query.Path[:end+1]]; set != nil {
+			best = set.find(query, best)
+		}
 	}
 	return best
 }
--- a/version/table/types.go
+++ b/version/table/types.go
@@ -18,7 +18,10 @@
 
 // Match says which requests a route takes; empty fields match anything.
 type Match struct {
-	// Path is a path prefix, on whole segments.
+	// Host is the host that the request names, in lower case and without a port.
+	Host string
+	// Path is a path prefix, on whole segments; one that ends in a slash takes
+	// only what is below it.
 	Path string
 	// Model is the model named in the request body.
 	Model string
@@ -49,6 +52,34 @@
 	Class Class
 	// QuotaPerSecond bounds requests a second an organisation; 0 means none.
 	QuotaPerSecond float64
+	// Direct says how requests of the route are sent straight to targets, without
+	// an agent between; nil for a route that goes through agents. It comes from a
+	// platform's configuration, never from a tables' file.
+	Direct *Direct
+}
+
+// Direct is how the requests of a route are sent straight to targets.
+type Direct struct {
+	// Split shares the requests out among pools by weight.
+	Split []PoolShare
+	// MaxAttempts is the most targets that one request may be sent to.
+	MaxAttempts int
+	// Public tells that a request needs no key.
+	Public bool
+	// Streams tells that answers are streams of events, and Resumable that a
+	// stream may go on at another target after the last event that arrived.
+	Streams, Resumable bool
+	// Urgency orders requests that wait; 0 goes first.
+	Urgency int
+	// Latency is the time to the answer, or to a stream's first event, within
+	// which the request counts as served in time; Gap bounds a stream's pauses.
+	Latency, Gap time.Duration
+}
+
+// PoolShare is a pool's part of a route's requests.
+type PoolShare struct {
+	Pool   string
+	Weight float64
 }
 
 // PoolKind tells what stands behind a pool's targets.
@@ -114,6 +145,9 @@
 	KeyHashes []string
 	// Weight is the organisation's share under contention; 0 means 1.
 	Weight float64
+	// Urgency goes before that of a route for the organisation's requests; nil
+	// for none. It comes from a platform's configuration only.
+	Urgency *int
 }
 
 // Table is one version of everything operators edit.
