--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -2,37 +2,363 @@
 
 import (
 	"context"
-	"os"
+	"errors"
+	"net"
+	"slices"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	"verbenaseam.example/verbenaseam/daemon/command"
+	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/settings"
+	"verbenaseam.example/verbenaseam/version/config"
+	"verbenaseam.example/verbenaseam/version/expertmap"
+	"verbenaseam.example/verbenaseam/version/rebalance"
 )
 
-// Agent is the process.
+const (
+	// tickEvery is the agent's shortest interval.
+	tickEvery = 20 * time.Millisecond
+	// reportEvery is the time between two reports of a rank for which no switch is
+	// under way.
+	reportEvery = 100 * time.Millisecond
+	// statusEvery is the time between two statuses for the planner.
+	statusEvery = 100 * time.Millisecond
+	// directiveEvery is the time between two directives of the planner.
+	directiveEvery = 100 * time.Millisecond
+	// plannerSilence is how long the planner may be silent before another rank's
+	// agent plans, plannerStagger what each rank waits beyond the one before it.
+	plannerSilence = 500 * time.Millisecond
+	plannerStagger = 150 * time.Millisecond
+	// patience is how long a promise stays undecided before its agent asks the
+	// others, stagger what each rank waits beyond the one before it.
+	patience = 120 * time.Millisecond
+	stagger  = 10 * time.Millisecond
+	// inboxSize is how many datagrams wait for the agent.
+	inboxSize = 256
+)
+
+// Config is what an Agent is made of.
+type Config struct {
+	Settings settings.Rank
+	Store    *platform.Store
+	Clock    clockwork.Clock
+	Logger   *logrus.Logger
+}
+
+// Agent is the process. One goroutine does its work.
 type Agent struct {
 	settings settings.Rank
+	store    *platform.Store
+	clock    clockwork.Clock
 	log      *logrus.Entry
+
+	target *platform.Rank
+	// incarnation grows with each start of the agent.
+	incarnation uint64
+	socket      *net.UDPConn
+	inbox       chan datagram
+	// facts brings what was read from the store.
+	facts chan storeFacts
+
+	engine *expertmap.OrderEngine
+	driver *expertmap.Driver
+	// reported is when the engine's report was read, failing that it could not be.
+	reported time.Time
+	failing  bool
+	// stray is since when the engine holds for no proposal.
+	stray time.Time
+
+	planner *rebalance.Planner
+	// directive is the latest of another agent that plans, and plannerAddress where
+	// it came from.
+	directive      *rebalance.Directive
+	directiveHeard time.Time
+	plannerAddress string
+	// since is when the agent could first have heard of a planner.
+	since time.Time
+
+	experts   *config.Experts
+	addresses []string
+	asked     time.Time
+
+	counts    platform.Counts
+	sent      uint64
+	statused  time.Time
+	directed  time.Time
+	preparing preparation
 }
 
-// Load reads and checks the settings in an INI file and returns how to start
-// the process with them.
-func Load(file string) (func() (command.Daemon, error), error) {
-	loaded, err := settings.LoadRank(file)
-	if err != nil {
-		return nil, err
+// datagram is one message from another agent.
+type datagram struct {
+	from     string
+	envelope rebalance.Envelope
+}
+
+// New returns an agent that has opened nothing yet.
+func New(cfg Config) *Agent {
+	now := cfg.Clock.Now()
+	target := platform.NewRank(cfg.Settings.TargetAddress)
+	return &Agent{
+		settings: cfg.Settings, store: cfg.Store, clock: cfg.Clock, log: logs.Part(cfg.Logger, "rank"),
+		target: target, incarnation: uint64(now.UnixMicro()), inbox: make(chan datagram, inboxSize),
+		facts: make(chan storeFacts, 1), engine: expertmap.NewOrderEngine(orders{target}), since: now,
 	}
-	return func() (command.Daemon, error) {
-		return &Agent{settings: loaded, log: logs.Part(logs.New(os.Stdout, loaded.Log), "rank")}, nil
-	}, nil
 }
 
 // Run implements command.Daemon.
 func (a *Agent) Run(ctx, _ context.Context) error {
-	a.log.WithField("name", a.settings.Name).Info("started")
-	<-ctx.Done()
+	address, err := net.ResolveUDPAddr("udp", a.settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	if a.socket, err = net.ListenUDP("udp", address); err != nil {
+		return err
+	}
+	a.log.WithFields(logrus.Fields{"name": a.settings.Name, "target": a.settings.TargetAddress}).Info("started")
+	go a.receive()
+	a.loop(ctx)
+	_ = a.socket.Close()
 	a.log.Info("stopped")
 	return nil
 }
+
+func (a *Agent) loop(ctx context.Context) {
+	ticker := a.clock.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case received := <-a.inbox:
+			a.take(received)
+		case found := <-a.facts:
+			a.learn(found)
+		case <-ticker.Chan():
+			a.tick(ctx)
+		}
+	}
+}
+
+// receive takes datagrams in until the socket is closed.
+func (a *Agent) receive() {
+	buffer := make([]byte, datagramLimit)
+	for {
+		n, from, err := a.socket.ReadFromUDP(buffer)
+		if err != nil {
+			return
+		}
+		envelope, err := rebalance.Decode(buffer[:n])
+		if err != nil {
+			a.log.WithError(err).WithField("from", from.String()).Warn("datagram refused")
+			continue
+		}
+		select {
+		case a.inbox <- datagram{from.String(), envelope}:
+		default:
+			a.log.Warn("datagram dropped, too many wait")
+		}
+	}
+}
+
+// datagramLimit is the longest datagram.
+const datagramLimit = 64 << 10
+
+func (a *Agent) send(address string, envelope rebalance.Envelope) {
+	message, err := rebalance.Encode(envelope)
+	if err != nil {
+		a.log.WithError(err).Error("message cannot be encoded")
+		return
+	}
+	to, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		a.log.WithError(err).Error("address cannot be read")
+		return
+	}
+	if _, err := a.socket.WriteToUDP(message, to); err != nil {
+		a.log.WithError(err).WithField("to", address).Debug("message not sent")
+	}
+}
+
+// take takes a datagram in.
+func (a *Agent) take(received datagram) {
+	now := a.clock.Now()
+	switch envelope := received.envelope; {
+	case envelope.Status != nil:
+		if a.planner != nil {
+			a.planner.Hear(*envelope.Status, received.from, now)
+		}
+	case envelope.Directive != nil:
+		a.follow(*envelope.Directive, received.from, now)
+	case envelope.Vote != nil:
+		if a.driver != nil {
+			a.driver.Receive(now, *envelope.Vote)
+		}
+	}
+}
+
+// follow takes a directive in. That of a lower rank goes before that of a higher
+// one while both plan.
+func (a *Agent) follow(directive rebalance.Directive, from string, now time.Time) {
+	last := a.engine.Last()
+	if directive.Group != last.Group || directive.Incarnation != last.Incarnation || directive.Agent == a.incarnation {
+		return
+	}
+	if a.planner != nil && directive.Planner > last.Rank {
+		return
+	}
+	old := a.directive
+	if old != nil && directive.Planner > old.Planner && now.Sub(a.directiveHeard) < plannerSilence {
+		return
+	}
+	if a.planner != nil {
+		a.log.WithField("planner", directive.Planner).Info("planning left to another rank")
+		a.planner = nil
+	}
+	a.directive, a.plannerAddress, a.directiveHeard = &directive, from, now
+}
+
+func (a *Agent) tick(ctx context.Context) {
+	now := a.clock.Now()
+	if now.Sub(a.reported) >= a.reportInterval() {
+		a.refresh(now)
+	}
+	if a.driver == nil {
+		return
+	}
+	a.driver.Tick(now)
+	a.dropStray(now)
+	a.role(ctx, now)
+	a.prepare(ctx, now)
+	if now.Sub(a.statused) >= statusEvery {
+		a.statused = now
+		a.status(ctx, now)
+	}
+	a.plan(now)
+}
+
+// reportInterval is shorter while something is under way.
+func (a *Agent) reportInterval() time.Duration {
+	if a.wanted() != nil || a.driver != nil && a.driver.Agent().Undecided() != nil {
+		return tickEvery
+	}
+	return reportEvery
+}
+
+// refresh reads the engine's report and follows the group from incarnation to
+// incarnation.
+func (a *Agent) refresh(now time.Time) {
+	a.reported = now
+	before := a.engine.Last()
+	var report expertmap.RankReport
+	var err error
+	if a.driver == nil {
+		err = a.attach(now)
+		report = a.engine.Last()
+	} else {
+		report, err = a.engine.Refresh()
+	}
+	if err != nil {
+		if !a.failing {
+			a.log.WithError(err).Warn("target lost")
+		}
+		a.failing = true
+		return
+	}
+	if a.failing {
+		a.failing = false
+		a.log.Info("target regained")
+	}
+	if a.driver != nil && before.Size > 0 && (report.Incarnation != before.Incarnation || report.Rank != before.Rank || !report.Born.Equal(before.Born)) {
+		a.formed(report, now)
+	}
+}
+
+// attach connects to the engine for the first time.
+func (a *Agent) attach(now time.Time) error {
+	driver, err := expertmap.NewDriver(now, expertmap.Config{
+		Incarnation: a.incarnation, Patience: patience, Stagger: stagger,
+	}, a.engine, transport{a}, a)
+	if err != nil {
+		return err
+	}
+	if a.engine.Last().Size == 0 {
+		return nil
+	}
+	a.driver = driver
+	a.formed(a.engine.Last(), now)
+	return nil
+}
+
+// formed starts anew with another incarnation of the group.
+func (a *Agent) formed(report expertmap.RankReport, now time.Time) {
+	a.driver.Formed(now, a.engine.Facts())
+	a.planner, a.directive, a.since = nil, nil, now
+	a.counts = platform.Counts{}
+	a.preparing = preparation{}
+	a.log.WithFields(logrus.Fields{
+		"group": report.Group, "incarnation": report.Incarnation, "rank": report.Rank, "size": report.Size, "running": report.Running,
+	}).Info("group formed")
+}
+
+// dropStray lets a group go that is held for no proposal.
+func (a *Agent) dropStray(now time.Time) {
+	if !a.engine.Last().Holding || a.driver.Agent().Undecided() != nil {
+		a.stray = time.Time{}
+		return
+	}
+	if a.stray.IsZero() {
+		a.stray = now
+	}
+	if err := a.engine.Stray(now, a.stray); err != nil {
+		a.log.WithError(err).Debug("stray hold not dropped")
+	}
+}
+
+// ProposalEnded implements expertmap.Observer.
+func (a *Agent) ProposalEnded(ended expertmap.Ended) {
+	to, step := ended.ID.Target()
+	a.log.WithFields(logrus.Fields{"map": to.Number(), "step": step, "decision": ended.Decision.String()}).Info("proposal ended")
+	if a.planner != nil {
+		a.note(a.planner.Ended(ended, a.clock.Now()))
+	}
+}
+
+// EngineFailed implements expertmap.Observer.
+func (a *Agent) EngineFailed(action expertmap.ActionKind, err error) {
+	if errors.Is(err, expertmap.ErrNotArmed) {
+		a.log.WithError(err).Error("switch not made")
+		return
+	}
+	a.log.WithError(err).WithField("action", action).Debug("engine order open")
+}
+
+// transport sends votes to the agents of other ranks.
+type transport struct{ agent *Agent }
+
+// Send implements expertmap.Transport.
+func (t transport) Send(rank int, message expertmap.Message) {
+	address := t.agent.addressOf(rank)
+	if address == "" {
+		return
+	}
+	t.agent.send(address, rebalance.Envelope{Vote: &message})
+}
+
+// addressOf returns where a rank's agent takes datagrams, empty if that is not
+// known.
+func (a *Agent) addressOf(rank int) string {
+	var members []rebalance.Member
+	if a.planner != nil {
+		members = a.planner.Directive().Members
+	} else if a.directive != nil {
+		members = a.directive.Members
+	}
+	at := slices.IndexFunc(members, func(m rebalance.Member) bool { return m.Rank == rank })
+	if at < 0 {
+		return ""
+	}
+	return members[at].Address
+}
--- /dev/null
+++ b/daemon/rank/load.go
@@ -0,0 +1,29 @@
+package rank
+
+import (
+	"os"
+
+	"github.com/jonboulle/clockwork"
+
+	"verbenaseam.example/verbenaseam/daemon/command"
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/settings"
+)
+
+// Load reads and checks the settings in an INI file and returns how to start
+// the process with them.
+func Load(file string) (func() (command.Daemon, error), error) {
+	loaded, err := settings.LoadRank(file)
+	if err != nil {
+		return nil, err
+	}
+	return func() (command.Daemon, error) {
+		return New(Config{
+			Settings: loaded,
+			Store:    platform.NewStore(loaded.StoreAddress),
+			Clock:    clockwork.NewRealClock(),
+			Logger:   logs.New(os.Stdout, loaded.Log),
+		}), nil
+	}, nil
+}
--- /dev/null
+++ b/daemon/rank/orders.go
@@ -0,0 +1,36 @@
+package rank
+
+import (
+	"context"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/version/expertmap"
+)
+
+// orders gives orders to the engine on this host.
+type orders struct{ target *platform.Rank }
+
+// Report implements expertmap.Orders.
+func (o orders) Report() (expertmap.RankReport, error) {
+	return o.target.Report(context.Background())
+}
+
+// Arm implements expertmap.Orders.
+func (o orders) Arm(given, incarnation, version, step uint64) (bool, error) {
+	return o.target.Arm(context.Background(), platform.Order{Orders: given, Incarnation: incarnation}, version, step)
+}
+
+// Disarm implements expertmap.Orders.
+func (o orders) Disarm(given, incarnation, version uint64) (bool, error) {
+	return o.target.Disarm(context.Background(), platform.Order{Orders: given, Incarnation: incarnation}, version)
+}
+
+// Hold implements expertmap.Orders.
+func (o orders) Hold(given, incarnation, step uint64) (bool, error) {
+	return o.target.Hold(context.Background(), platform.Order{Orders: given, Incarnation: incarnation}, step)
+}
+
+// Go implements expertmap.Orders.
+func (o orders) Go(given, incarnation, step uint64) (bool, error) {
+	return o.target.Go(context.Background(), platform.Order{Orders: given, Incarnation: incarnation}, step)
+}
--- /dev/null
+++ b/daemon/rank/plan.go
@@ -0,0 +1,199 @@
+package rank
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/version/config"
+	"verbenaseam.example/verbenaseam/version/rebalance"
+)
+
+const (
+	// askEvery is the time between two reads of the store by an agent that lacks
+	// something.
+	askEvery = time.Second
+	// storeTimeout bounds one read.
+	storeTimeout = 3 * time.Second
+)
+
+// storeFacts is what an agent that plans reads from the store.
+type storeFacts struct {
+	experts *config.Experts
+	// addresses are those at which the agents of the service's hosts take
+	// datagrams.
+	addresses []string
+}
+
+// role takes planning over when no lower rank plans.
+func (a *Agent) role(ctx context.Context, now time.Time) {
+	report := a.engine.Last()
+	if a.planner != nil || !report.Open {
+		return
+	}
+	heard := a.since
+	if a.directive != nil {
+		heard = a.directiveHeard
+	}
+	wait := plannerSilence + time.Duration(report.Rank)*plannerStagger
+	if report.Rank == 0 {
+		wait = 0
+	}
+	if now.Sub(heard) < wait {
+		return
+	}
+	if a.experts == nil || len(a.addresses) == 0 {
+		a.ask(ctx, now)
+		return
+	}
+	a.directive = nil
+	a.planner = rebalance.NewPlanner(*a.experts, a.statusOf(report))
+	a.log.WithField("rank", report.Rank).Info("planning")
+}
+
+// ask reads the store beside the agent's work.
+func (a *Agent) ask(ctx context.Context, now time.Time) {
+	if now.Sub(a.asked) < askEvery {
+		return
+	}
+	a.asked = now
+	go func() {
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		found, err := a.read(ctx)
+		if err != nil {
+			a.log.WithError(err).Warn("store not read")
+			return
+		}
+		select {
+		case a.facts <- found:
+		default:
+		}
+	}()
+}
+
+func (a *Agent) read(ctx context.Context) (storeFacts, error) {
+	var found storeFacts
+	rows, _, err := a.store.Read(ctx, platform.TableOperator, "")
+	if err != nil {
+		return found, err
+	}
+	for _, row := range rows {
+		if row.Key != platform.KeyConfiguration {
+			continue
+		}
+		version, err := platform.DecodeConfiguration(row.Value)
+		if err != nil {
+			return found, err
+		}
+		if service := version.Services[a.settings.Service]; service != nil && service.Engine != nil {
+			found.experts = service.Engine.Experts
+		}
+	}
+	rows, _, err = a.store.Read(ctx, platform.TableTargets, "")
+	if err != nil {
+		return found, err
+	}
+	for _, row := range rows {
+		registration, err := platform.DecodeRegistration(row)
+		if err != nil || registration.Service != a.settings.Service {
+			continue
+		}
+		if address, ok := a.peerOf(registration.Address); ok {
+			found.addresses = append(found.addresses, address)
+		}
+	}
+	return found, nil
+}
+
+// peerOf returns where the agent beside a target takes datagrams: on the
+// target's host, at the port that all agents use.
+func (a *Agent) peerOf(target string) (string, bool) {
+	host, _, err := net.SplitHostPort(target)
+	if err != nil {
+		return "", false
+	}
+	_, port, err := net.SplitHostPort(a.settings.PeerAddress)
+	if err != nil {
+		return "", false
+	}
+	if _, err := strconv.Atoi(port); err != nil {
+		return "", false
+	}
+	return net.JoinHostPort(host, port), true
+}
+
+func (a *Agent) learn(found storeFacts) {
+	if found.experts != nil {
+		a.experts = found.experts
+	}
+	if len(found.addresses) > 0 {
+		a.addresses = found.addresses
+	}
+}
+
+// plan does the planner's part.
+func (a *Agent) plan(now time.Time) {
+	if a.planner == nil {
+		return
+	}
+	if !a.engine.Last().Open {
+		a.planner = nil
+		return
+	}
+	decision, proposal := a.planner.Step(a.engine.Last().Step, now)
+	a.note(decision)
+	if proposal != nil {
+		a.driver.Propose(now, *proposal)
+	}
+	if decision == nil && now.Sub(a.directed) < directiveEvery {
+		return
+	}
+	a.directed = now
+	a.direct(now)
+}
+
+// direct sends the directive to all agents; the map goes only to those that have
+// not copied it.
+func (a *Agent) direct(now time.Time) {
+	directive := a.planner.Directive()
+	ranks := map[string]int{}
+	for _, one := range directive.Members {
+		ranks[one.Address] = one.Rank
+	}
+	for _, address := range a.addresses {
+		if address == a.settings.PeerAddress {
+			continue
+		}
+		short := directive
+		if rank, known := ranks[address]; known && a.planner.Prepared(rank) {
+			short.Prepare = nil
+		}
+		a.send(address, rebalance.Envelope{Directive: &short})
+	}
+	if len(directive.Members) < a.engine.Last().Size {
+		a.askMissing(now)
+	}
+}
+
+// askMissing reads the targets anew while members are missing.
+func (a *Agent) askMissing(now time.Time) {
+	if now.Sub(a.since) > askEvery {
+		a.ask(context.Background(), now)
+	}
+}
+
+// note writes a decision of the planner down.
+func (a *Agent) note(decision *rebalance.Decision) {
+	if decision == nil {
+		return
+	}
+	a.log.WithFields(logrus.Fields{
+		"map": decision.Map.Number(), "copies": decision.Plan.Copies, "most": decision.Plan.CopiesMost,
+		"before": decision.Plan.Before, "after": decision.Plan.After, "took_ms": decision.Took.Milliseconds(),
+	}).Info("map: " + decision.What)
+}
--- /dev/null
+++ b/daemon/rank/status.go
@@ -0,0 +1,140 @@
+package rank
+
+import (
+	"context"
+	"time"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/version/expertmap"
+	"verbenaseam.example/verbenaseam/version/rebalance"
+)
+
+// statusOf returns what a report says, without counts.
+func (a *Agent) statusOf(report expertmap.RankReport) rebalance.Status {
+	return rebalance.Status{
+		Group: report.Group, Incarnation: report.Incarnation, Rank: report.Rank, Size: report.Size,
+		Agent: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.ArmedVersion,
+		Refused: a.preparing.refused,
+	}
+}
+
+// status tells the planner of this rank.
+func (a *Agent) status(ctx context.Context, now time.Time) {
+	if a.planner == nil && a.directive == nil {
+		return
+	}
+	status := a.statusOf(a.engine.Last())
+	a.sent++
+	status.Sent = a.sent
+	status.Chosen = a.chosen(ctx)
+	if a.planner != nil && a.planner.Directive().TellHeld || a.directive != nil && a.directive.TellHeld {
+		a.addHeld(ctx, &status)
+	}
+	if a.planner != nil {
+		a.planner.Hear(status, a.settings.PeerAddress, now)
+		return
+	}
+	a.send(a.plannerAddress, rebalance.Envelope{Status: &status})
+}
+
+// chosen returns what was chosen since the status before.
+func (a *Agent) chosen(ctx context.Context) []uint32 {
+	counts, err := a.target.Counts(ctx)
+	if err != nil {
+		a.log.WithError(err).Debug("counts not read")
+		return nil
+	}
+	before := a.counts
+	a.counts = counts
+	if before.Incarnation != counts.Incarnation || len(before.Experts) != len(counts.Experts) || counts.Step < before.Step {
+		return nil
+	}
+	chosen := make([]uint32, len(counts.Experts))
+	for at, count := range counts.Experts {
+		if count > before.Experts[at] {
+			chosen[at] = uint32(count - before.Experts[at])
+		}
+	}
+	return chosen
+}
+
+// addHeld adds the rank's experts, if they are those of the map in use.
+func (a *Agent) addHeld(ctx context.Context, status *rebalance.Status) {
+	version, held, err := a.target.Held(ctx)
+	if err != nil {
+		a.log.WithError(err).Debug("experts not read")
+		return
+	}
+	if version == status.Running {
+		status.Held = held
+	}
+}
+
+// preparation is how far this rank is with the copy of a map.
+type preparation struct {
+	number uint64
+	// ordered tells that the engine has taken the order.
+	ordered bool
+	// refusals counts how often it did not.
+	refusals int
+	// refused is the number of a map that the engine will not copy.
+	refused uint64
+}
+
+// mostRefusals is how often a copy is ordered before it is given up.
+const mostRefusals = 8
+
+// wanted returns the map that this rank is to copy, nil for none.
+func (a *Agent) wanted() *rebalance.Map {
+	var wanted *rebalance.Map
+	if a.planner != nil {
+		wanted = a.planner.Directive().Prepare
+	} else if a.directive != nil {
+		wanted = a.directive.Prepare
+	}
+	if wanted == nil || a.engine.Last().Prepared == wanted.ID.Number() || a.engine.Last().Running >= wanted.ID.Number() {
+		return nil
+	}
+	return wanted
+}
+
+// prepare orders the copy of the map that the planner wants.
+func (a *Agent) prepare(ctx context.Context, _ time.Time) {
+	wanted := a.wanted()
+	if wanted == nil {
+		return
+	}
+	number := wanted.ID.Number()
+	if a.preparing.number != number {
+		a.preparing = preparation{number: number}
+	}
+	report := a.engine.Last()
+	if a.preparing.ordered || a.preparing.refused == number || report.ArmedVersion != 0 {
+		return
+	}
+	order := platform.Order{Orders: report.Orders, Incarnation: report.Incarnation}
+	ok, err := a.target.Prepare(ctx, order, number, wanted.Experts)
+	if ok {
+		a.preparing.ordered = true
+		return
+	}
+	if err != nil {
+		a.log.WithError(err).Debug("copy not ordered")
+	}
+	after, reportErr := a.engine.Refresh()
+	if reportErr != nil {
+		return
+	}
+	// Only the agent orders, so an order more means that this one was taken.
+	if after.Orders > report.Orders {
+		a.preparing.ordered = true
+		return
+	}
+	if err == nil {
+		a.preparing.refusals++
+	}
+	if a.preparing.refusals >= mostRefusals {
+		a.preparing.refused = number
+		a.log.WithField("map", number).Warn("copy refused")
+	}
+}
--- /dev/null
+++ b/version/expertmap/orders.go
@@ -0,0 +1,227 @@
+package expertmap
+
+import (
+	"errors"
+	"time"
+)
+
+// ErrOrderOpen means that an order was refused for what may pass, or may yet
+// take effect; the call is repeated.
+var ErrOrderOpen = errors.New("the engine has not taken the order")
+
+// ErrNotArmed means that an engine holds for a switch that is not set. It is
+// never let go, since it would begin the step on the old map.
+var ErrNotArmed = errors.New("the engine holds for a switch that is not set")
+
+// Orders is an engine that takes numbered orders. An order may be lost, or be
+// carried out seconds after it was given; one that names a number of orders which
+// is no longer true is refused.
+type Orders interface {
+	Report() (RankReport, error)
+	// Arm sets the switch to a prepared map, Disarm takes it back, Hold keeps the
+	// group from beginning a step, Go lets it in. They return false if the engine
+	// refuses; after an error the order may have been taken, or may be later.
+	Arm(orders, incarnation, version, step uint64) (bool, error)
+	Disarm(orders, incarnation, version uint64) (bool, error)
+	Hold(orders, incarnation, step uint64) (bool, error)
+	Go(orders, incarnation, step uint64) (bool, error)
+}
+
+// OrderEngine makes an Engine of one that takes orders. A promise is a hold
+// together with the switch that is set behind it, so that the engine keeps the
+// promise whole: the hold comes first, and to take a promise back the switch goes
+// first. It is not safe for concurrent use.
+type OrderEngine struct {
+	orders Orders
+	// last is the latest report, with the orders given since counted in.
+	last RankReport
+	// tries counts the attempts to hold for the proposal trying.
+	trying ProposalID
+	tries  int
+}
+
+const (
+	// mostTries is how often a hold is tried before it is refused.
+	mostTries = 12
+	// fenceAhead is how far ahead the step lies that is held and let go only to
+	// make orders of an earlier agent void.
+	fenceAhead = 1 << 24
+)
+
+// NewOrderEngine returns an OrderEngine.
+func NewOrderEngine(orders Orders) *OrderEngine { return &OrderEngine{orders: orders} }
+
+// Last returns the latest report.
+func (e *OrderEngine) Last() RankReport { return e.last }
+
+// Refresh reads the engine's report.
+func (e *OrderEngine) Refresh() (RankReport, error) {
+	report, err := e.orders.Report()
+	if err == nil {
+		e.last = report
+	}
+	return e.last, err
+}
+
+// Attach implements Engine. Orders of an earlier agent that are still on their
+// way are made void first; a hold without a switch is no promise and is dropped.
+func (e *OrderEngine) Attach(uint64) (Facts, error) {
+	report, err := e.Refresh()
+	if err != nil {
+		return Facts{}, err
+	}
+	if report.Holding && report.ArmedVersion == 0 {
+		if err := e.letGo(report.Held); err != nil {
+			return Facts{}, err
+		}
+	}
+	if report.Orders > 0 && !e.last.Holding {
+		if err := e.fence(); err != nil {
+			return Facts{}, err
+		}
+	}
+	if _, err := e.Refresh(); err != nil {
+		return Facts{}, err
+	}
+	return e.Facts(), nil
+}
+
+// fence makes the engine take an order, so that those that were given before and
+// not taken yet are refused.
+func (e *OrderEngine) fence() error {
+	step := e.last.Step + fenceAhead
+	ok, err := e.orders.Hold(e.last.Orders, e.last.Incarnation, step)
+	if err != nil || !ok {
+		return errors.Join(ErrOrderOpen, err)
+	}
+	e.last.Orders++
+	return e.letGo(step)
+}
+
+// Facts returns what the latest report says.
+func (e *OrderEngine) Facts() Facts {
+	r := e.last
+	facts := Facts{
+		Group: r.Incarnation, Rank: r.Rank, Size: r.Size, Step: r.Step, Running: MapOf(r.Running),
+	}
+	if r.ArmedVersion == 0 {
+		return facts
+	}
+	to := MapOf(r.ArmedVersion)
+	set := &Proposal{ID: ProposalOf(to, r.ArmedStep), Group: r.Incarnation, From: facts.Running, To: to, Step: r.ArmedStep}
+	if r.Holding && r.Held == r.ArmedStep {
+		facts.Held = set
+	} else {
+		facts.Pending = set
+	}
+	return facts
+}
+
+// Hold implements Engine.
+func (e *OrderEngine) Hold(proposal Proposal) (bool, error) {
+	if e.trying != proposal.ID {
+		e.trying, e.tries = proposal.ID, 0
+	}
+	e.tries++
+	r, err := e.Refresh()
+	if err != nil {
+		return false, err
+	}
+	holds := r.Holding && r.Held == proposal.Step
+	if holds && r.ArmedVersion == proposal.To.Number() && r.ArmedStep == proposal.Step {
+		return true, nil
+	}
+	if !e.mayHold(proposal) || e.tries > mostTries {
+		if !holds {
+			return false, nil
+		}
+		return false, e.Release(proposal.ID)
+	}
+	if r.Holding && !holds {
+		return false, errors.Join(ErrOrderOpen, e.letGo(r.Held))
+	}
+	if !holds {
+		ok, err := e.orders.Hold(r.Orders, r.Incarnation, proposal.Step)
+		if err != nil || !ok {
+			return false, errors.Join(ErrOrderOpen, err)
+		}
+		e.last.Orders++
+	}
+	ok, err := e.orders.Arm(e.last.Orders, r.Incarnation, proposal.To.Number(), proposal.Step)
+	if err != nil || !ok {
+		return false, errors.Join(ErrOrderOpen, err)
+	}
+	e.last.Orders++
+	return true, nil
+}
+
+// mayHold tells whether the engine can promise the proposal.
+func (e *OrderEngine) mayHold(proposal Proposal) bool {
+	r := e.last
+	if r.Incarnation != proposal.Group || r.Step >= proposal.Step {
+		return false
+	}
+	if r.ArmedVersion != 0 && (r.ArmedVersion != proposal.To.Number() || r.ArmedStep != proposal.Step) {
+		return false
+	}
+	return r.Running == proposal.From.Number() && r.Prepared == proposal.To.Number()
+}
+
+// Release implements Engine.
+func (e *OrderEngine) Release(id ProposalID) error {
+	to, step := id.Target()
+	r, err := e.Refresh()
+	if err != nil {
+		return err
+	}
+	if r.ArmedVersion == to.Number() && r.ArmedStep == step {
+		ok, err := e.orders.Disarm(r.Orders, r.Incarnation, r.ArmedVersion)
+		if err != nil || !ok {
+			return errors.Join(ErrOrderOpen, err)
+		}
+		e.last.Orders++
+		e.last.ArmedVersion, e.last.ArmedStep = 0, 0
+	}
+	if !r.Holding || r.Held != step {
+		return nil
+	}
+	return e.letGo(step)
+}
+
+// Switch implements Engine: the switch is set, and only the hold is dropped.
+func (e *OrderEngine) Switch(proposal Proposal) error {
+	r, err := e.Refresh()
+	if err != nil {
+		return err
+	}
+	if r.Incarnation != proposal.Group || !r.Holding || r.Held != proposal.Step {
+		return nil
+	}
+	if r.ArmedVersion != proposal.To.Number() || r.ArmedStep != proposal.Step {
+		return ErrNotArmed
+	}
+	return e.letGo(proposal.Step)
+}
+
+func (e *OrderEngine) letGo(step uint64) error {
+	ok, err := e.orders.Go(e.last.Orders, e.last.Incarnation, step)
+	if err != nil || !ok {
+		return errors.Join(ErrOrderOpen, err)
+	}
+	e.last.Orders++
+	e.last.Holding = false
+	return nil
+}
+
+// straySpan is how long a hold may stand that belongs to no proposal: a hold that
+// was given up on may be carried out seconds later.
+const straySpan = 200 * time.Millisecond
+
+// Stray drops a hold that belongs to no proposal; since is when it was first
+// seen, the zero time if it was not there before.
+func (e *OrderEngine) Stray(now, since time.Time) error {
+	if !e.last.Holding || e.last.ArmedVersion != 0 || since.IsZero() || now.Sub(since) < straySpan {
+		return nil
+	}
+	return e.letGo(e.last.Held)
+}
--- a/version/expertmap/vote.go
+++ b/version/expertmap/vote.go
@@ -6,12 +6,18 @@
 // engine to hold, or refuses. It returns nil, and keeps no record, for the
 // proposal that brought the current map, for those before it, and for those that
 // ask an earlier incarnation: had that promised, the engine or the others would
-// have told, so it can be counted on to have refused.
+// have told, so it can be counted on to have refused. A proposal that does not
+// say whom it asks comes from an agent that found it in its engine; the refusal
+// is kept, since the same proposal may yet come whole.
 func (a *Agent) consider(now time.Time, proposal Proposal, out *Output) *record {
-	if !a.installed.Less(proposal.ID) || a.brought(proposal) || !a.asks(proposal) {
+	if !a.installed.Less(proposal.ID) || a.brought(proposal) {
 		return nil
 	}
-	if !a.mayPromise(proposal) {
+	asks := a.asks(proposal)
+	if !asks && (len(proposal.Agents) > 0 || a.broken == refusalUnkept) {
+		return nil
+	}
+	if !asks || !a.mayPromise(proposal) {
 		a.see(proposal.ID)
 		refused := a.remember(proposal, asking)
 		refused.applied = true
--- /dev/null
+++ b/version/placement/even_test.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// inTurn places experts on ranks in turn.
+func inTurn(layers, experts, ranks int) [][][]int {
+	held := make([][][]int, layers)
+	for layer := range held {
+		held[layer] = make([][]int, ranks)
+		for expert := range experts {
+			rank := expert % ranks
+			held[layer][rank] = append(held[layer][rank], expert)
+		}
+	}
+	return held
+}
+
+// skewedLoads returns loads of which a few experts take most.
+func skewedLoads(random *rand.Rand, layers, experts int) [][]float64 {
+	loads := make([][]float64, layers)
+	for layer := range loads {
+		loads[layer] = make([]float64, experts)
+		for place, expert := range random.Perm(experts) {
+			loads[layer][expert] = 1000 / math.Pow(float64(place+1), 1.1)
+		}
+	}
+	return loads
+}
+
+// checkEven checks a map's limits and returns the copies by rank.
+func checkEven(t *testing.T, in EvenInput, before, after [][][]int) []int {
+	t.Helper()
+	fresh := make([]int, in.Ranks)
+	for layer := range after {
+		hosts := map[int]int{}
+		for rank, experts := range after[layer] {
+			require.LessOrEqual(t, len(experts), in.Slots)
+			seen := map[int]bool{}
+			added := 0
+			for _, expert := range experts {
+				require.False(t, seen[expert], "an expert stands twice on a rank")
+				seen[expert] = true
+				hosts[expert]++
+				if !slices.Contains(before[layer][rank], expert) {
+					added++
+				}
+			}
+			require.LessOrEqual(t, added, in.NewPerLayer)
+			fresh[rank] += added
+		}
+		require.Len(t, hosts, len(in.Loads[layer]), "every expert stands somewhere")
+	}
+	return fresh
+}
+
+func TestImproveEvenKeepsItsLimits(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 20 {
+		in := EvenInput{Loads: skewedLoads(random, 4, 72), Ranks: 12, Slots: 8, NewPerLayer: 3}
+		before := inTurn(4, 72, 12)
+		settings := EvenSettings{CopyCost: 0.005, NewPerRank: 1 + random.IntN(12), MaxSteps: 200}
+		plan, err := ImproveEven(in, before, settings)
+		require.NoError(t, err)
+		fresh := checkEven(t, in, before, plan.Experts)
+		require.LessOrEqual(t, slices.Max(fresh), settings.NewPerRank)
+		require.Equal(t, slices.Max(fresh), plan.CopiesMost)
+		total := 0
+		for _, count := range fresh {
+			total += count
+		}
+		require.Equal(t, total, plan.Copies)
+		skew, err := EvenSkew(in, plan.Experts)
+		require.NoError(t, err)
+		require.InDelta(t, skew, plan.After, 1e-6)
+		require.Less(t, plan.After, plan.Before)
+	}
+}
+
+func TestImproveEvenComesNearAnEvenSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	for range 10 {
+		in := EvenInput{Loads: skewedLoads(random, 4, 72), Ranks: 12, Slots: 8, NewPerLayer: 3}
+		plan, err := ImproveEven(in, inTurn(4, 72, 12), EvenSettings{CopyCost: 0.002, NewPerRank: 12, MaxSteps: 300})
+		require.NoError(t, err)
+		require.Less(t, plan.After, 1.15, "from %g", plan.Before)
+	}
+}
+
+func TestImproveEvenLeavesAnEvenMapAlone(t *testing.T) {
+	loads := [][]float64{slices.Repeat([]float64{5}, 24)}
+	in := EvenInput{Loads: loads, Ranks: 12, Slots: 3, NewPerLayer: 1}
+	plan, err := ImproveEven(in, inTurn(1, 24, 12), EvenSettings{CopyCost: 0.005, NewPerRank: 4, MaxSteps: 50})
+	require.NoError(t, err)
+	require.Zero(t, plan.Copies)
+	require.Equal(t, inTurn(1, 24, 12), plan.Experts)
+}
+
+func TestImproveEvenRefusesAMapThatDoesNotFit(t *testing.T) {
+	in := EvenInput{Loads: [][]float64{{1, 2, 3}}, Ranks: 2, Slots: 2, NewPerLayer: 1}
+	for _, experts := range [][][][]int{
+		nil,
+		{{{0, 1}}},
+		{{{0}, {1}}},
+		{{{0, 1, 7}, {2}}},
+		{{{0, 0}, {1, 2}}},
+	} {
+		_, err := ImproveEven(in, experts, EvenSettings{MaxSteps: 1})
+		require.ErrorIs(t, err, ErrShape)
+	}
+}
+
+func BenchmarkImproveEven(b *testing.B) {
+	random := rand.New(rand.NewPCG(5, 6))
+	for _, size := range []struct {
+		name                          string
+		layers, experts, ranks, slots int
+	}{{"12ranks", 4, 72, 12, 8}, {"63ranks", 8, 252, 63, 5}} {
+		in := EvenInput{Loads: skewedLoads(random, size.layers, size.experts), Ranks: size.ranks, Slots: size.slots, NewPerLayer: 3}
+		before := inTurn(size.layers, size.experts, size.ranks)
+		b.Run(size.name, func(b *testing.B) {
+			for b.Loop() {
+				plan, err := ImproveEven(in, before, EvenSettings{CopyCost: 0.004, NewPerRank: 4, MaxSteps: 300})
+				require.NoError(b, err)
+				b.ReportMetric(plan.After, "skew")
+				b.ReportMetric(float64(plan.Copies), "copies")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/version/rebalance/planner.go
@@ -0,0 +1,310 @@
+package rebalance
+
+import (
+	"slices"
+	"time"
+
+	"verbenaseam.example/verbenaseam/version/config"
+	"verbenaseam.example/verbenaseam/version/expertmap"
+	"verbenaseam.example/verbenaseam/version/placement"
+)
+
+const (
+	// memberSilence is how long a member may be silent before no switch is begun.
+	memberSilence = 600 * time.Millisecond
+	// prepareLimit is how long the copying of a map may take before it is given
+	// up, besides the time that the copies take.
+	prepareLimit = 3 * time.Second
+	// leadSteps is how many steps ahead a switch is proposed, leadMost how many
+	// after proposals that came too late.
+	leadSteps = 3
+	leadMost  = 48
+	// rankBits is the part of an epoch that names the planner's rank, so that two
+	// planners never make the same epoch.
+	rankBits = 12
+	// copyCost is the least fall of a layer's skew that each copied expert must
+	// bring.
+	copyCost = 0.008
+	// leastGain is the least fall of the mean skew for which a map is changed.
+	leastGain = 0.03
+	// newPerRank bounds the experts that a rank copies for one map: each adds to
+	// the time until the map can be used.
+	newPerRank = 4
+	// searchSteps bounds the work of one decision.
+	searchSteps = 400
+)
+
+// phase is how far the planner is.
+type phase uint8
+
+const (
+	// idle means that no map is under way.
+	idle phase = iota
+	// preparing means that the ranks copy a map.
+	preparing
+	// proposed means that the switch was proposed.
+	proposed
+	// switching means that it was agreed and has not been seen at all ranks.
+	switching
+)
+
+// member is what the planner knows of a rank.
+type member struct {
+	status  Status
+	address string
+	heard   time.Time
+	held    [][]int
+}
+
+// Planner decides for one group incarnation.
+type Planner struct {
+	experts config.Experts
+	group   string
+	// incarnation is the group's, rank the planner's and agent that of its agent.
+	incarnation uint64
+	rank, size  int
+	agent       uint64
+
+	members []*member
+	demand  *demand
+	// epoch is that of the maps it makes; highest is the highest number seen.
+	epoch, version uint64
+	highest        uint64
+	// current is the map in use; nil while its contents are not known.
+	current *Map
+	next    *Map
+	phase   phase
+	since   time.Time
+	lead    uint64
+	// copies and skews are those of the map under way, for the log.
+	plan placement.EvenPlan
+}
+
+// NewPlanner returns a planner for the group of which status tells.
+func NewPlanner(experts config.Experts, own Status) *Planner {
+	return &Planner{
+		experts: experts, group: own.Group, incarnation: own.Incarnation,
+		rank: own.Rank, size: own.Size, agent: own.Agent,
+		members: make([]*member, own.Size), demand: newDemand(experts.Sets, experts.PerSet),
+		lead: leadSteps,
+	}
+}
+
+// Hear takes in a rank's status, which came from the address.
+func (p *Planner) Hear(status Status, address string, now time.Time) {
+	if status.Group != p.group || status.Incarnation != p.incarnation || status.Rank < 0 || status.Rank >= p.size {
+		return
+	}
+	old := p.members[status.Rank]
+	if old != nil && old.status.Agent == status.Agent && status.Sent <= old.status.Sent {
+		return
+	}
+	next := &member{status: status, address: address, heard: now, held: status.Held}
+	if next.held == nil && old != nil && old.status.Running == status.Running {
+		next.held = old.held
+	}
+	p.members[status.Rank] = next
+	p.highest = max(p.highest, status.Running, status.Prepared, status.Armed)
+	p.demand.add(status.Chosen, now)
+}
+
+// complete tells whether all ranks were heard of lately.
+func (p *Planner) complete(now time.Time) bool {
+	for _, one := range p.members {
+		if one == nil || now.Sub(one.heard) > memberSilence {
+			return false
+		}
+	}
+	return true
+}
+
+// all tells whether something holds for all ranks.
+func (p *Planner) all(holds func(Status) bool) bool {
+	for _, one := range p.members {
+		if one == nil || !holds(one.status) {
+			return false
+		}
+	}
+	return true
+}
+
+// Directive returns what the agents are told now.
+func (p *Planner) Directive() Directive {
+	directive := Directive{
+		Group: p.group, Incarnation: p.incarnation, Planner: p.rank, Agent: p.agent,
+		TellHeld: p.current == nil,
+	}
+	for rank, one := range p.members {
+		if one != nil {
+			directive.Members = append(directive.Members, Member{Rank: rank, Address: one.address})
+		}
+	}
+	if p.phase == preparing {
+		directive.Prepare = p.next
+	}
+	return directive
+}
+
+// Prepared tells whether a rank has copied the map under way.
+func (p *Planner) Prepared(rank int) bool {
+	one := p.members[rank]
+	return p.next == nil || one != nil && one.status.Prepared == p.next.ID.Number()
+}
+
+// Decision tells what the planner did, for the log.
+type Decision struct {
+	// What happened, in a few words.
+	What string
+	Map  expertmap.MapID
+	Plan placement.EvenPlan
+	// Took is how long the phase before took.
+	Took time.Duration
+}
+
+// Step decides what comes next. It returns a decision, or nil, and the proposal
+// to make, or nil; step is the last step that the planner's own rank has begun.
+func (p *Planner) Step(step uint64, now time.Time) (*Decision, *expertmap.Proposal) {
+	switch p.phase {
+	case idle:
+		return p.begin(now), nil
+	case preparing:
+		return p.awaitPrepared(step, now)
+	case proposed:
+		return p.awaitEnd(now), nil
+	default:
+		return p.awaitSwitch(now), nil
+	}
+}
+
+func (p *Planner) enter(next phase, now time.Time) time.Duration {
+	took := now.Sub(p.since)
+	p.phase, p.since = next, now
+	return took
+}
+
+// begin looks for a map that pays.
+func (p *Planner) begin(now time.Time) *Decision {
+	if !p.complete(now) || !p.learnCurrent() {
+		return nil
+	}
+	loads, known := p.demand.loads(now)
+	if !known {
+		return nil
+	}
+	input := placement.EvenInput{
+		Loads: loads, Ranks: p.size, Slots: p.experts.Slots, NewPerLayer: p.experts.Spare,
+	}
+	plan, err := placement.ImproveEven(input, p.current.Experts, placement.EvenSettings{
+		CopyCost: copyCost, NewPerRank: newPerRank, MaxSteps: searchSteps,
+	})
+	if err != nil {
+		p.current = nil
+		return &Decision{What: "the map does not fit"}
+	}
+	if plan.Before-plan.After < leastGain {
+		return nil
+	}
+	p.plan = plan
+	p.next = &Map{ID: p.nextID(), Experts: plan.Experts}
+	took := p.enter(preparing, now)
+	return &Decision{What: "prepare", Map: p.next.ID, Plan: plan, Took: took}
+}
+
+// nextID names a map that no other planner names.
+func (p *Planner) nextID() expertmap.MapID {
+	if highest := expertmap.MapOf(p.highest); highest.Epoch > p.epoch || p.epoch == 0 {
+		p.epoch = (highest.Epoch>>rankBits+1)<<rankBits | uint64(p.rank)
+		p.version = 0
+	}
+	p.version++
+	return expertmap.MapID{Epoch: p.epoch, Version: p.version}
+}
+
+// learnCurrent finds the contents of the map in use; it returns false while they
+// are not known, or the ranks do not agree.
+func (p *Planner) learnCurrent() bool {
+	running := p.members[p.rank].status.Running
+	if !p.all(func(s Status) bool { return s.Running == running && s.Armed == 0 }) {
+		return false
+	}
+	if p.current != nil && p.current.ID.Number() == running {
+		return true
+	}
+	p.current = nil
+	experts := make([][][]int, p.experts.Sets)
+	for layer := range experts {
+		experts[layer] = make([][]int, p.size)
+		for rank, one := range p.members {
+			if len(one.held) != p.experts.Sets {
+				return false
+			}
+			experts[layer][rank] = slices.Clone(one.held[layer])
+		}
+	}
+	p.current = &Map{ID: expertmap.MapOf(running), Experts: experts}
+	return true
+}
+
+// awaitPrepared proposes the switch once all ranks have copied the map.
+func (p *Planner) awaitPrepared(step uint64, now time.Time) (*Decision, *expertmap.Proposal) {
+	number := p.next.ID.Number()
+	if p.all(func(s Status) bool { return s.Prepared == number }) && p.complete(now) {
+		took := p.enter(proposed, now)
+		return &Decision{What: "propose", Map: p.next.ID, Plan: p.plan, Took: took}, p.proposal(step)
+	}
+	refused := !p.all(func(s Status) bool { return s.Refused != number })
+	if refused || now.Sub(p.since) > prepareLimit {
+		failed := p.next.ID
+		p.next = nil
+		return &Decision{What: "given up", Map: failed, Took: p.enter(idle, now)}, nil
+	}
+	return nil, nil
+}
+
+func (p *Planner) proposal(step uint64) *expertmap.Proposal {
+	at := step + p.lead
+	agents := make([]uint64, p.size)
+	for rank, one := range p.members {
+		agents[rank] = one.status.Agent
+	}
+	return &expertmap.Proposal{
+		ID: expertmap.ProposalOf(p.next.ID, at), Group: p.incarnation,
+		From: p.current.ID, To: p.next.ID, Step: at, Agents: agents,
+	}
+}
+
+// Ended takes in how the planner's proposal ended.
+func (p *Planner) Ended(ended expertmap.Ended, now time.Time) *Decision {
+	to, _ := ended.ID.Target()
+	if p.phase != proposed || p.next == nil || to != p.next.ID {
+		return nil
+	}
+	if ended.Decision == expertmap.Commit {
+		p.lead = max(leadSteps, p.lead-1)
+		return &Decision{What: "switch", Map: to, Plan: p.plan, Took: p.enter(switching, now)}
+	}
+	// The same map is proposed again for a later step.
+	p.lead = min(2*p.lead, leadMost)
+	return &Decision{What: "aborted", Map: to, Took: p.enter(preparing, now)}
+}
+
+// awaitEnd gives up on a proposal whose end is not known; the ranks end it
+// without the planner.
+func (p *Planner) awaitEnd(now time.Time) *Decision {
+	if now.Sub(p.since) < prepareLimit {
+		return nil
+	}
+	lost := p.next.ID
+	p.current, p.next = nil, nil
+	return &Decision{What: "end not known", Map: lost, Took: p.enter(idle, now)}
+}
+
+// awaitSwitch waits until all ranks use the new map.
+func (p *Planner) awaitSwitch(now time.Time) *Decision {
+	number := p.next.ID.Number()
+	if !p.all(func(s Status) bool { return s.Running == number }) {
+		return nil
+	}
+	p.current, p.next = p.next, nil
+	return &Decision{What: "in use", Map: p.current.ID, Plan: p.plan, Took: p.enter(idle, now)}
+}
