Maps even under each of the last slices of demand, copied one expert a rank at a time

Now the search evens the last 8 slices out together, a rank copies one expert for a map, statuses go out as soon as a copy or a switch is done, and the switch is proposed 2 steps ahead. Agents that started within a microsecond took each other for themselves, so that a rank had no planner: incarnations now have a random part.

--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"time"
@@ -56,7 +57,7 @@
 	log      *logrus.Entry
 
 	target *platform.Rank
-	// incarnation grows with each start of the agent.
+	// incarnation names this start of the agent, among all agents.
 	incarnation uint64
 	socket      *net.UDPConn
 	inbox       chan datagram
@@ -84,7 +85,9 @@
 	addresses []string
 	asked     time.Time
 
-	counts    platform.Counts
+	counts platform.Counts
+	// told is the report of the latest status.
+	told      expertmap.RankReport
 	sent      uint64
 	statused  time.Time
 	directed  time.Time
@@ -103,11 +106,19 @@
 	target := platform.NewRank(cfg.Settings.TargetAddress)
 	return &Agent{
 		settings: cfg.Settings, store: cfg.Store, clock: cfg.Clock, log: logs.Part(cfg.Logger, "rank"),
-		target: target, incarnation: uint64(now.UnixMicro()), inbox: make(chan datagram, inboxSize),
+		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxSize),
 		facts: make(chan storeFacts, 1), engine: expertmap.NewOrderEngine(orders{target}), since: now,
 	}
 }
 
+// randomBits is the part of an incarnation that tells apart agents that start
+// within the same millisecond.
+const randomBits = 20
+
+func newIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<randomBits | rand.Uint64N(1<<randomBits)
+}
+
 // Run implements command.Daemon.
 func (a *Agent) Run(ctx, _ context.Context) error {
 	address, err := net.ResolveUDPAddr("udp", a.settings.PeerAddress)
@@ -232,7 +243,7 @@
 	a.dropStray(now)
 	a.role(ctx, now)
 	a.prepare(ctx, now)
-	if now.Sub(a.statused) >= statusEvery {
+	if now.Sub(a.statused) >= statusEvery || a.progressed() {
 		a.statused = now
 		a.status(ctx, now)
 	}
@@ -241,12 +252,18 @@
 
 // reportInterval is shorter while something is under way.
 func (a *Agent) reportInterval() time.Duration {
-	if a.wanted() != nil || a.driver != nil && a.driver.Agent().Undecided() != nil {
+	if a.wanted() != nil || a.engine.Last().ArmedVersion != 0 || a.driver != nil && a.driver.Agent().Undecided() != nil {
 		return tickEvery
 	}
 	return reportEvery
 }
 
+// progressed tells whether the planner waits for what the report says now.
+func (a *Agent) progressed() bool {
+	report := a.engine.Last()
+	return report.Prepared != a.told.Prepared || report.Running != a.told.Running
+}
+
 // refresh reads the engine's report and follows the group from incarnation to
 // incarnation.
 func (a *Agent) refresh(now time.Time) {
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -51,7 +51,7 @@
 		return
 	}
 	a.directive = nil
-	a.planner = rebalance.NewPlanner(*a.experts, a.statusOf(report))
+	a.planner = rebalance.NewPlanner(*a.experts, a.statusOf(report), rebalance.DefaultPolicy())
 	a.log.WithField("rank", report.Rank).Info("planning")
 }
 
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -23,7 +23,8 @@
 	if a.planner == nil && a.directive == nil {
 		return
 	}
-	status := a.statusOf(a.engine.Last())
+	a.told = a.engine.Last()
+	status := a.statusOf(a.told)
 	a.sent++
 	status.Sent = a.sent
 	status.Chosen = a.chosen(ctx)
--- a/version/placement/even.go
+++ b/version/placement/even.go
@@ -8,8 +8,11 @@
 // EvenInput is what a decision about a group depends on whose ranks share an
 // expert's tokens evenly among those that hold it.
 type EvenInput struct {
-	// Loads holds the tokens by layer and expert.
-	Loads [][]float64
+	// Loads holds the tokens by layer and expert, several times over: a map is
+	// wanted that is even under each of these demands.
+	Loads [][][]float64
+	// Weights tell how much each demand counts; nil for all alike.
+	Weights []float64
 	// Ranks is the size of the group, Slots how many experts of a layer fit on a
 	// rank, and NewPerLayer how many of them may be new to it in one map.
 	Ranks, Slots, NewPerLayer int
@@ -33,12 +36,12 @@
 	// Copies counts the experts that are new to a rank, CopiesMost those of the
 	// rank with the most.
 	Copies, CopiesMost int
-	// Before and After are the means over the layers of the most loaded rank's
-	// tokens over the mean rank's.
+	// Before and After are the means over the layers and demands of the most loaded
+	// rank's tokens over the mean rank's.
 	Before, After float64
 }
 
-// EvenSkew is the mean over the layers of the most loaded rank's tokens over the
+// EvenSkew is the mean over the layers and demands of the most loaded rank's tokens over the
 // mean rank's; 1 is even. It fails with ErrShape.
 func EvenSkew(in EvenInput, experts [][][]int) (float64, error) {
 	layers, err := newEvenLayers(in, experts)
@@ -78,13 +81,13 @@
 
 // evenLayer is one layer while it is being decided.
 type evenLayer struct {
-	loads []float64
-	mean  float64
+	demands []evenDemand
+	// weights is the sum of the demands' weights.
+	weights float64
 	// held lists the experts on each rank, hosts the ranks of each expert.
 	held, hosts [][]int
 	// before tells by expert and rank what the current map holds.
 	before [][]bool
-	load   []float64
 	// newOn counts the new experts of each rank, copies those of all.
 	newOn  []int
 	copies int
@@ -92,13 +95,21 @@
 	stuck bool
 }
 
+// evenDemand is one demand for a layer's experts, with the ranks' loads under it.
+type evenDemand struct {
+	// loads holds the experts' loads over the mean rank's, load the ranks'.
+	loads, load []float64
+	// weight is how much the demand counts.
+	weight float64
+}
+
 func newEvenLayers(in EvenInput, experts [][][]int) ([]*evenLayer, error) {
-	if in.Ranks <= 0 || len(in.Loads) == 0 || len(experts) != len(in.Loads) {
+	if in.Ranks <= 0 || len(in.Loads) == 0 || len(experts) == 0 {
 		return nil, ErrShape
 	}
-	layers := make([]*evenLayer, len(in.Loads))
+	layers := make([]*evenLayer, len(experts))
 	for at := range layers {
-		layer, ok := newEvenLayer(in, in.Loads[at], experts[at])
+		layer, ok := newEvenLayer(in, at, experts[at])
 		if !ok {
 			return nil, ErrShape
 		}
@@ -107,57 +118,100 @@
 	return layers, nil
 }
 
-func newEvenLayer(in EvenInput, loads []float64, held [][]int) (*evenLayer, bool) {
-	if len(held) != in.Ranks {
+func newEvenLayer(in EvenInput, at int, held [][]int) (*evenLayer, bool) {
+	if len(held) != in.Ranks || !in.sameShape(at) {
 		return nil, false
 	}
+	experts := len(in.Loads[0][at])
 	l := &evenLayer{
-		loads: loads, held: make([][]int, in.Ranks), hosts: make([][]int, len(loads)),
-		before: make([][]bool, len(loads)), load: make([]float64, in.Ranks), newOn: make([]int, in.Ranks),
+		held: make([][]int, in.Ranks), hosts: make([][]int, experts),
+		before: make([][]bool, experts), newOn: make([]int, in.Ranks),
 	}
-	for expert := range loads {
+	for expert := range l.before {
 		l.before[expert] = make([]bool, in.Ranks)
-		l.mean += loads[expert]
 	}
-	l.mean /= float64(in.Ranks)
 	for rank, experts := range held {
 		l.held[rank] = slices.Clone(experts)
 		for _, expert := range experts {
-			if expert < 0 || expert >= len(loads) || l.before[expert][rank] {
+			if expert < 0 || expert >= len(l.hosts) || l.before[expert][rank] {
 				return nil, false
 			}
 			l.before[expert][rank] = true
 			l.hosts[expert] = append(l.hosts[expert], rank)
 		}
 	}
-	for expert, hosts := range l.hosts {
-		if len(hosts) == 0 {
-			return nil, false
+	if slices.ContainsFunc(l.hosts, func(hosts []int) bool { return len(hosts) == 0 }) {
+		return nil, false
+	}
+	for demand, loads := range in.Loads {
+		l.addDemand(loads[at], in.Ranks, in.weight(demand))
+	}
+	return l, true
+}
+
+// sameShape tells whether all demands have the layer with the same experts.
+func (in EvenInput) sameShape(layer int) bool {
+	for _, loads := range in.Loads {
+		if layer >= len(loads) || len(loads[layer]) != len(in.Loads[0][layer]) {
+			return false
 		}
-		for _, rank := range hosts {
-			l.load[rank] += loads[expert] / float64(len(hosts))
+	}
+	return true
+}
+
+func (in EvenInput) weight(demand int) float64 {
+	if demand >= len(in.Weights) {
+		return 1
+	}
+	return in.Weights[demand]
+}
+
+// addDemand adds a demand that is not empty.
+func (l *evenLayer) addDemand(loads []float64, ranks int, weight float64) {
+	total := 0.0
+	for _, load := range loads {
+		total += load
+	}
+	if total <= 0 {
+		return
+	}
+	d := evenDemand{loads: make([]float64, len(loads)), load: make([]float64, ranks), weight: weight}
+	l.weights += weight
+	for expert, load := range loads {
+		d.loads[expert] = load / total * float64(ranks)
+		for _, rank := range l.hosts[expert] {
+			d.load[rank] += d.loads[expert] / float64(len(l.hosts[expert]))
 		}
 	}
-	return l, true
+	l.demands = append(l.demands, d)
 }
 
+// skew is the mean over the demands of the most loaded rank's load.
 func (l *evenLayer) skew() float64 {
-	if l.mean <= 0 {
+	if len(l.demands) == 0 {
 		return 1
 	}
-	return slices.Max(l.load) / l.mean
+	sum := 0.0
+	for _, d := range l.demands {
+		sum += d.weight * slices.Max(d.load)
+	}
+	return sum / l.weights
 }
 
 // steepness is the power by which a rank's load counts; with it, progress shows
 // while several ranks are equally loaded.
-const steepness = 12
+const steepness = 8
 
-// weight is what a rank's load adds to the layer's unevenness.
-func (l *evenLayer) weight(load float64) float64 {
-	x := load / l.mean
-	x2 := x * x
+// power is what a rank's load, over the mean, adds to a layer's unevenness.
+func power(load float64) float64 {
+	x2 := load * load
 	x4 := x2 * x2
-	return x4 * x4 * x4
+	return x4 * x4
+}
+
+// unevenness grows with the loads of the most loaded ranks.
+func (l *evenLayer) unevenness(powers float64) float64 {
+	return math.Pow(max(powers, 0)/l.weights, 1.0/steepness)
 }
 
 // evenChange gives expert another place. It loses the rank from unless that is
@@ -186,7 +240,7 @@
 	for range s.settings.MaxSteps {
 		var worst *evenLayer
 		for _, layer := range layers {
-			if !layer.stuck && layer.mean > 0 && (worst == nil || layer.skew() > worst.skew()) {
+			if !layer.stuck && len(layer.demands) > 0 && (worst == nil || layer.skew() > worst.skew()) {
 				worst = layer
 			}
 		}
@@ -212,16 +266,14 @@
 // best returns the change that lowers the layer's unevenness most for its
 // copies, if one pays.
 func (s *evenSearch) best(l *evenLayer) (evenChange, bool) {
-	order := make([]int, len(l.load))
-	for rank := range order {
-		order[rank] = rank
-	}
-	slices.SortFunc(order, func(a, b int) int { return compare(l.load[b], l.load[a]) })
+	order := l.byLoad()
 	total := 0.0
-	for _, load := range l.load {
-		total += l.weight(load)
+	for _, d := range l.demands {
+		for _, load := range d.load {
+			total += d.weight * power(load)
+		}
 	}
-	now := math.Pow(total, 1.0/steepness)
+	now := l.unevenness(total)
 	var best evenChange
 	bestGain := 0.0
 	consider := func(change evenChange) {
@@ -229,7 +281,7 @@
 		if !allowed {
 			return
 		}
-		gain := now - math.Pow(max(total+l.effect(change), 0), 1.0/steepness) - s.settings.CopyCost*float64(copies)
+		gain := now - l.unevenness(total+l.effect(change)) - s.settings.CopyCost*float64(copies)
 		if gain > bestGain {
 			best, bestGain = change, gain
 		}
@@ -246,6 +298,20 @@
 	return best, bestGain > leastGain
 }
 
+// byLoad lists the ranks, the most loaded first.
+func (l *evenLayer) byLoad() []int {
+	weights := make([]float64, len(l.held))
+	order := make([]int, len(l.held))
+	for rank := range order {
+		order[rank] = rank
+		for _, d := range l.demands {
+			weights[rank] += d.weight * power(d.load[rank])
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int { return compare(weights[b], weights[a]) })
+	return order
+}
+
 // leastGain is the least gain for which the search goes on.
 const leastGain = 1e-3
 
@@ -303,8 +369,19 @@
 
 // effect is by how much a change alters the sum of the ranks' weights.
 func (l *evenLayer) effect(c evenChange) float64 {
-	var ranks [64]int
-	var deltas [64]float64
+	sum := 0.0
+	for at := range l.demands {
+		sum += l.demands[at].weight * l.effectOn(&l.demands[at], c)
+	}
+	return sum
+}
+
+// mostTouched bounds the ranks whose loads one change alters.
+const mostTouched = 64
+
+func (l *evenLayer) effectOn(d *evenDemand, c evenChange) float64 {
+	var ranks [mostTouched]int
+	var deltas [mostTouched]float64
 	count := 0
 	add := func(rank int, delta float64) {
 		for at := range count {
@@ -313,30 +390,39 @@
 				return
 			}
 		}
-		if count < len(ranks) {
+		if count < mostTouched {
 			ranks[count], deltas[count] = rank, delta
 			count++
 		}
 	}
-	l.shift(c.expert, c.from, c.to, add)
-	if c.displaced != none {
-		to := none
-		if c.swap {
-			to = c.from
-		}
-		l.shift(c.displaced, c.to, to, add)
-	}
+	l.shiftAll(d, c, add)
 	sum := 0.0
 	for at := range count {
-		load := l.load[ranks[at]]
-		sum += l.weight(max(load+deltas[at], 0)) - l.weight(load)
+		load := d.load[ranks[at]]
+		sum += power(max(load+deltas[at], 0)) - power(load)
 	}
 	return sum
 }
 
+// shiftAll tells how the ranks' loads change with a change.
+func (l *evenLayer) shiftAll(d *evenDemand, c evenChange, add func(rank int, delta float64)) {
+	l.shift(d, c.expert, c.from, c.to, add)
+	if c.displaced != none {
+		l.shift(d, c.displaced, c.to, c.displacedTo(), add)
+	}
+}
+
+// displacedTo is where the displaced expert goes.
+func (c evenChange) displacedTo() int {
+	if c.swap {
+		return c.from
+	}
+	return none
+}
+
 // shift tells how the ranks' loads change as an expert leaves one rank and comes
 // to another.
-func (l *evenLayer) shift(expert, from, to int, add func(rank int, delta float64)) {
+func (l *evenLayer) shift(d *evenDemand, expert, from, to int, add func(rank int, delta float64)) {
 	hosts := l.hosts[expert]
 	after := len(hosts)
 	if from != none {
@@ -345,8 +431,8 @@
 	if to != none {
 		after++
 	}
-	old := l.loads[expert] / float64(len(hosts))
-	next := l.loads[expert] / float64(after)
+	old := d.loads[expert] / float64(len(hosts))
+	next := d.loads[expert] / float64(after)
 	for _, rank := range hosts {
 		if rank == from {
 			add(rank, -old)
@@ -361,18 +447,14 @@
 
 // apply makes a change.
 func (s *evenSearch) apply(l *evenLayer, c evenChange) {
-	apply := func(rank int, delta float64) { l.load[rank] += delta }
-	l.shift(c.expert, c.from, c.to, apply)
-	s.place(l, c.expert, c.from, c.to)
-	if c.displaced == none {
-		return
+	for at := range l.demands {
+		d := &l.demands[at]
+		l.shiftAll(d, c, func(rank int, delta float64) { d.load[rank] += delta })
 	}
-	to := none
-	if c.swap {
-		to = c.from
+	s.place(l, c.expert, c.from, c.to)
+	if c.displaced != none {
+		s.place(l, c.displaced, c.to, c.displacedTo())
 	}
-	l.shift(c.displaced, c.to, to, apply)
-	s.place(l, c.displaced, c.to, to)
 }
 
 func (s *evenSearch) place(l *evenLayer, expert, from, to int) {
--- a/version/placement/even_test.go
+++ b/version/placement/even_test.go
@@ -55,7 +55,7 @@
 			require.LessOrEqual(t, added, in.NewPerLayer)
 			fresh[rank] += added
 		}
-		require.Len(t, hosts, len(in.Loads[layer]), "every expert stands somewhere")
+		require.Len(t, hosts, len(in.Loads[0][layer]), "every expert stands somewhere")
 	}
 	return fresh
 }
@@ -63,7 +63,7 @@
 func TestImproveEvenKeepsItsLimits(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
 	for range 20 {
-		in := EvenInput{Loads: skewedLoads(random, 4, 72), Ranks: 12, Slots: 8, NewPerLayer: 3}
+		in := EvenInput{Loads: [][][]float64{skewedLoads(random, 4, 72)}, Ranks: 12, Slots: 8, NewPerLayer: 3}
 		before := inTurn(4, 72, 12)
 		settings := EvenSettings{CopyCost: 0.005, NewPerRank: 1 + random.IntN(12), MaxSteps: 200}
 		plan, err := ImproveEven(in, before, settings)
@@ -86,7 +86,7 @@
 func TestImproveEvenComesNearAnEvenSpread(t *testing.T) {
 	random := rand.New(rand.NewPCG(3, 4))
 	for range 10 {
-		in := EvenInput{Loads: skewedLoads(random, 4, 72), Ranks: 12, Slots: 8, NewPerLayer: 3}
+		in := EvenInput{Loads: [][][]float64{skewedLoads(random, 4, 72)}, Ranks: 12, Slots: 8, NewPerLayer: 3}
 		plan, err := ImproveEven(in, inTurn(4, 72, 12), EvenSettings{CopyCost: 0.002, NewPerRank: 12, MaxSteps: 300})
 		require.NoError(t, err)
 		require.Less(t, plan.After, 1.15, "from %g", plan.Before)
@@ -94,7 +94,7 @@
 }
 
 func TestImproveEvenLeavesAnEvenMapAlone(t *testing.T) {
-	loads := [][]float64{slices.Repeat([]float64{5}, 24)}
+	loads := [][][]float64{{slices.Repeat([]float64{5}, 24)}}
 	in := EvenInput{Loads: loads, Ranks: 12, Slots: 3, NewPerLayer: 1}
 	plan, err := ImproveEven(in, inTurn(1, 24, 12), EvenSettings{CopyCost: 0.005, NewPerRank: 4, MaxSteps: 50})
 	require.NoError(t, err)
@@ -103,7 +103,7 @@
 }
 
 func TestImproveEvenRefusesAMapThatDoesNotFit(t *testing.T) {
-	in := EvenInput{Loads: [][]float64{{1, 2, 3}}, Ranks: 2, Slots: 2, NewPerLayer: 1}
+	in := EvenInput{Loads: [][][]float64{{{1, 2, 3}}}, Ranks: 2, Slots: 2, NewPerLayer: 1}
 	for _, experts := range [][][][]int{
 		nil,
 		{{{0, 1}}},
@@ -122,7 +122,7 @@
 		name                          string
 		layers, experts, ranks, slots int
 	}{{"12ranks", 4, 72, 12, 8}, {"63ranks", 8, 252, 63, 5}} {
-		in := EvenInput{Loads: skewedLoads(random, size.layers, size.experts), Ranks: size.ranks, Slots: size.slots, NewPerLayer: 3}
+		in := EvenInput{Loads: [][][]float64{skewedLoads(random, size.layers, size.experts)}, Ranks: size.ranks, Slots: size.slots, NewPerLayer: 3}
 		before := inTurn(size.layers, size.experts, size.ranks)
 		b.Run(size.name, func(b *testing.B) {
 			for b.Loop() {
--- a/version/rebalance/demand.go
+++ b/version/rebalance/demand.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// demandHalfLife is the time after which what was chosen weighs half.
-	demandHalfLife = 600 * time.Millisecond
-	// demandKeep is how long it is kept.
+	// demandKeep is how long what was chosen is kept.
 	demandKeep = 3 * time.Second
 	// sliceTime is the time that is counted together.
 	sliceTime = 100 * time.Millisecond
+	// recentSlices are compared with those before to see a shift.
+	recentSlices = 2
 )
 
 // slice is what was chosen within one sliceTime, by layer and expert.
@@ -24,10 +24,13 @@
 // demand follows which experts are chosen.
 type demand struct {
 	layers, experts int
+	policy          Policy
 	slices          []slice
 }
 
-func newDemand(layers, experts int) *demand { return &demand{layers: layers, experts: experts} }
+func newDemand(layers, experts int, policy Policy) *demand {
+	return &demand{layers: layers, experts: experts, policy: policy}
+}
 
 // add takes in what the requests of one rank chose.
 func (d *demand) add(chosen []uint32, now time.Time) {
@@ -36,33 +39,76 @@
 	}
 	last := len(d.slices) - 1
 	if last < 0 || now.Sub(d.slices[last].began) >= sliceTime {
+		d.forget(now)
 		d.slices = append(d.slices, slice{began: now, chosen: make([]float64, len(chosen))})
-		last++
+		last = len(d.slices) - 1
 	}
 	s := &d.slices[last]
 	for at, count := range chosen {
 		s.chosen[at] += float64(count)
 		s.total += float64(count)
 	}
+}
+
+// forget drops what is old, and what was chosen before a shift.
+func (d *demand) forget(now time.Time) {
 	for len(d.slices) > 0 && now.Sub(d.slices[0].began) > demandKeep {
 		d.slices = d.slices[1:]
 	}
+	if d.policy.Shift <= 0 || len(d.slices) < 2*recentSlices {
+		return
+	}
+	recent := d.sum(d.slices[len(d.slices)-recentSlices:], now)
+	before := d.sum(d.slices[:len(d.slices)-recentSlices], now)
+	if d.distance(recent, before) > d.policy.Shift {
+		d.slices = d.slices[len(d.slices)-recentSlices:]
+	}
 }
 
-// loads returns the demand to expect by layer and expert; it returns false while
-// nothing was chosen.
-func (d *demand) loads(now time.Time) ([][]float64, bool) {
-	out := make([][]float64, d.layers)
-	for layer := range out {
-		out[layer] = make([]float64, d.experts)
-	}
-	total := 0.0
-	for _, s := range d.slices {
-		weight := math.Exp2(-float64(now.Sub(s.began)) / float64(demandHalfLife))
+// sum adds slices up, the older ones with less weight.
+func (d *demand) sum(slices []slice, now time.Time) []float64 {
+	out := make([]float64, d.layers*d.experts)
+	for _, s := range slices {
+		weight := math.Exp2(-float64(now.Sub(s.began)) / float64(d.policy.HalfLife))
 		for at, count := range s.chosen {
-			out[at/d.experts][at%d.experts] += weight * count
+			out[at] += weight * count
+		}
+	}
+	return out
+}
+
+// distance is the part of what is chosen that differs, over all layers.
+func (d *demand) distance(a, b []float64) float64 {
+	totalA, totalB := 0.0, 0.0
+	for at := range a {
+		totalA += a[at]
+		totalB += b[at]
+	}
+	if totalA == 0 || totalB == 0 {
+		return 0
+	}
+	sum := 0.0
+	for at := range a {
+		sum += math.Abs(a[at]/totalA - b[at]/totalB)
+	}
+	return sum / 2
+}
+
+// loads returns what was chosen lately, slice after slice, by layer and expert,
+// with the weight of each slice. A map that is even under each of them bears the
+// changes from slice to slice that one for their sum does not.
+func (d *demand) loads(now time.Time) (loads [][][]float64, weights []float64) {
+	first := max(0, len(d.slices)-d.policy.Slices)
+	for _, s := range d.slices[first:] {
+		if s.total == 0 {
+			continue
+		}
+		one := make([][]float64, d.layers)
+		for layer := range one {
+			one[layer] = s.chosen[layer*d.experts : (layer+1)*d.experts]
 		}
-		total += weight * s.total
+		loads = append(loads, one)
+		weights = append(weights, math.Exp2(-float64(now.Sub(s.began))/float64(d.policy.HalfLife)))
 	}
-	return out, total > 0
+	return loads, weights
 }
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -15,21 +15,12 @@
 	// prepareLimit is how long the copying of a map may take before it is given
 	// up, besides the time that the copies take.
 	prepareLimit = 3 * time.Second
-	// leadSteps is how many steps ahead a switch is proposed, leadMost how many
-	// after proposals that came too late.
-	leadSteps = 3
-	leadMost  = 48
+	// leadMost is how many steps ahead a switch is proposed at most, after proposals
+	// that came too late.
+	leadMost = 48
 	// rankBits is the part of an epoch that names the planner's rank, so that two
 	// planners never make the same epoch.
 	rankBits = 12
-	// copyCost is the least fall of a layer's skew that each copied expert must
-	// bring.
-	copyCost = 0.008
-	// leastGain is the least fall of the mean skew for which a map is changed.
-	leastGain = 0.03
-	// newPerRank bounds the experts that a rank copies for one map: each adds to
-	// the time until the map can be used.
-	newPerRank = 4
 	// searchSteps bounds the work of one decision.
 	searchSteps = 400
 )
@@ -58,6 +49,7 @@
 
 // Planner decides for one group incarnation.
 type Planner struct {
+	policy  Policy
 	experts config.Experts
 	group   string
 	// incarnation is the group's, rank the planner's and agent that of its agent.
@@ -81,12 +73,12 @@
 }
 
 // NewPlanner returns a planner for the group of which status tells.
-func NewPlanner(experts config.Experts, own Status) *Planner {
+func NewPlanner(experts config.Experts, own Status, policy Policy) *Planner {
 	return &Planner{
-		experts: experts, group: own.Group, incarnation: own.Incarnation,
+		policy: policy, experts: experts, group: own.Group, incarnation: own.Incarnation,
 		rank: own.Rank, size: own.Size, agent: own.Agent,
-		members: make([]*member, own.Size), demand: newDemand(experts.Sets, experts.PerSet),
-		lead: leadSteps,
+		members: make([]*member, own.Size), demand: newDemand(experts.Sets, experts.PerSet, policy),
+		lead: policy.Lead,
 	}
 }
 
@@ -187,21 +179,21 @@
 	if !p.complete(now) || !p.learnCurrent() {
 		return nil
 	}
-	loads, known := p.demand.loads(now)
-	if !known {
+	loads, weights := p.demand.loads(now)
+	if len(loads) == 0 {
 		return nil
 	}
 	input := placement.EvenInput{
-		Loads: loads, Ranks: p.size, Slots: p.experts.Slots, NewPerLayer: p.experts.Spare,
+		Loads: loads, Weights: weights, Ranks: p.size, Slots: p.experts.Slots, NewPerLayer: p.experts.Spare,
 	}
 	plan, err := placement.ImproveEven(input, p.current.Experts, placement.EvenSettings{
-		CopyCost: copyCost, NewPerRank: newPerRank, MaxSteps: searchSteps,
+		CopyCost: p.policy.CopyCost, NewPerRank: p.policy.NewPerRank, MaxSteps: searchSteps,
 	})
 	if err != nil {
 		p.current = nil
 		return &Decision{What: "the map does not fit"}
 	}
-	if plan.Before-plan.After < leastGain {
+	if plan.Before-plan.After < p.policy.LeastGain {
 		return nil
 	}
 	p.plan = plan
@@ -280,7 +272,7 @@
 		return nil
 	}
 	if ended.Decision == expertmap.Commit {
-		p.lead = max(leadSteps, p.lead-1)
+		p.lead = max(p.policy.Lead, p.lead-1)
 		return &Decision{What: "switch", Map: to, Plan: p.plan, Took: p.enter(switching, now)}
 	}
 	// The same map is proposed again for a later step.
--- /dev/null
+++ b/version/rebalance/policy.go
@@ -0,0 +1,29 @@
+package rebalance
+
+import "time"
+
+// Policy tunes a Planner.
+type Policy struct {
+	// HalfLife is the time after which what was chosen weighs half.
+	HalfLife time.Duration
+	// Slices is how many of the latest slices of 100 ms are looked at.
+	Slices int
+	// Shift is the distance, from 0 to 1, between what was chosen lately and
+	// before, from which on what was chosen before counts no more; 0 for never.
+	Shift float64
+	// CopyCost is the least fall of a layer's skew that each copied expert must
+	// bring, LeastGain the least fall of the mean skew for which a map is changed.
+	CopyCost, LeastGain float64
+	// NewPerRank bounds the experts that a rank copies for one map: each adds to
+	// the time until the map can be used.
+	NewPerRank int
+	// Lead is how many steps ahead a switch is proposed.
+	Lead uint64
+}
+
+// DefaultPolicy returns the policy of the product.
+func DefaultPolicy() Policy {
+	return Policy{
+		HalfLife: 300 * time.Millisecond, Slices: 8, CopyCost: 0.02, LeastGain: 0.08, NewPerRank: 1, Lead: 2,
+	}
+}
