--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -60,7 +60,7 @@
 		return
 	}
 	for pause := registerFirst; ctx.Err() == nil; pause = min(2*pause, registerMost) {
-		if _, err = e.store.Apply(ctx, platform.Transaction{Writes: []platform.Row{row}}); err == nil {
+		if err = e.writeRow(ctx, row); err == nil {
 			return
 		}
 		e.log.WithError(err).Warn("registration failed")
@@ -71,6 +71,16 @@
 	}
 }
 
+// registerTimeout bounds one attempt to register.
+const registerTimeout = time.Second
+
+func (e *Entry) writeRow(ctx context.Context, row platform.Row) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	_, err := e.store.Apply(ctx, platform.Transaction{Writes: []platform.Row{row}})
+	return err
+}
+
 // heartbeats tells the other entries of this one, and takes in what they tell.
 type heartbeats struct {
 	entry  *Entry
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -17,6 +17,11 @@
 const (
 	// feedWait is how long one call waits for a change.
 	feedWait = 25 * time.Second
+	// readFirst bounds the first attempt to read a table whole, readMost later
+	// ones: a store that was dark answers a new call as soon as it is back, never an
+	// old one, and a slow store needs more time.
+	readFirst = 600 * time.Millisecond
+	readMost  = 4 * time.Second
 	// pauseFirst and pauseMost bound the pause after a call that failed.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 500 * time.Millisecond
@@ -68,6 +73,9 @@
 // step reads the table whole, or waits for its next changes.
 func (f *follower) step(ctx context.Context) error {
 	if !f.whole {
+		limit := min(readFirst<<min(f.failures/2, 8), readMost)
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
 		rows, version, err := f.reader.Read(ctx, f.table, "")
 		if err != nil {
 			return err
--- /dev/null
+++ b/daemon/follow/follow_test.go
@@ -0,0 +1,150 @@
+package follow
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/platform"
+)
+
+// fakeStore answers calls as its fields say.
+type fakeStore struct {
+	mu sync.Mutex
+	// dark tells that calls get no answer, also those made before it ends.
+	dark    bool
+	rows    []platform.Row
+	version uint64
+	// compacted makes the next feed fail with a lost history.
+	compacted bool
+	reads     int
+}
+
+func (s *fakeStore) isDark() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dark
+}
+
+func (s *fakeStore) Read(ctx context.Context, _, _ string) ([]platform.Row, uint64, error) {
+	if s.isDark() {
+		<-ctx.Done()
+		return nil, 0, &platform.CallError{Call: "rows-get", Cause: ctx.Err()}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return s.rows, s.version, nil
+}
+
+func (s *fakeStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Row, uint64, error) {
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		s.mu.Lock()
+		if s.compacted {
+			s.compacted = false
+			s.mu.Unlock()
+			return nil, 0, &platform.HistoryLostError{Table: table}
+		}
+		var changed []platform.Row
+		for _, row := range s.rows {
+			if row.Version > after {
+				changed = append(changed, row)
+			}
+		}
+		version := s.version
+		s.mu.Unlock()
+		if len(changed) > 0 {
+			return changed, version, nil
+		}
+	}
+	return nil, after, ctx.Err()
+}
+
+func (s *fakeStore) set(change func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s)
+}
+
+// seen is an observer that writes down what it is told.
+type seen struct {
+	mu              sync.Mutex
+	whole           []int
+	changed         []string
+	lost, regained  int
+	firstWhole, now time.Time
+}
+
+func (s *seen) Whole(rows []platform.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.whole = append(s.whole, len(rows))
+	if s.firstWhole.IsZero() {
+		s.firstWhole = time.Now()
+	}
+}
+
+func (s *seen) Changed(rows []platform.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, row := range rows {
+		s.changed = append(s.changed, row.Key)
+	}
+}
+
+func (s *seen) Lost() { s.mu.Lock(); defer s.mu.Unlock(); s.lost++ }
+
+func (s *seen) Regained() { s.mu.Lock(); defer s.mu.Unlock(); s.regained++ }
+
+func quiet() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
+
+func TestAStoreThatWasDarkIsReadSoonAfterItIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{dark: true, version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
+		observer := &seen{}
+		ctx, cancel := context.WithCancel(t.Context())
+		go Table(ctx, store, "t", observer, quiet())
+		const darkFor = 800 * time.Millisecond
+		time.Sleep(darkFor)
+		back := time.Now()
+		store.set(func(s *fakeStore) { s.dark = false })
+		time.Sleep(5 * time.Second)
+		cancel()
+		synctest.Wait()
+		require.Equal(t, []int{1}, observer.whole)
+		// A call that was made while the store was dark is never answered.
+		require.Less(t, observer.firstWhole.Sub(back), 1500*time.Millisecond)
+		require.Equal(t, 1, observer.lost)
+		require.Equal(t, 1, observer.regained)
+	})
+}
+
+func TestALostHistoryIsMadeUpForByAWholeRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
+		observer := &seen{}
+		ctx, cancel := context.WithCancel(t.Context())
+		go Table(ctx, store, "t", observer, quiet())
+		time.Sleep(time.Second)
+		store.set(func(s *fakeStore) {
+			s.rows, s.version = append(s.rows, platform.Row{Key: "b", Version: 2}), 2
+		})
+		time.Sleep(time.Second)
+		store.set(func(s *fakeStore) { s.compacted = true })
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		require.Equal(t, []int{1, 2}, observer.whole)
+		require.Equal(t, []string{"b"}, observer.changed)
+	})
+}
