--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -74,11 +74,11 @@
 
 // seen is an observer that writes down what it is told.
 type seen struct {
-	mu              sync.Mutex
-	whole           []int
-	changed         []string
-	lost, regained  int
-	firstWhole, now time.Time
+	mu             sync.Mutex
+	whole          []int
+	changed        []string
+	lost, regained int
+	firstWhole     time.Time
 }
 
 func (s *seen) Whole(rows []platform.Row) {
@@ -113,14 +113,18 @@
 		store := &fakeStore{dark: true, version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
 		observer := &seen{}
 		ctx, cancel := context.WithCancel(t.Context())
-		go Table(ctx, store, "t", observer, quiet())
+		done := make(chan struct{})
+		go func() {
+			Table(ctx, store, "t", observer, quiet())
+			close(done)
+		}()
 		const darkFor = 800 * time.Millisecond
 		time.Sleep(darkFor)
 		back := time.Now()
 		store.set(func(s *fakeStore) { s.dark = false })
 		time.Sleep(5 * time.Second)
 		cancel()
-		synctest.Wait()
+		<-done
 		require.Equal(t, []int{1}, observer.whole)
 		// A call that was made while the store was dark is never answered.
 		require.Less(t, observer.firstWhole.Sub(back), 1500*time.Millisecond)
@@ -134,7 +138,11 @@
 		store := &fakeStore{version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
 		observer := &seen{}
 		ctx, cancel := context.WithCancel(t.Context())
-		go Table(ctx, store, "t", observer, quiet())
+		done := make(chan struct{})
+		go func() {
+			Table(ctx, store, "t", observer, quiet())
+			close(done)
+		}()
 		time.Sleep(time.Second)
 		store.set(func(s *fakeStore) {
 			s.rows, s.version = append(s.rows, platform.Row{Key: "b", Version: 2}), 2
@@ -143,7 +151,7 @@
 		store.set(func(s *fakeStore) { s.compacted = true })
 		time.Sleep(time.Second)
 		cancel()
-		synctest.Wait()
+		<-done
 		require.Equal(t, []int{1, 2}, observer.whole)
 		require.Equal(t, []string{"b"}, observer.changed)
 	})
