--- a/version/rebalance/policy.go
+++ b/version/rebalance/policy.go
@@ -24,6 +24,6 @@
 // DefaultPolicy returns the policy of the product.
 func DefaultPolicy() Policy {
 	return Policy{
-		HalfLife: 300 * time.Millisecond, Slices: 8, CopyCost: 0.04, LeastGain: 0.1, NewPerRank: 1, Lead: 2,
+		HalfLife: 300 * time.Millisecond, Slices: 8, CopyCost: 0.05, LeastGain: 0.2, NewPerRank: 1, Lead: 2,
 	}
 }
