--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -81,7 +81,9 @@
 	// since is when the agent could first have heard of a planner.
 	since time.Time
 
-	experts   *config.Experts
+	experts *config.Experts
+	// gap is the longest pause that a stream of the service may have.
+	gap       time.Duration
 	addresses []string
 	asked     time.Time
 
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -24,6 +24,8 @@
 // storeFacts is what an agent that plans reads from the store.
 type storeFacts struct {
 	experts *config.Experts
+	// gap is the longest pause that a stream of the service may have.
+	gap time.Duration
 	// addresses are those at which the agents of the service's hosts take
 	// datagrams.
 	addresses []string
@@ -51,7 +53,7 @@
 		return
 	}
 	a.directive = nil
-	a.planner = rebalance.NewPlanner(*a.experts, a.statusOf(report), rebalance.DefaultPolicy())
+	a.planner = rebalance.NewPlanner(*a.experts, a.gap, a.statusOf(report), rebalance.DefaultPolicy())
 	a.log.WithField("rank", report.Rank).Info("planning")
 }
 
@@ -93,6 +95,7 @@
 		if service := version.Services[a.settings.Service]; service != nil && service.Engine != nil {
 			found.experts = service.Engine.Experts
 		}
+		found.gap = version.LeastGap(a.settings.Service)
 	}
 	rows, _, err = a.store.Read(ctx, platform.TableTargets, "")
 	if err != nil {
@@ -129,7 +132,7 @@
 
 func (a *Agent) learn(found storeFacts) {
 	if found.experts != nil {
-		a.experts = found.experts
+		a.experts, a.gap = found.experts, found.gap
 	}
 	if len(found.addresses) > 0 {
 		a.addresses = found.addresses
--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -149,7 +149,7 @@
 	start := time.Unix(0, 0)
 	g := &group{running: &rebalance.Map{Experts: inTurn()}, stepped: start}
 	shape := config.Experts{Sets: layers, PerSet: experts, Slots: slots, Spare: spare}
-	planner := rebalance.NewPlanner(shape, rebalance.Status{Group: "g", Size: ranks, Agent: 1}, policy)
+	planner := rebalance.NewPlanner(shape, 0, rebalance.Status{Group: "g", Size: ranks, Agent: 1}, policy)
 	sent := uint64(0)
 	skew := 1.0
 	for now := start; ; now = now.Add(tick) {
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -23,6 +23,24 @@
 	Limits   Limits
 }
 
+// LeastGap is the least of the longest pauses that the routes to a service allow
+// their streams; 0 if none says one.
+func (v *Version) LeastGap(service string) time.Duration {
+	least := time.Duration(0)
+	for _, route := range v.Routes.Table().Routes {
+		direct := route.Direct
+		if direct == nil || direct.Gap <= 0 || least > 0 && direct.Gap >= least {
+			continue
+		}
+		for _, share := range direct.Split {
+			if share.Pool == service {
+				least = direct.Gap
+			}
+		}
+	}
+	return least
+}
+
 // Service is a set of equal targets.
 type Service struct {
 	Name string
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -68,13 +68,19 @@
 	phase   phase
 	since   time.Time
 	lead    uint64
+	pace    pace
+	// searched is when a map was last looked for.
+	searched time.Time
 	// copies and skews are those of the map under way, for the log.
 	plan placement.EvenPlan
 }
 
 // NewPlanner returns a planner for the group of which status tells.
-func NewPlanner(experts config.Experts, own Status, policy Policy) *Planner {
+//
+// gap is the longest pause that a stream may have; 0 if none is known.
+func NewPlanner(experts config.Experts, gap time.Duration, own Status, policy Policy) *Planner {
 	return &Planner{
+		pace:   pace{gap: gap},
 		policy: policy, experts: experts, group: own.Group, incarnation: own.Incarnation,
 		rank: own.Rank, size: own.Size, agent: own.Agent,
 		members: make([]*member, own.Size), demand: newDemand(experts.Sets, experts.PerSet, policy),
@@ -156,6 +162,7 @@
 // Step decides what comes next. It returns a decision, or nil, and the proposal
 // to make, or nil; step is the last step that the planner's own rank has begun.
 func (p *Planner) Step(step uint64, now time.Time) (*Decision, *expertmap.Proposal) {
+	p.pace.note(step, now)
 	switch p.phase {
 	case idle:
 		return p.begin(now), nil
@@ -179,6 +186,10 @@
 	if !p.complete(now) || !p.learnCurrent() {
 		return nil
 	}
+	if now.Sub(p.searched) < sliceTime {
+		return nil
+	}
+	p.searched = now
 	loads, weights := p.demand.loads(now)
 	if len(loads) == 0 {
 		return nil
@@ -186,14 +197,18 @@
 	input := placement.EvenInput{
 		Loads: loads, Weights: weights, Ranks: p.size, Slots: p.experts.Slots, NewPerLayer: p.experts.Spare,
 	}
+	factor := 1.0
+	if p.pace.share() < p.policy.Calm {
+		factor = p.policy.CalmFactor
+	}
 	plan, err := placement.ImproveEven(input, p.current.Experts, placement.EvenSettings{
-		CopyCost: p.policy.CopyCost, NewPerRank: p.policy.NewPerRank, MaxSteps: searchSteps,
+		CopyCost: factor * p.policy.CopyCost, NewPerRank: p.policy.NewPerRank, MaxSteps: searchSteps,
 	})
 	if err != nil {
 		p.current = nil
 		return &Decision{What: "the map does not fit"}
 	}
-	if plan.Before-plan.After < p.policy.LeastGain {
+	if plan.Before-plan.After < factor*p.policy.LeastGain {
 		return nil
 	}
 	p.plan = plan
--- a/version/rebalance/policy.go
+++ b/version/rebalance/policy.go
@@ -14,6 +14,9 @@
 	// CopyCost is the least fall of a layer's skew that each copied expert must
 	// bring, LeastGain the least fall of the mean skew for which a map is changed.
 	CopyCost, LeastGain float64
+	// Calm is the part of the longest pause of a stream below which a step counts
+	// as fast; then a copy must bring CalmFactor times as much.
+	Calm, CalmFactor float64
 	// NewPerRank bounds the experts that a rank copies for one map: each adds to
 	// the time until the map can be used.
 	NewPerRank int
@@ -25,5 +28,6 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		HalfLife: 300 * time.Millisecond, Slices: 8, CopyCost: 0.05, LeastGain: 0.2, NewPerRank: 1, Lead: 2,
+		Calm: 0.45, CalmFactor: 2,
 	}
 }
