--- /dev/null
+++ b/request/dispatch/dispatch_test.go
@@ -0,0 +1,240 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/version/config"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// newDispatcher has the targets t0, t1 and so on of the service s, each in a
+// failure domain of its own.
+func newDispatcher(targets, capacity int) *Dispatcher {
+	d := New(Config{FailureDomain: "d0", Warmup: Warmup{Share: 1.5, Slack: 5}})
+	d.SetServices(map[string]*config.Service{"s": {Name: "s", MaxConnections: 80, WarmupRate: 10}}, start)
+	for n := range targets {
+		d.Registered(registration(n, capacity), start)
+	}
+	return d
+}
+
+func registration(n, capacity int) target.Registration {
+	return target.Registration{
+		ID: fmt.Sprintf("t%d", n), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", n),
+		FailureDomain: fmt.Sprintf("d%d", n), Capacity: capacity,
+	}
+}
+
+func work(urgency int, tried ...*Target) Work {
+	return Work{Service: "s", Urgency: urgency, Arrived: start, GiveUp: at(time.Second), Tried: tried}
+}
+
+func take(t *testing.T, d *Dispatcher, now time.Time) *Target {
+	t.Helper()
+	found, _ := d.Take(work(1), now)
+	require.NotNil(t, found)
+	return found
+}
+
+func granted(w *Waiter) *Target {
+	select {
+	case t := <-w.Granted():
+		return t
+	default:
+		return nil
+	}
+}
+
+func TestRequestsAreSpreadEvenly(t *testing.T) {
+	d := newDispatcher(3, 4)
+	for range 12 {
+		take(t, d, start)
+	}
+	require.Equal(t, map[string]int{"t0": 4, "t1": 4, "t2": 4}, d.Load())
+}
+
+func TestTheLoadOfOtherProcessesCounts(t *testing.T) {
+	d := newDispatcher(2, 4)
+	d.SetOthers("other", map[string]int{"t0": 3}, start)
+	for range 3 {
+		require.Equal(t, "t1", take(t, d, start).ID())
+	}
+	take(t, d, start)
+	take(t, d, start)
+	_, waiter := d.Take(work(1), start)
+	require.NotNil(t, waiter, "both targets are full")
+	d.SetOthers("other", nil, start)
+	require.Equal(t, "t0", granted(waiter).ID())
+}
+
+func TestTheMostUrgentGoesFirst(t *testing.T) {
+	d := newDispatcher(1, 1)
+	only := take(t, d, start)
+	_, later := d.Take(work(2), start)
+	_, second := d.Take(work(1), start)
+	_, third := d.Take(work(1), start)
+	d.Done(only, Served, start)
+	require.NotNil(t, granted(second))
+	require.Nil(t, granted(third))
+	require.Nil(t, granted(later))
+	d.Done(only, Served, start)
+	require.NotNil(t, granted(third))
+	d.Done(only, Served, start)
+	require.NotNil(t, granted(later))
+}
+
+func TestOneThatHasTriedAllDoesNotHoldUpOthers(t *testing.T) {
+	d := newDispatcher(2, 1)
+	first, second := take(t, d, start), take(t, d, start)
+	_, picky := d.Take(work(0, first), start)
+	_, other := d.Take(work(1), start)
+	d.Done(first, Served, start)
+	require.Nil(t, granted(picky))
+	require.Equal(t, first, granted(other))
+	d.Done(second, Served, start)
+	require.Equal(t, second, granted(picky))
+}
+
+func TestNothingWaitsWhereNoTargetMayCome(t *testing.T) {
+	d := newDispatcher(1, 1)
+	only := take(t, d, start)
+	found, waiter := d.Take(work(1, only), start)
+	require.Nil(t, found)
+	require.Nil(t, waiter)
+	found, waiter = d.Take(Work{Service: "unknown"}, start)
+	require.Nil(t, found)
+	require.Nil(t, waiter)
+}
+
+func TestGivingUpLeavesNoPlaceTaken(t *testing.T) {
+	d := newDispatcher(1, 1)
+	only := take(t, d, start)
+	_, waiter := d.Take(work(1), start)
+	require.Nil(t, d.GiveUp(waiter))
+	_, waiter = d.Take(work(1), start)
+	d.Done(only, Served, start)
+	require.Equal(t, only, d.GiveUp(waiter), "granted as it was given up")
+	d.Done(only, Abandoned, start)
+	require.Empty(t, d.Load())
+}
+
+func TestLeavingAndEvacuatedTargetsGetNothing(t *testing.T) {
+	d := newDispatcher(3, 4)
+	leaving := registration(0, 4)
+	leaving.Leaving = true
+	d.Registered(leaving, start)
+	d.SetOut(map[string]bool{"d1": true}, start)
+	for range 4 {
+		require.Equal(t, "t2", take(t, d, start).ID())
+	}
+	d.SetOut(map[string]bool{}, start)
+	require.Equal(t, "t1", take(t, d, start).ID())
+	d.Removed("t1")
+	_, waiter := d.Take(work(1), start)
+	require.NotNil(t, waiter)
+}
+
+func TestATargetThatStartedAgainUnderItsIDIsAnother(t *testing.T) {
+	d := newDispatcher(1, 1)
+	before := take(t, d, start)
+	again := registration(0, 1)
+	again.Born = at(time.Second)
+	d.Registered(again, at(time.Second))
+	after := take(t, d, at(time.Second))
+	require.NotSame(t, before, after)
+	d.Done(before, Failed, at(time.Second))
+	require.Equal(t, map[string]int{"t0": 1}, d.Load())
+}
+
+func TestAnAddressThatIsAnothersIsNotUsed(t *testing.T) {
+	d := newDispatcher(1, 4)
+	gone := take(t, d, start)
+	d.Done(gone, Gone, start)
+	found, waiter := d.Take(work(1), start)
+	require.Nil(t, found)
+	require.Nil(t, waiter)
+}
+
+func TestAColdTargetGetsItsAllowanceOverAllProcesses(t *testing.T) {
+	d := newDispatcher(0, 0)
+	cold := registration(0, 100)
+	cold.WarmupLeft = 3 * time.Second
+	d.Registered(cold, start)
+	d.SetProcesses(4)
+	sent := func(from, until time.Duration) int {
+		count := 0
+		for now := from; now < until; now += 10 * time.Millisecond {
+			if found, waiter := d.Take(work(1), at(now)); found != nil {
+				count++
+				d.Done(found, Served, at(now))
+			} else {
+				d.GiveUp(waiter)
+			}
+		}
+		return count
+	}
+	// 10 a second, half as many again, and 5: 20 for four processes.
+	require.Equal(t, 5, sent(0, time.Second))
+	require.Equal(t, 10, sent(time.Second, 3*time.Second))
+	require.Greater(t, sent(3*time.Second, 4*time.Second), 90, "the target is warm")
+}
+
+func TestATargetThatFailsIsPassedOverForAWhile(t *testing.T) {
+	d := newDispatcher(3, 100)
+	var bad *Target
+	for bad == nil || bad.ID() != "t0" {
+		bad = take(t, d, start)
+	}
+	for range ejectAfter {
+		bad.running++
+		d.Done(bad, Failed, start)
+	}
+	for range 20 {
+		require.NotSame(t, bad, take(t, d, start))
+	}
+	back := at(ejectFirst)
+	seen := false
+	for range 60 {
+		seen = seen || take(t, d, back) == bad
+	}
+	require.True(t, seen, "it is tried again")
+	bad.running++
+	d.Done(bad, Failed, back)
+	require.True(t, bad.health.out(back.Add(ejectFirst)), "the second time is longer")
+}
+
+func TestWhenMostTargetsFailNoneIsPassedOver(t *testing.T) {
+	d := newDispatcher(3, 100)
+	for _, pool := range d.pools {
+		for _, bad := range pool.targets {
+			for range ejectAfter {
+				bad.health.failed(start)
+			}
+		}
+	}
+	take(t, d, start)
+}
+
+func TestAFullTargetRests(t *testing.T) {
+	d := newDispatcher(1, 4)
+	full := take(t, d, start)
+	d.Done(full, Full, start)
+	_, waiter := d.Take(work(1), start)
+	require.NotNil(t, waiter)
+	d.Tick(at(fullPause))
+	require.Equal(t, full, granted(waiter))
+}
+
+func TestConnectionLimitIsSharedOut(t *testing.T) {
+	d := newDispatcher(1, 4)
+	require.Equal(t, 10, take(t, d, start).ConnectionLimit(8))
+	require.Equal(t, 1, take(t, d, start).ConnectionLimit(1000))
+}
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -236,18 +236,27 @@
 	}
 }
 
-// serve gives targets to those that wait, in their order, until one finds none.
+// serve gives targets to those that wait, in their order. One that finds none
+// only because it has tried them does not hold up those behind it.
 func (d *Dispatcher) serve(pool *pool, now time.Time) {
+	var passed []*Waiter
 	for len(pool.waiting) > 0 {
 		first := pool.waiting[0]
 		t := d.choose(pool, &first.work, now)
-		if t == nil {
-			return
+		if t == nil && len(first.work.Tried) == 0 {
+			break
 		}
 		pool.waiting.remove(first)
+		if t == nil {
+			passed = append(passed, first)
+			continue
+		}
 		t.take(now)
 		first.granted <- t
 	}
+	for _, w := range passed {
+		pool.waiting.add(w)
+	}
 }
 
 // Load returns this process's requests at each target, by its id.
--- /dev/null
+++ b/request/forward/forward_test.go
@@ -0,0 +1,344 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/platform/standin"
+	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/forward"
+	"verbenaseam.example/verbenaseam/request/retry"
+	"verbenaseam.example/verbenaseam/version/config"
+)
+
+const routes = `{"version":3,"routes":[
+ {"name":"chat","hostname":"h.example","prefix":"/chat/","route_type":"streaming","timeout_ms":8000,"target_latency_ms":400,
+  "priority":1,"service":"s","max_attempts":3,"resumable":true,"target_gap_ms":120},
+ {"name":"once","hostname":"h.example","prefix":"/once/","route_type":"streaming","timeout_ms":8000,"target_latency_ms":400,
+  "priority":1,"service":"s","max_attempts":3,"resumable":false,"target_gap_ms":120},
+ {"name":"order","hostname":"h.example","prefix":"/order/","route_type":"non_idempotent","timeout_ms":2000,
+  "target_latency_ms":200,"priority":2,"service":"s","max_attempts":2},
+ {"name":"look","hostname":"h.example","prefix":"/look/","route_type":"idempotent","timeout_ms":2000,
+  "target_latency_ms":200,"priority":2,"service":"s","max_attempts":2},
+ {"name":"short","hostname":"h.example","prefix":"/short/","route_type":"idempotent","timeout_ms":150,
+  "target_latency_ms":100,"priority":2,"service":"s","max_attempts":1},
+ {"name":"open","hostname":"h.example","prefix":"/open/","route_type":"idempotent","timeout_ms":2000,
+  "target_latency_ms":200,"priority":2,"service":"s","max_attempts":1,"public":true}],
+ "services":[{"name":"s","max_connections":100}],
+ "limits":{"max_header_bytes":2000,"max_body_bytes":10000},
+ "tenants":[{"name":"org","api_keys":["key"]}]}`
+
+// entry is a Handler before stand-ins of targets.
+type entry struct {
+	t       *testing.T
+	url     string
+	targets []*standin.Target
+	version *config.Version
+}
+
+func newEntry(t *testing.T, count int) *entry {
+	t.Helper()
+	version, err := platform.DecodeConfiguration([]byte(routes))
+	require.NoError(t, err)
+	e := &entry{t: t, version: version}
+	dispatcher := dispatch.New(dispatch.Config{FailureDomain: "z"})
+	dispatcher.SetServices(version.Services, time.Now())
+	for n := range count {
+		one := &standin.Target{ID: fmt.Sprintf("t%d", n), Service: "s", Zone: "z", Events: 6, Pause: 2 * time.Millisecond}
+		server := httptest.NewServer(one)
+		t.Cleanup(server.Close)
+		e.targets = append(e.targets, one)
+		dispatcher.Registered(target.Registration{
+			ID: one.ID, Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), FailureDomain: "z", Capacity: 2,
+		}, time.Now())
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	var mu sync.Mutex
+	pools := map[string]*direct.Pool{}
+	budget := retry.NewBudget(0.2, 20)
+	handler := forward.NewHandler(forward.Config{
+		Headers: platform.ForwardHeaders(), Version: func() *config.Version { return e.version }, Dispatcher: dispatcher,
+		Connections: func(to *dispatch.Target) *direct.Pool {
+			mu.Lock()
+			defer mu.Unlock()
+			if pools[to.ID()] == nil {
+				pools[to.ID()] = direct.NewPool(to.Address(), 100, nil)
+			}
+			return pools[to.ID()]
+		},
+		Budget: func(string) *retry.Budget { return budget },
+		Clock:  clockwork.NewRealClock(), Log: logrus.NewEntry(logger),
+	})
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	e.url = server.URL
+	return e
+}
+
+// all sets the faults of all targets.
+func (e *entry) all(faults standin.TargetFaults) {
+	for _, one := range e.targets {
+		one.SetFaults(faults)
+	}
+}
+
+// ran returns what all targets have run.
+func (e *entry) ran() []standin.Ran {
+	var all []standin.Ran
+	for _, one := range e.targets {
+		all = append(all, one.Ran()...)
+	}
+	return all
+}
+
+func (e *entry) request(path string, change func(*http.Request)) *http.Request {
+	r, err := http.NewRequest(http.MethodPost, e.url+path, strings.NewReader("body"))
+	require.NoError(e.t, err)
+	r.Host = "h.example"
+	r.Header.Set(platform.HeaderAttempt, "id-1")
+	r.Header.Set(platform.HeaderDeadline, "4000")
+	r.Header.Set(platform.HeaderKey, platform.KeyScheme+"key")
+	if change != nil {
+		change(r)
+	}
+	return r
+}
+
+// send returns the status, the headers and the body; the error is that of the
+// body.
+func (e *entry) send(path string, change func(*http.Request)) (*http.Response, string, error) {
+	answer, err := http.DefaultClient.Do(e.request(path, change))
+	require.NoError(e.t, err)
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return answer, string(body), err
+}
+
+func events(from, to int) string {
+	var out strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&out, "id: %d\ndata: event %d\n\n", id, id)
+	}
+	return out.String()
+}
+
+func TestARequestIsForwardedWithItsOrganisationAndWithoutItsKey(t *testing.T) {
+	e := newEntry(t, 1)
+	answer, body, err := e.send("/order/a%2Fb/c?x=1&y=%20", func(r *http.Request) {
+		r.Header.Set(platform.HeaderOrganisation, "somebody else")
+	})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	require.Equal(t, "answer of a target", body)
+	require.Equal(t, "seal-t0", answer.Header.Get(platform.HeaderSignature))
+	ran := e.ran()
+	require.Len(t, ran, 1)
+	require.Equal(t, "org", ran[0].Organisation)
+	require.Empty(t, ran[0].Key)
+	require.Equal(t, "/order/a%2Fb/c?x=1&y=%20", ran[0].Path)
+	require.Equal(t, "body", ran[0].Body)
+	require.Equal(t, "id-1", ran[0].ID)
+	require.LessOrEqual(t, ran[0].DeadlineMillis, int64(2000), "the route's timeout binds")
+	require.Greater(t, ran[0].DeadlineMillis, int64(1500))
+}
+
+func TestRequestsThatMayNotPass(t *testing.T) {
+	for name, test := range map[string]struct {
+		path   string
+		change func(*http.Request)
+		status int
+	}{
+		"no route":       {"/nothing/x", nil, http.StatusNotFound},
+		"another host":   {"/look/x", func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
+		"no key":         {"/look/x", func(r *http.Request) { r.Header.Del(platform.HeaderKey) }, http.StatusUnauthorized},
+		"a wrong key":    {"/look/x", func(r *http.Request) { r.Header.Set(platform.HeaderKey, "Token no") }, http.StatusUnauthorized},
+		"a long header":  {"/look/x", func(r *http.Request) { r.Header.Set("X", strings.Repeat("x", 3000)) }, http.StatusRequestHeaderFieldsTooLarge},
+		"public, no key": {"/open/x", func(r *http.Request) { r.Header.Del(platform.HeaderKey) }, http.StatusOK},
+		"a long body": {"/look/x", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 20000))), 20000
+		}, http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer, _, _ := newEntry(t, 1).send(test.path, test.change)
+			require.Equal(t, test.status, answer.StatusCode)
+		})
+	}
+}
+
+func TestBeforeTheFirstConfigurationCallersComeBack(t *testing.T) {
+	e := newEntry(t, 1)
+	e.version = nil
+	answer, _, _ := e.send("/look/x", nil)
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.NotEmpty(t, answer.Header.Get("Retry-After"))
+}
+
+func TestARefusedRequestIsTakenElsewhere(t *testing.T) {
+	e := newEntry(t, 2)
+	e.targets[0].SetFaults(standin.TargetFaults{Refuse: true})
+	for n := range 8 {
+		answer, _, _ := e.send("/order/x", func(r *http.Request) { r.Header.Set(platform.HeaderAttempt, "id-"+strconv.Itoa(n)) })
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+	}
+	require.Empty(t, e.targets[0].Ran())
+	require.Len(t, e.targets[1].Ran(), 8)
+}
+
+func TestARequestThatNobodyTookComesBackLater(t *testing.T) {
+	e := newEntry(t, 2)
+	e.all(standin.TargetFaults{Refuse: true})
+	answer, _, _ := e.send("/order/x", nil)
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	seconds, err := strconv.ParseFloat(answer.Header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.Positive(t, seconds)
+	require.Empty(t, e.ran())
+}
+
+func TestAnOrderThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	e := newEntry(t, 2)
+	e.all(standin.TargetFaults{BreakAfter: 1})
+	answer, _, _ := e.send("/order/x", nil)
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+	require.Len(t, e.ran(), 1)
+}
+
+func TestALookupWhoseAnswerBrokeOffIsSentAgain(t *testing.T) {
+	e := newEntry(t, 2)
+	e.targets[0].SetFaults(standin.TargetFaults{BreakAfter: 1})
+	for range 6 {
+		answer, body, err := e.send("/look/x", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.Equal(t, "answer of a target", body)
+	}
+}
+
+func TestATargetsOwnFailureIsPassedOn(t *testing.T) {
+	e := newEntry(t, 2)
+	e.all(standin.TargetFaults{Status: http.StatusInternalServerError})
+	answer, body, _ := e.send("/order/x", nil)
+	require.Equal(t, http.StatusInternalServerError, answer.StatusCode)
+	require.NotEmpty(t, answer.Header.Get(platform.HeaderSignature))
+	require.Equal(t, "answer of a target", body)
+	require.Len(t, e.ran(), 1)
+	answer, _, _ = e.send("/look/x", nil)
+	require.Equal(t, http.StatusInternalServerError, answer.StatusCode)
+	require.Len(t, e.ran(), 3, "a lookup is tried at another target first")
+}
+
+func TestAnUnsignedAnswerIsNotPassedOn(t *testing.T) {
+	e := newEntry(t, 1)
+	e.all(standin.TargetFaults{Unsigned: true})
+	answer, body, _ := e.send("/order/x", nil)
+	require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+	require.Empty(t, body)
+}
+
+func TestARoutesTimeoutIsAnsweredAtOnce(t *testing.T) {
+	e := newEntry(t, 1)
+	e.all(standin.TargetFaults{Hang: true})
+	started := time.Now()
+	answer, _, _ := e.send("/short/x", nil)
+	require.Equal(t, http.StatusGatewayTimeout, answer.StatusCode)
+	require.Less(t, time.Since(started), 500*time.Millisecond)
+	require.Eventually(t, func() bool { return e.targets[0].Left() == 1 }, time.Second, time.Millisecond, "the target is told")
+}
+
+func TestACallerThatLeavesCancelsTheWork(t *testing.T) {
+	e := newEntry(t, 1)
+	e.all(standin.TargetFaults{Hang: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		answer, err := http.DefaultClient.Do(e.request("/look/x", nil).WithContext(ctx))
+		if err == nil {
+			answer.Body.Close()
+		}
+	}()
+	require.Eventually(t, func() bool { return len(e.ran()) == 1 }, time.Second, time.Millisecond)
+	cancel()
+	require.Eventually(t, func() bool { return e.targets[0].Left() == 1 }, time.Second, time.Millisecond)
+}
+
+func TestRequestsThatCannotBeServedInTimeAreRefused(t *testing.T) {
+	e := newEntry(t, 1)
+	e.all(standin.TargetFaults{Hang: true})
+	for range 2 {
+		go func() {
+			answer, err := http.DefaultClient.Do(e.request("/look/x", nil))
+			if err == nil {
+				answer.Body.Close()
+			}
+		}()
+	}
+	require.Eventually(t, func() bool { return len(e.ran()) == 2 }, time.Second, time.Millisecond)
+	started := time.Now()
+	answer, _, _ := e.send("/look/x", nil)
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.Less(t, time.Since(started), 200*time.Millisecond, "not held beyond the route's latency")
+}
+
+func TestAStreamIsPassedOnEventByEvent(t *testing.T) {
+	e := newEntry(t, 1)
+	e.targets[0].Pause = 40 * time.Millisecond
+	answer, err := http.DefaultClient.Do(e.request("/chat/stream", nil))
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	started := time.Now()
+	first := make([]byte, len(events(1, 1)))
+	_, err = io.ReadFull(answer.Body, first)
+	require.NoError(t, err)
+	require.Equal(t, events(1, 1), string(first))
+	require.Less(t, time.Since(started), 150*time.Millisecond)
+	rest, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	require.Equal(t, events(2, 6), string(rest))
+}
+
+func TestAStreamThatBreaksGoesOnAtAnotherTarget(t *testing.T) {
+	e := newEntry(t, 3)
+	e.all(standin.TargetFaults{BreakAfter: 2})
+	answer, body, err := e.send("/chat/stream", nil)
+	require.NoError(t, err)
+	require.Equal(t, events(1, 6), body)
+	ran := e.ran()
+	require.Len(t, ran, 3)
+	for _, one := range ran {
+		if one.LastEvent == "" {
+			require.Contains(t, answer.Header.Get(platform.HeaderSignature), "seal-")
+		}
+	}
+}
+
+func TestAStreamThatMayNotBeResumedIsCutOff(t *testing.T) {
+	e := newEntry(t, 3)
+	e.all(standin.TargetFaults{BreakAfter: 2})
+	_, body, err := e.send("/once/stream", nil)
+	require.Error(t, err, "the end must not look complete")
+	require.Equal(t, events(1, 2), body)
+	require.Len(t, e.ran(), 1)
+}
+
+func TestACallersOwnResumptionIsPassedOn(t *testing.T) {
+	e := newEntry(t, 1)
+	_, body, err := e.send("/chat/stream", func(r *http.Request) { r.Header.Set(platform.HeaderLastEvent, "4") })
+	require.NoError(t, err)
+	require.Equal(t, events(5, 6), body)
+	require.Equal(t, "4", e.ran()[0].LastEvent)
+}
