--- a/version/placement/even.go
+++ b/version/placement/even.go
@@ -286,7 +286,7 @@
 			best, bestGain = change, gain
 		}
 	}
-	cool := order[max(hottest, len(order)-coolest):]
+	cool := order[max(1, len(order)-coolest):]
 	for _, hot := range order[:min(hottest, len(order))] {
 		for _, expert := range l.held[hot] {
 			l.changesOf(s.in.Slots, expert, hot, cool, consider)
--- a/version/placement/even_test.go
+++ b/version/placement/even_test.go
@@ -102,6 +102,18 @@
 	require.Equal(t, inTurn(1, 24, 12), plan.Experts)
 }
 
+func TestImproveEvenHelpsTheSmallestGroups(t *testing.T) {
+	for ranks := 2; ranks <= 4; ranks++ {
+		loads := make([]float64, 2*ranks)
+		loads[0], loads[ranks] = 100, 90
+		in := EvenInput{Loads: [][][]float64{{loads}}, Ranks: ranks, Slots: 4, NewPerLayer: 2}
+		plan, err := ImproveEven(in, inTurn(1, 2*ranks, ranks), EvenSettings{CopyCost: 0.1, NewPerRank: 2, MaxSteps: 50})
+		require.NoError(t, err)
+		require.InDelta(t, float64(ranks), plan.Before, 0.01)
+		require.Less(t, plan.After, 0.75*plan.Before, "%d ranks", ranks)
+	}
+}
+
 func TestImproveEvenRefusesAMapThatDoesNotFit(t *testing.T) {
 	in := EvenInput{Loads: [][][]float64{{{1, 2, 3}}}, Ranks: 2, Slots: 2, NewPerLayer: 1}
 	for _, experts := range [][][][]int{
