--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -11,6 +11,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/request/dispatch"
@@ -49,6 +50,7 @@
 	targets    *targets
 	budgets    *budgets
 	handler    *forward.Handler
+	metrics    *metrics.Metrics
 
 	version atomic.Pointer[config.Version]
 	// targetsKnown tells that the targets have been read.
@@ -76,9 +78,10 @@
 	}
 	e.targets = newTargets(e.dispatcher, e.clock, logs.Part(cfg.Logger, "targets"))
 	e.budgets = newBudgets(s.Bounds)
+	e.metrics = metrics.New("direct", metrics.DefaultOrganisations)
 	e.handler = forward.NewHandler(forward.Config{
 		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
-		Connections: e.targets.connections, Budget: e.budgets.of, Clock: e.clock,
+		Connections: e.targets.connections, Budget: e.budgets.of, Metrics: e.metrics, Clock: e.clock,
 		Log: logs.Part(cfg.Logger, "forward"),
 	})
 	return e
--- a/daemon/direct/load.go
+++ b/daemon/direct/load.go
@@ -19,11 +19,13 @@
 		return nil, err
 	}
 	return func() (command.Daemon, error) {
-		return New(Config{
+		log := logs.NewBounded(os.Stdout)
+		daemon := New(Config{
 			Settings: loaded,
 			Store:    platform.NewStore(loaded.StoreAddress),
 			Clock:    clockwork.NewRealClock(),
-			Logger:   logs.New(os.Stdout, loaded.Log),
-		}), nil
+			Logger:   logs.New(log, loaded.Log),
+		})
+		return command.Closing(daemon, log), nil
 	}, nil
 }
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"verbenaseam.example/verbenaseam/daemon/command"
 	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
@@ -100,7 +101,12 @@
 		{Handler: platform.Readiness(e.ready), ReadHeaderTimeout: headerTimeout},
 		{Handler: platform.Directory(e.resolve), ReadHeaderTimeout: headerTimeout},
 	}
-	for _, address := range []string{e.settings.CallerAddress, e.settings.ReadyAddress, e.settings.DirectoryAddress} {
+	addresses := []string{e.settings.CallerAddress, e.settings.ReadyAddress, e.settings.DirectoryAddress}
+	if e.settings.MetricsAddress != "" {
+		s.others = append(s.others, command.MetricsServer(e.metrics.Handler()))
+		addresses = append(addresses, e.settings.MetricsAddress)
+	}
+	for _, address := range addresses {
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			s.close()
--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -9,13 +9,17 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"verbenaseam.example/verbenaseam/daemon/command"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/version/config"
 	"verbenaseam.example/verbenaseam/version/expertmap"
+	"verbenaseam.example/verbenaseam/version/placement"
 	"verbenaseam.example/verbenaseam/version/rebalance"
 )
 
@@ -55,6 +59,8 @@
 	store    *platform.Store
 	clock    clockwork.Clock
 	log      *logrus.Entry
+	registry *prometheus.Registry
+	metrics  *placement.Metrics
 
 	target *platform.Rank
 	// incarnation names this start of the agent, among all agents.
@@ -106,7 +112,9 @@
 func New(cfg Config) *Agent {
 	now := cfg.Clock.Now()
 	target := platform.NewRank(cfg.Settings.TargetAddress)
+	registry := prometheus.NewRegistry()
 	return &Agent{
+		registry: registry, metrics: placement.NewMetrics(registry),
 		settings: cfg.Settings, store: cfg.Store, clock: cfg.Clock, log: logs.Part(cfg.Logger, "rank"),
 		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxSize),
 		facts: make(chan storeFacts, 1), engine: expertmap.NewOrderEngine(orders{target}), since: now,
@@ -132,12 +140,32 @@
 	}
 	a.log.WithFields(logrus.Fields{"name": a.settings.Name, "target": a.settings.TargetAddress}).Info("started")
 	go a.receive()
+	stop, err := a.serveMetrics()
+	if err != nil {
+		return err
+	}
+	defer stop()
 	a.loop(ctx)
 	_ = a.socket.Close()
 	a.log.Info("stopped")
 	return nil
 }
 
+// serveMetrics serves the metrics if the settings name an address, until stop.
+func (a *Agent) serveMetrics() (stop func(), err error) {
+	if a.settings.MetricsAddress == "" {
+		return func() {}, nil
+	}
+	listener, err := net.Listen("tcp", a.settings.MetricsAddress)
+	if err != nil {
+		return nil, err
+	}
+	server := command.MetricsServer(promhttp.HandlerFor(a.registry, promhttp.HandlerOpts{}))
+	// Serve returns when the server is closed.
+	go func() { _ = server.Serve(listener) }()
+	return func() { _ = server.Close() }, nil
+}
+
 func (a *Agent) loop(ctx context.Context) {
 	ticker := a.clock.NewTicker(tickEvery)
 	defer ticker.Stop()
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -10,6 +10,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/version/config"
+	"verbenaseam.example/verbenaseam/version/placement"
 	"verbenaseam.example/verbenaseam/version/rebalance"
 )
 
@@ -198,5 +199,20 @@
 	a.log.WithFields(logrus.Fields{
 		"map": decision.Map.Number(), "copies": decision.Plan.Copies, "most": decision.Plan.CopiesMost,
 		"before": decision.Plan.Before, "after": decision.Plan.After, "took_ms": decision.Took.Milliseconds(),
-	}).Info("map: " + decision.What)
+	}).Info("map: " + string(decision.What))
+	a.count(decision)
 }
+
+// count adds a decision to the metrics.
+func (a *Agent) count(decision *rebalance.Decision) {
+	group := a.engine.Last().Group
+	switch decision.What {
+	case rebalance.Prepare:
+		a.metrics.Step(group, placement.Skew{Step: decision.Plan.Before, Barrier: decision.Plan.Before})
+		a.metrics.Moved(group, decision.Plan.Copies, int(float64(decision.Plan.Copies)*a.experts.Megabytes*bytesPerMegabyte))
+	case rebalance.Agreed, rebalance.Aborted:
+		a.metrics.Switched(group, string(decision.What), decision.Took)
+	}
+}
+
+const bytesPerMegabyte = 1e6
--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -217,7 +217,7 @@
 // drive lets the planner decide and does what it wants.
 func (g *group) drive(planner *rebalance.Planner, now time.Time, outcome *Outcome) error {
 	decision, proposal := planner.Step(g.step, now)
-	if decision != nil && decision.What == "prepare" {
+	if decision != nil && decision.What == rebalance.Prepare {
 		g.next = planner.Directive().Prepare
 		g.copied = now.Add(time.Duration(decision.Plan.CopiesMost)*copyTime + tick)
 		outcome.Copies += decision.Plan.Copies
--- /dev/null
+++ b/process/logs/bounded_test.go
@@ -0,0 +1,58 @@
+package logs
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func (w *stuckWriter) Write(data []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(data)
+}
+
+func TestBoundedNeverMakesItsCallersWait(t *testing.T) {
+	out := &stuckWriter{release: make(chan struct{})}
+	b := NewBounded(out)
+	started := time.Now()
+	const lines = 5000
+	for n := range lines {
+		count, err := fmt.Fprintf(b, "line %d\n", n)
+		require.NoError(t, err)
+		require.Positive(t, count)
+	}
+	require.Less(t, time.Since(started), time.Second)
+	dropped := b.Dropped()
+	require.Greater(t, dropped, int64(lines-burstLines-queuedLines))
+	close(out.release)
+	require.NoError(t, b.Close())
+	written := strings.Count(out.out.String(), "line ")
+	require.Equal(t, int64(lines), int64(written)+dropped)
+	require.Contains(t, out.out.String(), fmt.Sprintf("\"dropped\":%d", dropped))
+}
+
+func TestBoundedKeepsOrder(t *testing.T) {
+	var out bytes.Buffer
+	b := NewBounded(&out)
+	for n := range 100 {
+		fmt.Fprintf(b, "%d\n", n)
+	}
+	require.NoError(t, b.Close())
+	lines := strings.Fields(out.String())
+	require.Len(t, lines, 100)
+	require.Equal(t, "99", lines[99])
+}
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -147,6 +147,26 @@
 	}
 }
 
+// class names the kind of a request for metrics.
+func (c *call) class() string {
+	switch {
+	case c.route.Direct.Streams:
+		return "stream"
+	case c.route.Idempotent:
+		return "idempotent"
+	default:
+		return "once"
+	}
+}
+
+// organisationName is empty for requests without a key.
+func (c *call) organisationName() string {
+	if c.organisation == nil {
+		return ""
+	}
+	return c.organisation.Name
+}
+
 func (c *call) urgency() int {
 	if c.organisation != nil && c.organisation.Urgency != nil {
 		return *c.organisation.Urgency
--- a/request/forward/fail.go
+++ b/request/forward/fail.go
@@ -37,6 +37,7 @@
 // refuse answers with a failure, at once.
 func (h *Handler) refuse(w http.ResponseWriter, r *http.Request, c *call, err *failure.Error) {
 	status := statusOf(err)
+	h.metrics.Failure(string(err.Kind))
 	if id := r.Header.Get(h.headers.Attempt); id != "" {
 		w.Header().Set(h.headers.Attempt, id)
 	}
@@ -72,5 +73,8 @@
 	if reason != "" {
 		fields["reason"] = reason
 	}
+	if c.route != nil {
+		h.metrics.Request(c.organisationName(), c.class(), outcome, h.clock.Since(c.started))
+	}
 	h.log.WithFields(fields).Info("request done")
 }
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/platform/standin"
+	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/process/target"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/forward"
@@ -82,8 +83,8 @@
 			}
 			return pools[to.ID()]
 		},
-		Budget: func(string) *retry.Budget { return budget },
-		Clock:  clockwork.NewRealClock(), Log: logrus.NewEntry(logger),
+		Budget:  func(string) *retry.Budget { return budget },
+		Metrics: metrics.New("direct", 10), Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(logger),
 	})
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -11,6 +11,7 @@
 
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/retry"
 	"verbenaseam.example/verbenaseam/version/config"
@@ -25,9 +26,10 @@
 	// Connections returns the connections to a target.
 	Connections func(*dispatch.Target) *direct.Pool
 	// Budget returns the retry budget of a service.
-	Budget func(service string) *retry.Budget
-	Clock  clockwork.Clock
-	Log    *logrus.Entry
+	Budget  func(service string) *retry.Budget
+	Metrics *metrics.Metrics
+	Clock   clockwork.Clock
+	Log     *logrus.Entry
 }
 
 // Handler is the callers' HTTP handler.
@@ -37,6 +39,7 @@
 	dispatcher  *dispatch.Dispatcher
 	connections func(*dispatch.Target) *direct.Pool
 	budget      func(service string) *retry.Budget
+	metrics     *metrics.Metrics
 	clock       clockwork.Clock
 	log         *logrus.Entry
 }
@@ -45,7 +48,7 @@
 func NewHandler(cfg Config) *Handler {
 	return &Handler{
 		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
-		connections: cfg.Connections, budget: cfg.Budget, clock: cfg.Clock, log: cfg.Log,
+		connections: cfg.Connections, budget: cfg.Budget, metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
 
@@ -137,8 +140,7 @@
 // attempt sends a call to a target and relays its answer. A failure means that
 // nothing has been written to the caller.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (verdict, *failure.Error) {
-	c.work.Tried = append(c.work.Tried, t)
-	c.target = t.ID()
+	h.begin(c, t)
 	answer, err := h.connections(t).Do(ctx, c.outgoing(&h.headers, t, h.clock.Now()), false)
 	if err != nil {
 		found := judgeError(err, ctx.Err() != nil)
@@ -158,6 +160,17 @@
 	return h.relayWhole(ctx, w, c, t, answer, found)
 }
 
+// begin notes that a call is sent to a target.
+func (h *Handler) begin(c *call, t *dispatch.Target) {
+	kind := "first"
+	if len(c.work.Tried) > 0 {
+		kind = "retry"
+	}
+	h.metrics.Attempt(kind)
+	c.work.Tried = append(c.work.Tried, t)
+	c.target = t.ID()
+}
+
 // discard reads a short answer to its end, so that its connection can be kept.
 func (h *Handler) discard(answer *direct.Answer) {
 	defer answer.Close()
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -29,6 +29,7 @@
 	if found.success {
 		h.budget(c.service).Succeeded()
 	}
+	h.metrics.FirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 	writeHead(w, answer)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(answer.Status)
@@ -59,7 +60,10 @@
 	out := &streamWriter{w: w, control: http.NewResponseController(w), last: c.lastEvent}
 	for {
 		first := answer
-		err := out.copy(answer, func() { writeHead(w, first) })
+		err := out.copy(answer, func() {
+			h.metrics.FirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
+			writeHead(w, first)
+		})
 		answer.Close()
 		c.lastEvent = out.last
 		if err == nil {
@@ -92,8 +96,7 @@
 		if refused != nil {
 			h.cut(c, verdict{reason: "no target goes on with the stream"})
 		}
-		c.work.Tried = append(c.work.Tried, t)
-		c.target = t.ID()
+		h.begin(c, t)
 		answer, err := h.connections(t).Do(ctx, c.outgoing(&h.headers, t, h.clock.Now()), false)
 		var found verdict
 		if err != nil {
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -149,10 +149,31 @@
 	return p.next == nil || one != nil && one.status.Prepared == p.next.ID.Number()
 }
 
-// Decision tells what the planner did, for the log.
+// What names a decision of the planner.
+type What string
+
+// Decisions.
+const (
+	// Prepare means that the ranks are told to copy a map.
+	Prepare What = "prepare"
+	// Propose means that the switch is proposed.
+	Propose What = "propose"
+	// Agreed and Aborted are the ends of a proposal; an aborted one is made again.
+	Agreed  What = "switch agreed"
+	Aborted What = "aborted"
+	// EndUnknown means that the end of a proposal was not heard of in time.
+	EndUnknown What = "end not known"
+	// InUse means that all ranks use the map.
+	InUse What = "in use"
+	// GivenUp means that the ranks did not copy a map.
+	GivenUp What = "given up"
+	// Unfit means that the map in use does not fit the group.
+	Unfit What = "the map does not fit"
+)
+
+// Decision tells what the planner did, for the log and the metrics.
 type Decision struct {
-	// What happened, in a few words.
-	What string
+	What What
 	Map  expertmap.MapID
 	Plan placement.EvenPlan
 	// Took is how long the phase before took.
@@ -206,7 +227,7 @@
 	})
 	if err != nil {
 		p.current = nil
-		return &Decision{What: "the map does not fit"}
+		return &Decision{What: Unfit}
 	}
 	if plan.Before-plan.After < factor*p.policy.LeastGain {
 		return nil
@@ -214,7 +235,7 @@
 	p.plan = plan
 	p.next = &Map{ID: p.nextID(), Experts: plan.Experts}
 	took := p.enter(preparing, now)
-	return &Decision{What: "prepare", Map: p.next.ID, Plan: plan, Took: took}
+	return &Decision{What: Prepare, Map: p.next.ID, Plan: plan, Took: took}
 }
 
 // nextID names a map that no other planner names.
@@ -257,13 +278,13 @@
 	number := p.next.ID.Number()
 	if p.all(func(s Status) bool { return s.Prepared == number }) && p.complete(now) {
 		took := p.enter(proposed, now)
-		return &Decision{What: "propose", Map: p.next.ID, Plan: p.plan, Took: took}, p.proposal(step)
+		return &Decision{What: Propose, Map: p.next.ID, Plan: p.plan, Took: took}, p.proposal(step)
 	}
 	refused := !p.all(func(s Status) bool { return s.Refused != number })
 	if refused || now.Sub(p.since) > prepareLimit {
 		failed := p.next.ID
 		p.next = nil
-		return &Decision{What: "given up", Map: failed, Took: p.enter(idle, now)}, nil
+		return &Decision{What: GivenUp, Map: failed, Took: p.enter(idle, now)}, nil
 	}
 	return nil, nil
 }
@@ -288,11 +309,11 @@
 	}
 	if ended.Decision == expertmap.Commit {
 		p.lead = max(p.policy.Lead, p.lead-1)
-		return &Decision{What: "switch", Map: to, Plan: p.plan, Took: p.enter(switching, now)}
+		return &Decision{What: Agreed, Map: to, Plan: p.plan, Took: p.enter(switching, now)}
 	}
 	// The same map is proposed again for a later step.
 	p.lead = min(2*p.lead, leadMost)
-	return &Decision{What: "aborted", Map: to, Took: p.enter(preparing, now)}
+	return &Decision{What: Aborted, Map: to, Took: p.enter(preparing, now)}
 }
 
 // awaitEnd gives up on a proposal whose end is not known; the ranks end it
@@ -303,7 +324,7 @@
 	}
 	lost := p.next.ID
 	p.current, p.next = nil, nil
-	return &Decision{What: "end not known", Map: lost, Took: p.enter(idle, now)}
+	return &Decision{What: EndUnknown, Map: lost, Took: p.enter(idle, now)}
 }
 
 // awaitSwitch waits until all ranks use the new map.
@@ -313,5 +334,5 @@
 		return nil
 	}
 	p.current, p.next = p.next, nil
-	return &Decision{What: "in use", Map: p.current.ID, Plan: p.plan, Took: p.enter(idle, now)}
+	return &Decision{What: InUse, Map: p.current.ID, Plan: p.plan, Took: p.enter(idle, now)}
 }
