Leave a target that is silent while others of its service go on

Requests that may be repeated now go to another target after twice their latency, and a silent target is passed over at once.

--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -211,6 +211,18 @@
 	require.True(t, bad.health.out(back.Add(ejectFirst)), "the second time is longer")
 }
 
+func TestATargetIsSilentOnlyWhileOthersGoOn(t *testing.T) {
+	d := newDispatcher(2, 4)
+	first, second := take(t, d, start), take(t, d, start)
+	require.False(t, d.IsSilent(first, start, at(time.Second)), "nobody goes on")
+	d.Progress(second, at(900*time.Millisecond))
+	require.True(t, d.IsSilent(first, start, at(time.Second)))
+	require.False(t, d.IsSilent(second, start, at(time.Second)))
+	require.False(t, d.IsSilent(first, start, at(2*time.Second)), "the others are silent too by now")
+	d.Done(first, Silent, at(time.Second))
+	require.True(t, first.health.out(at(time.Second)))
+}
+
 func TestWhenMostTargetsFailNoneIsPassedOver(t *testing.T) {
 	d := newDispatcher(3, 100)
 	for _, pool := range d.pools {
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -13,6 +13,8 @@
 	service *config.Service
 	targets map[string]*Target
 	waiting waiters
+	// progress is when one of the targets last made progress.
+	progress time.Time
 }
 
 // limit is how many requests of all processes a target may hold.
@@ -198,6 +200,8 @@
 	Full
 	// Gone means that another target has its address.
 	Gone
+	// Silent means that it gave no sign of life while others of its service did.
+	Silent
 	// Abandoned means that the caller left; it says nothing of the target.
 	Abandoned
 )
@@ -215,6 +219,8 @@
 		t.health.succeeded()
 	case Failed:
 		t.health.failed(now)
+	case Silent:
+		t.health.silent(now)
 	case Full:
 		t.full = now.Add(fullPause)
 	case Gone:
@@ -223,6 +229,26 @@
 	d.serve(d.pool(t.registration.Service), now)
 }
 
+// Progress notes that a target has answered or gone on with a stream.
+func (d *Dispatcher) Progress(t *Target, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t.progress = now
+	d.pool(t.registration.Service).progress = now
+}
+
+// othersProgress is how lately others of a service must have made progress for a
+// silent target to be at fault: when all are silent, another is no better.
+const othersProgress = 300 * time.Millisecond
+
+// IsSilent tells whether a target has made no progress since a moment while
+// others of its service have.
+func (d *Dispatcher) IsSilent(t *Target, since, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return t.progress.Before(since) && now.Sub(d.pool(t.registration.Service).progress) < othersProgress
+}
+
 // Tick serves what waits for the passing of time.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.mu.Lock()
--- a/request/dispatch/health.go
+++ b/request/dispatch/health.go
@@ -37,5 +37,11 @@
 	h.outUntil = now.Add(pause)
 }
 
+// silent takes the target out at once.
+func (h *health) silent(now time.Time) {
+	h.failures = max(h.failures, ejectAfter-1)
+	h.failed(now)
+}
+
 // out tells whether the target is out.
 func (h *health) out(now time.Time) bool { return now.Before(h.outUntil) }
--- a/request/dispatch/state.go
+++ b/request/dispatch/state.go
@@ -24,7 +24,9 @@
 	health    health
 	// full is until when the target refuses for want of room.
 	full time.Time
-	gone bool
+	// progress is when this process last saw it answer or go on with a stream.
+	progress time.Time
+	gone     bool
 }
 
 // ID names the incarnation.
--- a/request/forward/decide.go
+++ b/request/forward/decide.go
@@ -91,5 +91,22 @@
 	return c.deadline.Sub(now) > leastTime
 }
 
+const (
+	// silentLatencies is after how many times the route's latency a silent target
+	// may be left, silentLeast and silentMost are the bounds of that time.
+	silentLatencies = 2
+	silentLeast     = 300 * time.Millisecond
+	silentMost      = time.Second
+)
+
+// patience is how long a target may be silent before another is tried; 0 for
+// requests that may not be sent to another.
+func (c *call) patience() time.Duration {
+	if !c.route.Idempotent || len(c.work.Tried) >= c.route.Direct.MaxAttempts {
+		return 0
+	}
+	return min(max(silentLatencies*c.route.Direct.Latency, silentLeast), silentMost)
+}
+
 // leastTime is the least time for which another attempt is worth making.
 const leastTime = 20 * time.Millisecond
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -262,6 +262,34 @@
 	require.Eventually(t, func() bool { return e.targets[0].Left() == 1 }, time.Second, time.Millisecond, "the target is told")
 }
 
+func TestASilentTargetIsLeftWhileOthersGoOn(t *testing.T) {
+	e := newEntry(t, 2)
+	e.targets[0].SetFaults(standin.TargetFaults{Hang: true})
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				_, _, _ = e.send("/open/x", nil)
+			}
+		}
+	})
+	for range 4 {
+		started := time.Now()
+		answer, body, err := e.send("/chat/stream", nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.Equal(t, events(1, 6), body)
+		require.Less(t, time.Since(started), 1500*time.Millisecond)
+	}
+	close(stop)
+	others.Wait()
+	require.Positive(t, e.targets[0].Left(), "the silent target is told")
+}
+
 func TestACallerThatLeavesCancelsTheWork(t *testing.T) {
 	e := newEntry(t, 1)
 	e.all(standin.TargetFaults{Hang: true})
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -141,23 +141,32 @@
 // nothing has been written to the caller.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (verdict, *failure.Error) {
 	h.begin(c, t)
-	answer, err := h.connections(t).Do(ctx, c.outgoing(&h.headers, t, h.clock.Now()), false)
-	if err != nil {
-		found := judgeError(err, ctx.Err() != nil)
-		h.dispatcher.Done(t, found.result, h.clock.Now())
-		return found, c.failed(found)
-	}
-	found := judgeAnswer(&h.headers, answer.Status, answer.Header, t.ID())
-	if !found.deliver || c.again(found, h.clock.Now()) && h.budget(c.service).Tokens() >= 1 {
-		h.discard(answer)
+	tryCtx, watched := h.watch(ctx, c, t)
+	answer, found := h.ask(ctx, tryCtx, c, t)
+	if answer == nil || !found.deliver || c.again(found, h.clock.Now()) && h.budget(c.service).Tokens() >= 1 {
+		watched.stop()
+		if answer != nil {
+			h.discard(answer)
+		}
 		h.dispatcher.Done(t, found.result, h.clock.Now())
 		return found, c.failed(found)
 	}
 	c.everRan = max(c.everRan, found.ran)
 	if c.route.Direct.Streams && found.success {
-		return h.relayStream(ctx, w, c, t, answer)
+		return h.relayStream(ctx, w, c, &source{target: t, answer: answer, ctx: tryCtx, watch: watched})
+	}
+	defer watched.stop()
+	return h.relayWhole(tryCtx, w, c, t, answer, found)
+}
+
+// ask sends a call to a target and judges the head of its answer, or the want of
+// one; the answer is nil then. tryCtx is the attempt's part of ctx.
+func (h *Handler) ask(ctx, tryCtx context.Context, c *call, t *dispatch.Target) (*direct.Answer, verdict) {
+	answer, err := h.connections(t).Do(tryCtx, c.outgoing(&h.headers, t, h.clock.Now()), false)
+	if err != nil {
+		return nil, attemptResult(tryCtx, judgeError(err, ctx.Err() != nil))
 	}
-	return h.relayWhole(ctx, w, c, t, answer, found)
+	return answer, judgeAnswer(&h.headers, answer.Status, answer.Header, t.ID())
 }
 
 // begin notes that a call is sent to a target.
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -25,6 +25,7 @@
 		h.dispatcher.Done(t, found.result, h.clock.Now())
 		return found, c.failed(found)
 	}
+	h.dispatcher.Progress(t, h.clock.Now())
 	h.dispatcher.Done(t, found.result, h.clock.Now())
 	if found.success {
 		h.budget(c.service).Succeeded()
@@ -38,12 +39,14 @@
 	return found, nil
 }
 
-// broken is the verdict on an answer that broke off.
+// broken is the verdict on an answer that broke off; the context is that of the
+// attempt.
 func broken(ctx context.Context) verdict {
+	found := verdict{ran: mayHaveRun, result: dispatch.Failed, reason: "the answer broke off"}
 	if ctx.Err() != nil {
-		return verdict{ran: mayHaveRun, result: dispatch.Abandoned, reason: "caller left or time ran out"}
+		found.result, found.reason = dispatch.Abandoned, "caller left or time ran out"
 	}
-	return verdict{ran: mayHaveRun, result: dispatch.Failed, reason: "the answer broke off"}
+	return attemptResult(ctx, found)
 }
 
 func writeHead(w http.ResponseWriter, answer *direct.Answer) {
@@ -53,43 +56,52 @@
 	}
 }
 
+// source is where the events of a stream come from.
+type source struct {
+	target *dispatch.Target
+	answer *direct.Answer
+	ctx    context.Context
+	watch  *watch
+}
+
 // relayStream passes the events of a stream on as they come. A stream that
 // breaks before its first event is a failed attempt; one that breaks later goes
 // on at another target where the route allows it, and is cut off otherwise.
-func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, answer *direct.Answer) (verdict, *failure.Error) {
+func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, from *source) (verdict, *failure.Error) {
 	out := &streamWriter{w: w, control: http.NewResponseController(w), last: c.lastEvent}
 	for {
-		first := answer
-		err := out.copy(answer, func() {
+		err := out.copy(from.answer, from.watch.progress, func() {
 			h.metrics.FirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
-			writeHead(w, first)
+			writeHead(w, from.answer)
 		})
-		answer.Close()
+		from.answer.Close()
 		c.lastEvent = out.last
 		if err == nil {
-			h.dispatcher.Done(t, dispatch.Served, h.clock.Now())
+			from.watch.stop()
+			h.dispatcher.Done(from.target, dispatch.Served, h.clock.Now())
 			h.budget(c.service).Succeeded()
-			out.finish(answer)
+			out.finish(from.answer)
 			return verdict{ran: hasRun, deliver: true, success: true}, nil
 		}
-		found := broken(ctx)
+		found := broken(from.ctx)
 		if errors.Is(err, errCallerGone) {
 			found.result = dispatch.Abandoned
 		}
-		h.dispatcher.Done(t, found.result, h.clock.Now())
+		from.watch.stop()
+		h.dispatcher.Done(from.target, found.result, h.clock.Now())
 		if !out.started {
 			return found, c.failed(found)
 		}
 		if found.result == dispatch.Abandoned || !h.sendAgain(ctx, c, found) {
 			h.cut(c, found)
 		}
-		t, answer = h.resume(ctx, c)
+		from = h.resume(ctx, c)
 	}
 }
 
 // resume gets another target to go on with a stream; it cuts the stream off if
 // there is none.
-func (h *Handler) resume(ctx context.Context, c *call) (*dispatch.Target, *direct.Answer) {
+func (h *Handler) resume(ctx context.Context, c *call) *source {
 	c.work.GiveUp = h.clock.Now().Add(c.route.Direct.Latency)
 	for {
 		t, refused := h.wait(ctx, c)
@@ -97,16 +109,12 @@
 			h.cut(c, verdict{reason: "no target goes on with the stream"})
 		}
 		h.begin(c, t)
-		answer, err := h.connections(t).Do(ctx, c.outgoing(&h.headers, t, h.clock.Now()), false)
-		var found verdict
-		if err != nil {
-			found = judgeError(err, ctx.Err() != nil)
-		} else {
-			found = judgeAnswer(&h.headers, answer.Status, answer.Header, t.ID())
-		}
+		tryCtx, watched := h.watch(ctx, c, t)
+		answer, found := h.ask(ctx, tryCtx, c, t)
 		if found.success {
-			return t, answer
+			return &source{target: t, answer: answer, ctx: tryCtx, watch: watched}
 		}
+		watched.stop()
 		if answer != nil {
 			h.discard(answer)
 		}
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -37,8 +37,9 @@
 }
 
 // copy passes whole events on until the stream ends. begin is called before the
-// first event of all; it returns nil at the end of a whole stream.
-func (s *streamWriter) copy(answer *direct.Answer, begin func()) error {
+// first event of all, progress whenever events have come; it returns nil at the
+// end of a whole stream.
+func (s *streamWriter) copy(answer *direct.Answer, progress, begin func()) error {
 	buffer := make([]byte, streamBuffer)
 	var held []byte
 	for {
@@ -46,6 +47,7 @@
 		held = append(held, buffer[:n]...)
 		events, rest := wholeEvents(held)
 		if len(events) > 0 {
+			progress()
 			if writeErr := s.write(events, answer.Status, begin); writeErr != nil {
 				return writeErr
 			}
--- /dev/null
+++ b/request/forward/watch.go
@@ -0,0 +1,87 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"verbenaseam.example/verbenaseam/request/dispatch"
+)
+
+// errSilent is why an attempt at a silent target was ended.
+var errSilent = errors.New("the target is silent while others go on")
+
+// watch ends an attempt whose target is silent for too long while others of its
+// service go on.
+type watch struct {
+	handler  *Handler
+	target   *dispatch.Target
+	patience time.Duration
+	cancel   context.CancelCauseFunc
+
+	// mu guards all below.
+	mu      sync.Mutex
+	last    time.Time
+	timer   *time.Timer
+	stopped bool
+}
+
+// watch returns the context of an attempt and what watches it; stop must be
+// called at its end.
+func (h *Handler) watch(ctx context.Context, c *call, t *dispatch.Target) (context.Context, *watch) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &watch{handler: h, target: t, patience: c.patience(), cancel: cancel, last: h.clock.Now()}
+	if w.patience > 0 {
+		w.timer = time.AfterFunc(w.patience, w.look)
+	}
+	return ctx, w
+}
+
+// look ends the attempt if its target is silent, and looks again later if not.
+func (w *watch) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	now := w.handler.clock.Now()
+	quiet := now.Sub(w.last)
+	if quiet >= w.patience && w.handler.dispatcher.IsSilent(w.target, w.last, now) {
+		w.cancel(errSilent)
+		return
+	}
+	w.timer.Reset(max(w.patience-quiet, lookAgain))
+}
+
+// lookAgain is the time until the next look at a target that is silent together
+// with all others.
+const lookAgain = 100 * time.Millisecond
+
+// progress notes a sign of life.
+func (w *watch) progress() {
+	now := w.handler.clock.Now()
+	w.handler.dispatcher.Progress(w.target, now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = now
+}
+
+// stop ends the watch.
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.cancel(nil)
+}
+
+// result corrects the result of an attempt that the watch has ended.
+func attemptResult(ctx context.Context, found verdict) verdict {
+	if errors.Is(context.Cause(ctx), errSilent) {
+		found.result, found.reason = dispatch.Silent, errSilent.Error()
+	}
+	return found
+}
