--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -249,6 +249,16 @@
 	return t.progress.Before(since) && now.Sub(d.pool(t.registration.Service).progress) < othersProgress
 }
 
+// downAfter is after how long without progress a service counts as down.
+const downAfter = 500 * time.Millisecond
+
+// IsDown tells whether none of a service's targets makes progress.
+func (d *Dispatcher) IsDown(service string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return now.Sub(d.pool(service).progress) > downAfter
+}
+
 // Tick serves what waits for the passing of time.
 func (d *Dispatcher) Tick(now time.Time) {
 	d.mu.Lock()
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
-	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -99,7 +99,7 @@
 		return t, nil
 	}
 	if waiter == nil {
-		return nil, c.refusal(failure.NoTarget, "no target can take the request")
+		return nil, h.refusal(c, failure.NoTarget, "no target can take the request")
 	}
 	timer := h.clock.NewTimer(c.work.GiveUp.Sub(now))
 	defer timer.Stop()
@@ -111,32 +111,31 @@
 		if t = h.dispatcher.GiveUp(waiter); t != nil {
 			h.dispatcher.Done(t, dispatch.Abandoned, h.clock.Now())
 		}
-		return nil, c.timeUp()
+		return nil, h.timeUp(c)
 	}
 	c.waited += h.clock.Since(now)
 	if t == nil {
-		return nil, c.refusal(failure.Overloaded, "all targets are busy")
+		return nil, h.refusal(c, failure.Overloaded, "all targets are busy")
 	}
 	return t, nil
 }
 
 // refusal is the failure of a call that was not sent once more.
-func (c *call) refusal(kind failure.Kind, message string) *failure.Error {
+func (h *Handler) refusal(c *call, kind failure.Kind, message string) *failure.Error {
 	outcome := failure.NotRun
 	if c.everRan != notRun {
 		outcome = failure.Unknown
 	}
-	return failure.New(kind, outcome, message).WithRetryAfter(retryAfter)
+	now := h.clock.Now()
+	down := h.dispatcher.IsDown(c.service, now)
+	return failure.New(kind, outcome, message).WithRetryAfter(comeBack(down, c.deadline.Sub(now), rand.Float64()))
 }
 
 // timeUp is the failure of a call whose deadline has passed.
-func (c *call) timeUp() *failure.Error {
-	return c.refusal(failure.DeadlineExceeded, "the request's time ran out")
+func (h *Handler) timeUp(c *call) *failure.Error {
+	return h.refusal(c, failure.DeadlineExceeded, "the request's time ran out")
 }
 
-// retryAfter is when a refused caller is told to come back.
-const retryAfter = 500 * time.Millisecond
-
 // attempt sends a call to a target and relays its answer. A failure means that
 // nothing has been written to the caller.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (verdict, *failure.Error) {
@@ -149,7 +148,7 @@
 			h.discard(answer)
 		}
 		h.dispatcher.Done(t, found.result, h.clock.Now())
-		return found, c.failed(found)
+		return found, h.failed(c, found)
 	}
 	c.everRan = max(c.everRan, found.ran)
 	if c.route.Direct.Streams && found.success {
@@ -198,15 +197,15 @@
 const discardLimit = 4 << 10
 
 // failed is the failure of an attempt, and notes what is known of it.
-func (c *call) failed(found verdict) *failure.Error {
+func (h *Handler) failed(c *call, found verdict) *failure.Error {
 	c.everRan = max(c.everRan, found.ran)
 	switch {
 	case found.result == dispatch.Abandoned:
-		return c.timeUp()
+		return h.timeUp(c)
 	case c.everRan == notRun:
-		return c.refusal(failure.Overloaded, "the targets refused the request")
+		return h.refusal(c, failure.Overloaded, "the targets refused the request")
 	default:
-		return c.refusal(failure.Incomplete, "the target gave no whole answer")
+		return h.refusal(c, failure.Incomplete, "the target gave no whole answer")
 	}
 }
 
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		found = broken(ctx)
 		h.dispatcher.Done(t, found.result, h.clock.Now())
-		return found, c.failed(found)
+		return found, h.failed(c, found)
 	}
 	h.dispatcher.Progress(t, h.clock.Now())
 	h.dispatcher.Done(t, found.result, h.clock.Now())
@@ -90,7 +90,7 @@
 		from.watch.stop()
 		h.dispatcher.Done(from.target, found.result, h.clock.Now())
 		if !out.started {
-			return found, c.failed(found)
+			return found, h.failed(c, found)
 		}
 		if found.result == dispatch.Abandoned || !h.sendAgain(ctx, c, found) {
 			h.cut(c, found)
