Slow ranks get fewer tokens; a target's pace is told in the log

Cause: one rank 1.6 times slower than usual made all steps slow for 8 s (incident inc-077f); maps counted tokens only.

--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -75,6 +75,8 @@
 	// reported is when the engine's report was read, failing that it could not be.
 	reported time.Time
 	failing  bool
+	// pace is the target's pace as it was last told of.
+	pace float64
 	// stray is since when the engine holds for no proposal.
 	stray time.Time
 
@@ -318,11 +320,25 @@
 		a.failing = false
 		a.log.Info("target regained")
 	}
+	a.notePace(report.Pace)
 	if a.driver != nil && before.Size > 0 && (report.Incarnation != before.Incarnation || report.Rank != before.Rank || !report.Born.Equal(before.Born)) {
 		a.formed(report, now)
 	}
 }
 
+// slowPace is the pace from which on a target counts as slow.
+const slowPace = 1.2
+
+// notePace tells when the target turns slow and when it is back.
+func (a *Agent) notePace(pace float64) {
+	before := a.pace
+	a.pace = pace
+	if (before >= slowPace) == (pace >= slowPace) {
+		return
+	}
+	a.log.WithFields(logrus.Fields{"pace": pace, "before": before}).Info("target's pace changed")
+}
+
 // attach connects to the engine for the first time.
 func (a *Agent) attach(now time.Time) error {
 	driver, err := expertmap.NewDriver(now, expertmap.Config{
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -14,7 +14,7 @@
 	return rebalance.Status{
 		Group: report.Group, Incarnation: report.Incarnation, Rank: report.Rank, Size: report.Size,
 		Agent: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.ArmedVersion,
-		Refused: a.preparing.refused,
+		Refused: a.preparing.refused, Pace: report.Pace,
 	}
 }
 
--- a/version/placement/even.go
+++ b/version/placement/even.go
@@ -13,6 +13,8 @@
 	Loads [][][]float64
 	// Weights tell how much each demand counts; nil for all alike.
 	Weights []float64
+	// Paces tell how much longer than usual each rank takes for a token; nil for 1.
+	Paces []float64
 	// Ranks is the size of the group, Slots how many experts of a layer fit on a
 	// rank, and NewPerLayer how many of them may be new to it in one map.
 	Ranks, Slots, NewPerLayer int
@@ -84,6 +86,8 @@
 	demands []evenDemand
 	// weights is the sum of the demands' weights.
 	weights float64
+	// paces are those of the ranks.
+	paces []float64
 	// held lists the experts on each rank, hosts the ranks of each expert.
 	held, hosts [][]int
 	// before tells by expert and rank what the current map holds.
@@ -97,7 +101,8 @@
 
 // evenDemand is one demand for a layer's experts, with the ranks' loads under it.
 type evenDemand struct {
-	// loads holds the experts' loads over the mean rank's, load the ranks'.
+	// loads holds the experts' loads, load the time that each rank takes for its
+	// part, both over that of an even spread by speed.
 	loads, load []float64
 	// weight is how much the demand counts.
 	weight float64
@@ -125,7 +130,7 @@
 	experts := len(in.Loads[0][at])
 	l := &evenLayer{
 		held: make([][]int, in.Ranks), hosts: make([][]int, experts),
-		before: make([][]bool, experts), newOn: make([]int, in.Ranks),
+		before: make([][]bool, experts), newOn: make([]int, in.Ranks), paces: in.paces(),
 	}
 	for expert := range l.before {
 		l.before[expert] = make([]bool, in.Ranks)
@@ -159,6 +164,20 @@
 	return true
 }
 
+// paces returns the ranks' paces; those that make no sense count as usual.
+func (in EvenInput) paces() []float64 {
+	paces := slices.Repeat([]float64{1}, in.Ranks)
+	for rank := range min(len(in.Paces), in.Ranks) {
+		if pace := in.Paces[rank]; pace > 1 && pace < slowest {
+			paces[rank] = pace
+		}
+	}
+	return paces
+}
+
+// slowest is the largest pace that is believed.
+const slowest = 100
+
 func (in EvenInput) weight(demand int) float64 {
 	if demand >= len(in.Weights) {
 		return 1
@@ -168,19 +187,22 @@
 
 // addDemand adds a demand that is not empty.
 func (l *evenLayer) addDemand(loads []float64, ranks int, weight float64) {
-	total := 0.0
+	total, speed := 0.0, 0.0
 	for _, load := range loads {
 		total += load
 	}
+	for _, pace := range l.paces {
+		speed += 1 / pace
+	}
 	if total <= 0 {
 		return
 	}
 	d := evenDemand{loads: make([]float64, len(loads)), load: make([]float64, ranks), weight: weight}
 	l.weights += weight
 	for expert, load := range loads {
-		d.loads[expert] = load / total * float64(ranks)
+		d.loads[expert] = load / total * speed
 		for _, rank := range l.hosts[expert] {
-			d.load[rank] += d.loads[expert] / float64(len(l.hosts[expert]))
+			d.load[rank] += l.paces[rank] * d.loads[expert] / float64(len(l.hosts[expert]))
 		}
 	}
 	l.demands = append(l.demands, d)
@@ -435,13 +457,13 @@
 	next := d.loads[expert] / float64(after)
 	for _, rank := range hosts {
 		if rank == from {
-			add(rank, -old)
+			add(rank, -old*l.paces[rank])
 			continue
 		}
-		add(rank, next-old)
+		add(rank, (next-old)*l.paces[rank])
 	}
 	if to != none {
-		add(to, next)
+		add(to, next*l.paces[to])
 	}
 }
 
--- a/version/placement/even_test.go
+++ b/version/placement/even_test.go
@@ -114,6 +114,33 @@
 	}
 }
 
+func TestImproveEvenSparesASlowRank(t *testing.T) {
+	random := rand.New(rand.NewPCG(9, 1))
+	in := EvenInput{Loads: [][][]float64{skewedLoads(random, 2, 72)}, Ranks: 12, Slots: 8, NewPerLayer: 3}
+	in.Paces = slices.Repeat([]float64{1}, 12)
+	in.Paces[4] = 3
+	plan, err := ImproveEven(in, inTurn(2, 72, 12), EvenSettings{CopyCost: 0.002, NewPerRank: 6, MaxSteps: 300})
+	require.NoError(t, err)
+	require.Less(t, plan.After, 1.25)
+	tokens := make([]float64, 12)
+	for layer := range plan.Experts {
+		hosts := map[int]int{}
+		for _, experts := range plan.Experts[layer] {
+			for _, expert := range experts {
+				hosts[expert]++
+			}
+		}
+		for rank, experts := range plan.Experts[layer] {
+			for _, expert := range experts {
+				tokens[rank] += in.Loads[0][layer][expert] / float64(hosts[expert])
+			}
+		}
+	}
+	slow := tokens[4]
+	tokens[4] = math.Inf(1)
+	require.Less(t, slow, 0.6*slices.Min(tokens))
+}
+
 func TestImproveEvenRefusesAMapThatDoesNotFit(t *testing.T) {
 	in := EvenInput{Loads: [][][]float64{{{1, 2, 3}}}, Ranks: 2, Slots: 2, NewPerLayer: 1}
 	for _, experts := range [][][][]int{
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -41,6 +41,8 @@
 	Chosen []uint32 `cbor:"10,keyasint"`
 	// Held holds the rank's experts by layer, when the planner asked for them.
 	Held [][]int `cbor:"11,keyasint"`
+	// Pace is how much slower than usual the rank is; 1 is as usual.
+	Pace float64 `cbor:"13,keyasint,omitempty"`
 	// Refused is the number of a map that the engine will not copy; 0 for none.
 	Refused uint64 `cbor:"12,keyasint"`
 }
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -216,7 +216,7 @@
 		return nil
 	}
 	input := placement.EvenInput{
-		Loads: loads, Weights: weights, Ranks: p.size, Slots: p.experts.Slots, NewPerLayer: p.experts.Spare,
+		Loads: loads, Weights: weights, Paces: p.paces(), Ranks: p.size, Slots: p.experts.Slots, NewPerLayer: p.experts.Spare,
 	}
 	factor := 1.0
 	if p.pace.share() < p.policy.Calm {
@@ -238,6 +238,14 @@
 	return &Decision{What: Prepare, Map: p.next.ID, Plan: plan, Took: took}
 }
 
+func (p *Planner) paces() []float64 {
+	paces := make([]float64, p.size)
+	for rank, one := range p.members {
+		paces[rank] = one.status.Pace
+	}
+	return paces
+}
+
 // nextID names a map that no other planner names.
 func (p *Planner) nextID() expertmap.MapID {
 	if highest := expertmap.MapOf(p.highest); highest.Epoch > p.epoch || p.epoch == 0 {
