--- a/connection/direct/direct_test.go
+++ b/connection/direct/direct_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -243,12 +244,12 @@
 }
 
 func TestTheEndOfTheContextEndsTheExchange(t *testing.T) {
-	left := make(chan struct{})
+	left := make(chan error, 1)
 	s := startScripted(t, func(c net.Conn, in *bufio.Reader, _ int) {
 		_, _, _ = readRequest(in)
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 100\r\n\r\nbegun")
-		_, _ = in.ReadByte()
-		close(left)
+		_, err := in.ReadByte()
+		left <- err
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	answer, err := s.pool(4).Do(ctx, request("1"), false)
@@ -258,7 +259,8 @@
 	require.Error(t, err)
 	answer.Close()
 	select {
-	case <-left:
+	case err := <-left:
+		require.ErrorIs(t, err, syscall.ECONNRESET, "bytes on their way must not arrive")
 	case <-time.After(2 * time.Second):
 		t.Fatal("the target does not see that the caller has left")
 	}
--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -147,6 +147,9 @@
 func (e *exchange) end(whole bool) {
 	e.once.Do(func() {
 		stopped := e.stop()
+		if !whole {
+			e.conn.reset()
+		}
 		if !whole || !e.reusable || !stopped || e.keepFor <= 0 || e.conn.reader.Buffered() > 0 {
 			e.pool.drop(e.conn)
 			return
--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -179,6 +179,15 @@
 	p.idle = nil
 }
 
+// reset makes the connection end with a reset when it is closed, so that bytes of
+// a request which are still on their way never arrive.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		// It fails only on a connection that is closed already.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // quiet tells whether nothing has come on an idle connection: bytes there belong
 // to no request, and an end means that the target has closed it.
 func (c *conn) quiet() bool {
