--- a/request/forward/comeback.go
+++ b/request/forward/comeback.go
@@ -10,8 +10,8 @@
 	// downFirst and downSpread are the same for a service whose targets all refuse:
 	// they need a second or two to be back, and a caller that comes sooner uses up
 	// its attempt.
-	downFirst  = 1500 * time.Millisecond
-	downSpread = time.Second
+	downFirst  = 800 * time.Millisecond
+	downSpread = 600 * time.Millisecond
 	// timeShare is the part of a caller's time that it may wait; with less left the
 	// next attempt would have no chance.
 	timeShare = 1.0 / 3
