--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// feedWait is how long one call waits for a change.
-	feedWait = 25 * time.Second
+	// feedWait is how long one call waits for a change, probeWait after a call that
+	// failed: a call that a dark store took is never answered.
+	feedWait  = 15 * time.Second
+	probeWait = 500 * time.Millisecond
 	// readFirst bounds the first attempt to read a table whole, readMost later
 	// ones: a store that was dark answers a new call as soon as it is back, never an
 	// old one, and a slow store needs more time.
@@ -84,7 +86,11 @@
 		f.observer.Whole(rows)
 		return nil
 	}
-	rows, version, err := f.reader.Feed(ctx, f.table, f.version, feedWait)
+	wait := feedWait
+	if f.failures > 0 {
+		wait = probeWait
+	}
+	rows, version, err := f.reader.Feed(ctx, f.table, f.version, wait)
 	var lost *platform.HistoryLostError
 	if errors.As(err, &lost) {
 		f.whole = false
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -23,7 +23,18 @@
 	version uint64
 	// compacted makes the next feed fail with a lost history.
 	compacted bool
-	reads     int
+	// refuses makes the next feed fail at once.
+	refuses bool
+	reads   int
+}
+
+// refusing tells once that a feed is to fail.
+func (s *fakeStore) refusing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	refuses := s.refuses
+	s.refuses = false
+	return refuses
 }
 
 func (s *fakeStore) isDark() bool {
@@ -43,7 +54,19 @@
 	return s.rows, s.version, nil
 }
 
+// feedSlack is how long after its wait a feed is given up, as by platform.Store.
+const feedSlack = time.Second
+
 func (s *fakeStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Row, uint64, error) {
+	if s.isDark() {
+		ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
+		defer cancel()
+		<-ctx.Done()
+		return nil, 0, &platform.CallError{Call: "rows-feed", Cause: ctx.Err()}
+	}
+	if s.refusing() {
+		return nil, 0, &platform.StatusError{Call: "rows-feed", Status: 503}
+	}
 	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
 		s.mu.Lock()
 		if s.compacted {
@@ -156,3 +179,30 @@
 		require.Equal(t, []string{"b"}, observer.changed)
 	})
 }
+
+func TestAFeedThatADarkStoreTookIsGivenUpSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 1, refuses: true}
+		observer := &seen{}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			Table(ctx, store, "t", observer, quiet())
+			close(done)
+		}()
+		time.Sleep(10 * time.Millisecond)
+		store.set(func(s *fakeStore) { s.dark = true })
+		time.Sleep(3 * time.Second)
+		store.set(func(s *fakeStore) {
+			s.dark = false
+			s.rows, s.version = []platform.Row{{Key: "a", Version: 2}}, 2
+		})
+		time.Sleep(2 * time.Second)
+		observer.mu.Lock()
+		changed := len(observer.changed)
+		observer.mu.Unlock()
+		cancel()
+		<-done
+		require.Equal(t, 1, changed, "the change is seen within 2 s of the store's return")
+	})
+}
