--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -5,7 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"slices"
+	"net/netip"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -85,28 +85,38 @@
 	// it came from.
 	directive      *rebalance.Directive
 	directiveHeard time.Time
-	plannerAddress string
+	plannerAddress netip.AddrPort
 	// since is when the agent could first have heard of a planner.
 	since time.Time
 
 	experts *config.Experts
 	// gap is the longest pause that a stream of the service may have.
 	gap       time.Duration
-	addresses []string
+	addresses []netip.AddrPort
 	asked     time.Time
 
+	// host is this agent's, port the one that all agents use.
+	host netip.Addr
+	port uint16
+
 	counts platform.Counts
+	// counted is when the counts were last told.
+	counted time.Time
+	// assembly holds the parts of the map that the planner wants.
+	assembly rebalance.Assembly
 	// told is the report of the latest status.
-	told      expertmap.RankReport
-	sent      uint64
-	statused  time.Time
-	directed  time.Time
+	told     expertmap.RankReport
+	sent     uint64
+	statused time.Time
+	directed time.Time
+	// outbox holds what the planner has yet to send.
+	outbox    []outgoing
 	preparing preparation
 }
 
 // datagram is one message from another agent.
 type datagram struct {
-	from     string
+	from     netip.AddrPort
 	envelope rebalance.Envelope
 }
 
@@ -133,11 +143,12 @@
 
 // Run implements command.Daemon.
 func (a *Agent) Run(ctx, _ context.Context) error {
-	address, err := net.ResolveUDPAddr("udp", a.settings.PeerAddress)
+	address, err := netip.ParseAddrPort(a.settings.PeerAddress)
 	if err != nil {
 		return err
 	}
-	if a.socket, err = net.ListenUDP("udp", address); err != nil {
+	a.host, a.port = address.Addr(), address.Port()
+	if a.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(address)); err != nil {
 		return err
 	}
 	a.log.WithFields(logrus.Fields{"name": a.settings.Name, "target": a.settings.TargetAddress}).Info("started")
@@ -189,7 +200,7 @@
 func (a *Agent) receive() {
 	buffer := make([]byte, datagramLimit)
 	for {
-		n, from, err := a.socket.ReadFromUDP(buffer)
+		n, from, err := a.socket.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return
 		}
@@ -199,7 +210,7 @@
 			continue
 		}
 		select {
-		case a.inbox <- datagram{from.String(), envelope}:
+		case a.inbox <- datagram{from, envelope}:
 		default:
 			a.log.Warn("datagram dropped, too many wait")
 		}
@@ -209,19 +220,14 @@
 // datagramLimit is the longest datagram.
 const datagramLimit = 64 << 10
 
-func (a *Agent) send(address string, envelope rebalance.Envelope) {
+func (a *Agent) send(to netip.AddrPort, envelope rebalance.Envelope) {
 	message, err := rebalance.Encode(envelope)
 	if err != nil {
 		a.log.WithError(err).Error("message cannot be encoded")
 		return
 	}
-	to, err := net.ResolveUDPAddr("udp", address)
-	if err != nil {
-		a.log.WithError(err).Error("address cannot be read")
-		return
-	}
-	if _, err := a.socket.WriteToUDP(message, to); err != nil {
-		a.log.WithError(err).WithField("to", address).Debug("message not sent")
+	if _, err := a.socket.WriteToUDPAddrPort(message, to); err != nil {
+		a.log.WithError(err).WithField("to", to.String()).Debug("message not sent")
 	}
 }
 
@@ -231,10 +237,18 @@
 	switch envelope := received.envelope; {
 	case envelope.Status != nil:
 		if a.planner != nil {
-			a.planner.Hear(*envelope.Status, received.from, now)
+			a.planner.Hear(*envelope.Status, received.from.Addr(), now)
+		}
+	case envelope.Counts != nil:
+		if a.planner != nil {
+			a.planner.HearCounts(*envelope.Counts, now)
 		}
 	case envelope.Directive != nil:
 		a.follow(*envelope.Directive, received.from, now)
+	case envelope.Part != nil:
+		a.assembly.Add(*envelope.Part)
+	case envelope.Delta != nil:
+		a.assembly.AddDelta(*envelope.Delta)
 	case envelope.Vote != nil:
 		if a.driver != nil {
 			a.driver.Receive(now, *envelope.Vote)
@@ -244,7 +258,7 @@
 
 // follow takes a directive in. That of a lower rank goes before that of a higher
 // one while both plan.
-func (a *Agent) follow(directive rebalance.Directive, from string, now time.Time) {
+func (a *Agent) follow(directive rebalance.Directive, from netip.AddrPort, now time.Time) {
 	last := a.engine.Last()
 	if directive.Group != last.Group || directive.Incarnation != last.Incarnation || directive.Agent == a.incarnation {
 		return
@@ -359,7 +373,8 @@
 func (a *Agent) formed(report expertmap.RankReport, now time.Time) {
 	a.driver.Formed(now, a.engine.Facts())
 	a.planner, a.directive, a.since = nil, nil, now
-	a.counts = platform.Counts{}
+	a.counts, a.counted = platform.Counts{}, time.Time{}
+	a.assembly = rebalance.Assembly{}
 	a.preparing = preparation{}
 	a.log.WithFields(logrus.Fields{
 		"group": report.Group, "incarnation": report.Incarnation, "rank": report.Rank, "size": report.Size, "running": report.Running,
@@ -403,25 +418,22 @@
 
 // Send implements expertmap.Transport.
 func (t transport) Send(rank int, message expertmap.Message) {
-	address := t.agent.addressOf(rank)
-	if address == "" {
-		return
+	if address, known := t.agent.addressOf(rank); known {
+		t.agent.send(address, rebalance.Envelope{Vote: &message})
 	}
-	t.agent.send(address, rebalance.Envelope{Vote: &message})
 }
 
-// addressOf returns where a rank's agent takes datagrams, empty if that is not
+// addressOf returns where a rank's agent takes datagrams, false if that is not
 // known.
-func (a *Agent) addressOf(rank int) string {
-	var members []rebalance.Member
+func (a *Agent) addressOf(rank int) (netip.AddrPort, bool) {
+	directive := a.directive
 	if a.planner != nil {
-		members = a.planner.Directive().Members
-	} else if a.directive != nil {
-		members = a.directive.Members
+		own := a.planner.Directive()
+		directive = &own
 	}
-	at := slices.IndexFunc(members, func(m rebalance.Member) bool { return m.Rank == rank })
-	if at < 0 {
-		return ""
+	if directive == nil {
+		return netip.AddrPort{}, false
 	}
-	return members[at].Address
+	host, known := directive.Host(rank)
+	return netip.AddrPortFrom(host, a.port), known
 }
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"net"
-	"strconv"
+	"net/netip"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -29,7 +28,7 @@
 	gap time.Duration
 	// addresses are those at which the agents of the service's hosts take
 	// datagrams.
-	addresses []string
+	addresses []netip.AddrPort
 }
 
 // role takes planning over when no lower rank plans.
@@ -42,7 +41,7 @@
 	if a.directive != nil {
 		heard = a.directiveHeard
 	}
-	wait := plannerSilence + time.Duration(report.Rank)*plannerStagger
+	wait := plannerSilence + 2*rounds(report.Size)*directiveEvery + time.Duration(report.Rank)*plannerStagger
 	if report.Rank == 0 {
 		wait = 0
 	}
@@ -116,19 +115,12 @@
 
 // peerOf returns where the agent beside a target takes datagrams: on the
 // target's host, at the port that all agents use.
-func (a *Agent) peerOf(target string) (string, bool) {
-	host, _, err := net.SplitHostPort(target)
+func (a *Agent) peerOf(target string) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(target)
 	if err != nil {
-		return "", false
+		return netip.AddrPort{}, false
 	}
-	_, port, err := net.SplitHostPort(a.settings.PeerAddress)
-	if err != nil {
-		return "", false
-	}
-	if _, err := strconv.Atoi(port); err != nil {
-		return "", false
-	}
-	return net.JoinHostPort(host, port), true
+	return netip.AddrPortFrom(address.Addr(), a.port), true
 }
 
 func (a *Agent) learn(found storeFacts) {
@@ -154,36 +146,88 @@
 	if proposal != nil {
 		a.driver.Propose(now, *proposal)
 	}
-	if decision == nil && now.Sub(a.directed) < directiveEvery {
-		return
+	first := decision != nil && decision.What == rebalance.Prepare
+	if first || now.Sub(a.directed) >= a.directiveInterval() {
+		a.directed = now
+		a.direct(now, first)
 	}
-	a.directed = now
-	a.direct(now)
+	a.sendOutbox()
 }
 
-// direct sends the directive to all agents; the map goes only to those that have
-// not copied it.
-func (a *Agent) direct(now time.Time) {
-	directive := a.planner.Directive()
-	ranks := map[string]int{}
-	for _, one := range directive.Members {
-		ranks[one.Address] = one.Rank
+// directiveInterval leaves ranks time to copy a map before it is sent to them
+// whole.
+func (a *Agent) directiveInterval() time.Duration {
+	interval := rounds(a.engine.Last().Size) * directiveEvery
+	if a.planner.Next() != nil {
+		interval = max(interval, wholeAfter)
 	}
+	return interval
+}
+
+// wholeAfter is the time after which a map is sent whole to ranks that have not
+// copied it.
+const wholeAfter = 300 * time.Millisecond
+
+// outgoing is a directive that the planner has yet to send to an agent.
+type outgoing struct {
+	to netip.AddrPort
+	// first tells that the map in it has not been sent to the agent yet.
+	first bool
+}
+
+// agentsAtOnce is how many agents are sent to in one tick: more at once would be
+// lost where the link is narrow.
+const agentsAtOnce = 16
+
+// direct puts a directive to all agents on its way.
+func (a *Agent) direct(now time.Time, first bool) {
+	a.outbox = a.outbox[:0]
 	for _, address := range a.addresses {
-		if address == a.settings.PeerAddress {
-			continue
-		}
-		short := directive
-		if rank, known := ranks[address]; known && a.planner.Prepared(rank) {
-			short.Prepare = nil
+		if address.Addr() != a.host {
+			a.outbox = append(a.outbox, outgoing{address, first})
 		}
-		a.send(address, rebalance.Envelope{Directive: &short})
 	}
-	if len(directive.Members) < a.engine.Last().Size {
+	directive := a.planner.Directive()
+	if directive.Known() < a.engine.Last().Size {
 		a.askMissing(now)
 	}
 }
 
+// sendOutbox sends some of what waits. The map goes only to those that have not
+// copied it: as a change of the one in use at first, and whole to those that it
+// did not help.
+func (a *Agent) sendOutbox() {
+	if len(a.outbox) == 0 {
+		return
+	}
+	directive := a.planner.Directive()
+	prepared := map[netip.Addr]bool{}
+	for rank := range a.engine.Last().Size {
+		if host, known := directive.Host(rank); known {
+			prepared[host] = a.planner.Prepared(rank)
+		}
+	}
+	delta, small := a.planner.Delta()
+	var parts []rebalance.Part
+	if next := a.planner.Next(); next != nil {
+		parts = next.Parts()
+	}
+	some := min(agentsAtOnce, len(a.outbox))
+	for _, one := range a.outbox[:some] {
+		a.send(one.to, rebalance.Envelope{Directive: &directive})
+		switch {
+		case prepared[one.to.Addr()]:
+		case one.first && small:
+			a.send(one.to, rebalance.Envelope{Delta: &delta})
+		default:
+			for _, part := range parts {
+				a.send(one.to, rebalance.Envelope{Part: &part})
+			}
+		}
+	}
+	a.outbox = append(a.outbox[:0], a.outbox[some:]...)
+}
+
 // askMissing reads the targets anew while members are missing.
 func (a *Agent) askMissing(now time.Time) {
 	if now.Sub(a.since) > askEvery {
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -27,19 +27,44 @@
 	status := a.statusOf(a.told)
 	a.sent++
 	status.Sent = a.sent
-	status.Chosen = a.chosen(ctx)
 	if a.planner != nil && a.planner.Directive().TellHeld || a.directive != nil && a.directive.TellHeld {
 		a.addHeld(ctx, &status)
 	}
+	counts := a.dueCounts(ctx, status, now)
 	if a.planner != nil {
-		a.planner.Hear(status, a.settings.PeerAddress, now)
+		a.planner.Hear(status, a.host, now)
+		for _, some := range counts {
+			a.planner.HearCounts(some, now)
+		}
 		return
 	}
 	a.send(a.plannerAddress, rebalance.Envelope{Status: &status})
+	for _, some := range counts {
+		a.send(a.plannerAddress, rebalance.Envelope{Counts: &some})
+	}
+}
+
+// ranksAtOnce is how many ranks the planner speaks with in each round, and hears
+// counts of: in larger groups they take turns, since links are narrow.
+const ranksAtOnce = 16
+
+// rounds is how many rounds it takes for all ranks of a group to have a turn.
+func rounds(size int) time.Duration {
+	return time.Duration(max((size+ranksAtOnce-1)/ranksAtOnce, 1))
+}
+
+// dueCounts returns what was chosen since the counts before, if it is this rank's
+// turn.
+func (a *Agent) dueCounts(ctx context.Context, status rebalance.Status, now time.Time) []rebalance.Counts {
+	if now.Sub(a.counted) < rounds(status.Size)*statusEvery {
+		return nil
+	}
+	a.counted = now
+	return rebalance.CountsOf(status, a.chosen(ctx))
 }
 
-// chosen returns what was chosen since the status before.
-func (a *Agent) chosen(ctx context.Context) []uint32 {
+// chosen returns what was chosen since it was last asked.
+func (a *Agent) chosen(ctx context.Context) []uint64 {
 	counts, err := a.target.Counts(ctx)
 	if err != nil {
 		a.log.WithError(err).Debug("counts not read")
@@ -50,10 +75,10 @@
 	if before.Incarnation != counts.Incarnation || len(before.Experts) != len(counts.Experts) || counts.Step < before.Step {
 		return nil
 	}
-	chosen := make([]uint32, len(counts.Experts))
+	chosen := make([]uint64, len(counts.Experts))
 	for at, count := range counts.Experts {
 		if count > before.Experts[at] {
-			chosen[at] = uint32(count - before.Experts[at])
+			chosen[at] = count - before.Experts[at]
 		}
 	}
 	return chosen
@@ -89,9 +114,9 @@
 func (a *Agent) wanted() *rebalance.Map {
 	var wanted *rebalance.Map
 	if a.planner != nil {
-		wanted = a.planner.Directive().Prepare
+		wanted = a.planner.Next()
 	} else if a.directive != nil {
-		wanted = a.directive.Prepare
+		wanted, _ = a.assembly.Map(a.directive.Prepare)
 	}
 	if wanted == nil || a.engine.Last().Prepared == wanted.ID.Number() || a.engine.Last().Running >= wanted.ID.Number() {
 		return nil
--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -8,6 +8,7 @@
 	"compress/gzip"
 	"embed"
 	"fmt"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -51,7 +52,7 @@
 // Recording is recorded demand.
 type Recording struct {
 	Name   string
-	Slices [][]uint32
+	Slices [][]uint64
 }
 
 // FormatError means that a recording cannot be read.
@@ -93,15 +94,15 @@
 	return recording, nil
 }
 
-func parseLine(line string) ([]uint32, error) {
+func parseLine(line string) ([]uint64, error) {
 	fields := strings.Split(line, ",")
-	slice := make([]uint32, len(fields))
+	slice := make([]uint64, len(fields))
 	for at, field := range fields {
-		count, err := strconv.ParseUint(field, 10, 32)
+		count, err := strconv.ParseUint(field, 10, 64)
 		if err != nil {
 			return nil, err
 		}
-		slice[at] = uint32(count)
+		slice[at] = count
 	}
 	return slice, nil
 }
@@ -159,7 +160,7 @@
 		}
 		g.advance(now, skew)
 		sent++
-		var chosen []uint32
+		var chosen []uint64
 		if now.Sub(start)%sliceTime == 0 && at > 0 {
 			chosen = recording.Slices[at-1]
 		}
@@ -192,7 +193,7 @@
 }
 
 // tell gives the planner the statuses of all ranks; the first has all counts.
-func (g *group) tell(planner *rebalance.Planner, sent uint64, chosen []uint32, now time.Time) {
+func (g *group) tell(planner *rebalance.Planner, sent uint64, chosen []uint64, now time.Time) {
 	for rank := range ranks {
 		status := rebalance.Status{
 			Group: "g", Size: ranks, Rank: rank, Agent: 1, Sent: sent, Running: g.running.ID.Number(),
@@ -202,7 +203,9 @@
 			status.Held[layer] = g.running.Experts[layer][rank]
 		}
 		if rank == 0 {
-			status.Chosen = chosen
+			for _, counts := range rebalance.CountsOf(status, chosen) {
+				planner.HearCounts(counts, now)
+			}
 		}
 		if g.next != nil && !now.Before(g.copied) {
 			status.Prepared = g.next.ID.Number()
@@ -210,7 +213,7 @@
 		if !g.used.IsZero() {
 			status.Armed = g.next.ID.Number()
 		}
-		planner.Hear(status, strconv.Itoa(rank), now)
+		planner.Hear(status, netip.IPv4Unspecified(), now)
 	}
 }
 
@@ -218,7 +221,7 @@
 func (g *group) drive(planner *rebalance.Planner, now time.Time, outcome *Outcome) error {
 	decision, proposal := planner.Step(g.step, now)
 	if decision != nil && decision.What == rebalance.Prepare {
-		g.next = planner.Directive().Prepare
+		g.next = planner.Next()
 		g.copied = now.Add(time.Duration(decision.Plan.CopiesMost)*copyTime + tick)
 		outcome.Copies += decision.Plan.Copies
 		outcome.Maps++
@@ -243,11 +246,11 @@
 }
 
 // skewOf is the skew of a slice under a map.
-func skewOf(slice []uint32, held [][][]int) (float64, error) {
+func skewOf(slice []uint64, held [][][]int) (float64, error) {
 	return placement.EvenSkew(inputOf(slice), held)
 }
 
-func inputOf(slice []uint32) placement.EvenInput {
+func inputOf(slice []uint64) placement.EvenInput {
 	loads := make([][]float64, layers)
 	for layer := range loads {
 		loads[layer] = make([]float64, experts)
--- a/version/rebalance/demand.go
+++ b/version/rebalance/demand.go
@@ -32,21 +32,22 @@
 	return &demand{layers: layers, experts: experts, policy: policy}
 }
 
-// add takes in what the requests of one rank chose.
-func (d *demand) add(chosen []uint32, now time.Time) {
-	if len(chosen) != d.layers*d.experts {
+// add takes in counts of some experts, from the place first on.
+func (d *demand) add(first int, levels []byte, now time.Time) {
+	if first < 0 || first+len(levels) > d.layers*d.experts {
 		return
 	}
 	last := len(d.slices) - 1
 	if last < 0 || now.Sub(d.slices[last].began) >= sliceTime {
 		d.forget(now)
-		d.slices = append(d.slices, slice{began: now, chosen: make([]float64, len(chosen))})
+		d.slices = append(d.slices, slice{began: now, chosen: make([]float64, d.layers*d.experts)})
 		last = len(d.slices) - 1
 	}
 	s := &d.slices[last]
-	for at, count := range chosen {
-		s.chosen[at] += float64(count)
-		s.total += float64(count)
+	for at, level := range levels {
+		count := countOf(level)
+		s.chosen[first+at] += count
+		s.total += count
 	}
 }
 
@@ -94,11 +95,24 @@
 	return sum / 2
 }
 
+const (
+	// searchSize is the number of experts of all layers, times slices, that a
+	// decision looks at; more take an agent too long.
+	searchSize = 2400
+	// slicesLeast is the least number of slices.
+	slicesLeast = 2
+)
+
+// slicesUsed is how many slices a decision looks at.
+func (d *demand) slicesUsed() int {
+	return min(max(searchSize/max(d.layers*d.experts, 1), slicesLeast), d.policy.Slices)
+}
+
 // loads returns what was chosen lately, slice after slice, by layer and expert,
 // with the weight of each slice. A map that is even under each of them bears the
 // changes from slice to slice that one for their sum does not.
 func (d *demand) loads(now time.Time) (loads [][][]float64, weights []float64) {
-	first := max(0, len(d.slices)-d.policy.Slices)
+	first := max(0, len(d.slices)-d.slicesUsed())
 	for _, s := range d.slices[first:] {
 		if s.total == 0 {
 			continue
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -1,6 +1,7 @@
 package rebalance
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -41,10 +42,10 @@
 
 // member is what the planner knows of a rank.
 type member struct {
-	status  Status
-	address string
-	heard   time.Time
-	held    [][]int
+	status Status
+	host   netip.Addr
+	heard  time.Time
+	held   [][]int
 }
 
 // Planner decides for one group incarnation.
@@ -88,8 +89,8 @@
 	}
 }
 
-// Hear takes in a rank's status, which came from the address.
-func (p *Planner) Hear(status Status, address string, now time.Time) {
+// Hear takes in a rank's status, which came from the host.
+func (p *Planner) Hear(status Status, host netip.Addr, now time.Time) {
 	if status.Group != p.group || status.Incarnation != p.incarnation || status.Rank < 0 || status.Rank >= p.size {
 		return
 	}
@@ -97,13 +98,19 @@
 	if old != nil && old.status.Agent == status.Agent && status.Sent <= old.status.Sent {
 		return
 	}
-	next := &member{status: status, address: address, heard: now, held: status.Held}
+	next := &member{status: status, host: host, heard: now, held: status.Held}
 	if next.held == nil && old != nil && old.status.Running == status.Running {
 		next.held = old.held
 	}
 	p.members[status.Rank] = next
 	p.highest = max(p.highest, status.Running, status.Prepared, status.Armed)
-	p.demand.add(status.Chosen, now)
+}
+
+// HearCounts takes in what a rank's requests chose.
+func (p *Planner) HearCounts(counts Counts, now time.Time) {
+	if counts.Group == p.group && counts.Incarnation == p.incarnation {
+		p.demand.add(counts.First, counts.Levels, now)
+	}
 }
 
 // complete tells whether all ranks were heard of lately.
@@ -130,19 +137,44 @@
 func (p *Planner) Directive() Directive {
 	directive := Directive{
 		Group: p.group, Incarnation: p.incarnation, Planner: p.rank, Agent: p.agent,
-		TellHeld: p.current == nil,
+		Hosts: make([]byte, p.size*hostBytes), TellHeld: p.current == nil,
 	}
 	for rank, one := range p.members {
 		if one != nil {
-			directive.Members = append(directive.Members, Member{Rank: rank, Address: one.address})
+			directive.SetHost(rank, one.host)
 		}
 	}
 	if p.phase == preparing {
-		directive.Prepare = p.next
+		directive.Prepare = p.next.ID.Number()
 	}
 	return directive
 }
 
+// Next returns the map that the ranks are to copy, nil for none.
+func (p *Planner) Next() *Map {
+	if p.phase != preparing {
+		return nil
+	}
+	return p.next
+}
+
+// Delta returns the map that the ranks are to copy as a change of the one in use,
+// false if there is none that fits a datagram.
+func (p *Planner) Delta() (Delta, bool) {
+	if p.phase != preparing || p.current == nil || len(p.next.Experts) == 0 {
+		return Delta{}, false
+	}
+	delta := DeltaOf(p.current, p.next, p.experts.PerSet)
+	bytes := partHead
+	for _, change := range delta.Changes {
+		bytes += changeBytes + expertBytes*len(change.Experts)
+	}
+	return delta, bytes <= datagramSize
+}
+
+// changeBytes is what a change takes beside its experts.
+const changeBytes = 10
+
 // Prepared tells whether a rank has copied the map under way.
 func (p *Planner) Prepared(rank int) bool {
 	one := p.members[rank]
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -1,7 +1,7 @@
 package rebalance
 
 import (
-	"strconv"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -42,6 +42,8 @@
 	b.planner = NewPlanner(shape, 0, b.status[0], policy)
 }
 
+func hostOf(rank int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(rank + 1)}) }
+
 // turn lets 100 ms pass and returns what the planner wants.
 func (b *bed) turn() (*Decision, *expertmap.Proposal) {
 	b.now = b.now.Add(sliceTime)
@@ -53,9 +55,11 @@
 		}
 		status.Sent = b.sent
 		if rank == 1 {
-			status.Chosen = []uint32{500, 10, 10, 10, 400, 10, 10, 10}
+			for _, counts := range CountsOf(status, []uint64{500, 10, 10, 10, 400, 10, 10, 10}) {
+				b.planner.HearCounts(counts, b.now)
+			}
 		}
-		b.planner.Hear(status, strconv.Itoa(rank), b.now)
+		b.planner.Hear(status, hostOf(rank), b.now)
 	}
 	return b.planner.Step(b.step, b.now)
 }
@@ -85,7 +89,7 @@
 	decision, _ := b.until(Prepare)
 	require.Less(t, decision.Plan.After, decision.Plan.Before)
 	number := decision.Map.Number()
-	require.Equal(t, number, b.planner.Directive().Prepare.ID.Number())
+	require.Equal(t, number, b.planner.Directive().Prepare)
 	for rank := range testRanks - 1 {
 		b.status[rank].Prepared = number
 		decision, proposal := b.turn()
@@ -189,7 +193,7 @@
 }
 
 func TestMessagesSurviveTheWire(t *testing.T) {
-	envelope := Envelope{Status: &Status{Group: "g", Rank: 3, Chosen: []uint32{1, 2}, Held: [][]int{{1}}}}
+	envelope := Envelope{Status: &Status{Group: "g", Rank: 3, Held: [][]int{{1}}}}
 	data, err := Encode(envelope)
 	require.NoError(t, err)
 	got, err := Decode(data)
@@ -200,8 +204,112 @@
 	require.ErrorAs(t, err, &bad)
 }
 
+func TestDatagramsOfLargeGroupsStaySmall(t *testing.T) {
+	const ranks, layers, slots = 64, 8, 5
+	large := Map{ID: expertmap.MapID{Epoch: 1 << 20, Version: 9}}
+	for layer := range layers {
+		var held [][]int
+		for rank := range ranks {
+			held = append(held, []int{250 + rank, 251, 252, 253 + layer, 300})
+		}
+		large.Experts = append(large.Experts, held)
+	}
+	require.Len(t, large.Experts[0][0], slots)
+	var assembly Assembly
+	parts := large.Parts()
+	for at := len(parts) - 1; at >= 0; at-- {
+		_, whole := assembly.Map(large.ID.Number())
+		require.False(t, whole)
+		data, err := Encode(Envelope{Part: &parts[at]})
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), datagramSize)
+		got, err := Decode(data)
+		require.NoError(t, err)
+		assembly.Add(*got.Part)
+		assembly.Add(*got.Part)
+	}
+	whole, ok := assembly.Map(large.ID.Number())
+	require.True(t, ok)
+	require.Equal(t, large, *whole)
+
+	for _, counts := range CountsOf(Status{Group: "a group's name"}, make([]uint64, layers*252)) {
+		data, err := Encode(Envelope{Counts: &counts})
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), datagramSize)
+	}
+	directive := Directive{Group: "a group's name", Hosts: make([]byte, ranks*hostBytes)}
+	directive.SetHost(63, hostOf(7))
+	data, err := Encode(Envelope{Directive: &directive})
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), datagramSize)
+	host, known := directive.Host(63)
+	require.True(t, known)
+	require.Equal(t, hostOf(7), host)
+	require.Equal(t, 1, directive.Known())
+}
+
+func TestADeltaMakesTheSameMapOrNone(t *testing.T) {
+	base := InTurn(2, 8, 4)
+	next := &Map{ID: expertmap.MapID{Epoch: 4096, Version: 1}, Experts: InTurn(2, 8, 4).Experts}
+	next.Experts[1][2] = []int{2, 6, 0}
+	delta := DeltaOf(base, next, 8)
+	require.Len(t, delta.Changes, 1)
+
+	var assembly Assembly
+	assembly.AddDelta(delta)
+	got, ok := assembly.Map(next.ID.Number())
+	require.True(t, ok, "the first map needs no base")
+	require.Equal(t, next, got)
+
+	third := &Map{ID: expertmap.MapID{Epoch: 4096, Version: 2}, Experts: InTurn(2, 8, 4).Experts}
+	third.Experts[0][0] = []int{0}
+	step := DeltaOf(next, third, 8)
+	var other Assembly
+	other.AddDelta(step)
+	_, ok = other.Map(third.ID.Number())
+	require.False(t, ok, "its base is not known")
+	forged := step
+	forged.Sum++
+	assembly.AddDelta(forged)
+	_, ok = assembly.Map(third.ID.Number())
+	require.False(t, ok, "the contents are not the planner's")
+	assembly.AddDelta(step)
+	got, ok = assembly.Map(third.ID.Number())
+	require.True(t, ok)
+	require.Equal(t, third, got)
+	for _, bad := range []Delta{{Number: 1 << 40}, {Number: 1 << 40, Layers: 1 << 30, Experts: 1, Ranks: 1}, {Number: 1 << 40, Base: step.Number, Layers: 2, Changes: []Change{{Layer: 7}}}} {
+		assembly.AddDelta(bad)
+		_, ok = assembly.Map(1 << 40)
+		require.False(t, ok)
+	}
+}
+
+func TestPartsThatMakeNoSenseAreRefused(t *testing.T) {
+	var assembly Assembly
+	for _, part := range []Part{
+		{Number: 5, Layers: 0}, {Number: 5, Layers: 1 << 30}, {Number: 5, Layers: 2, First: -1},
+		{Number: 5, Layers: 2, First: 1, Experts: [][][]int{{{1}}, {{1}}}},
+	} {
+		assembly.Add(part)
+	}
+	_, whole := assembly.Map(5)
+	require.False(t, whole)
+	assembly.Add(Part{Number: 5, Layers: 1, Experts: [][][]int{{{1}}}})
+	assembly.Add(Part{Number: 4, Layers: 1, Experts: [][][]int{{{2}}}})
+	_, whole = assembly.Map(5)
+	require.True(t, whole, "an older map changes nothing")
+}
+
+func TestCountsAreToldToAFewInAHundred(t *testing.T) {
+	for _, count := range []uint64{0, 1, 5, 80, 1000, 70000, 2000000} {
+		got := countOf(levelOf(count))
+		require.InDelta(t, float64(count), got, 0.06*float64(count)+0.05)
+	}
+	require.Equal(t, byte(255), levelOf(1<<40))
+}
+
 func FuzzDecode(f *testing.F) {
-	seed, err := Encode(Envelope{Directive: &Directive{Group: "g", Members: []Member{{1, "a"}}}})
+	seed, err := Encode(Envelope{Directive: &Directive{Group: "g", Hosts: []byte{10, 0, 0, 1}}})
 	require.NoError(f, err)
 	f.Add(seed)
 	f.Fuzz(func(t *testing.T, data []byte) {
