--- a/daemon/command/closing.go
+++ b/daemon/command/closing.go
@@ -23,6 +23,13 @@
 	return errors.Join(err, c.closer.Close())
 }
 
+// Reload implements Reloader.
+func (c closing) Reload() {
+	if reloader, ok := c.daemon.(Reloader); ok {
+		reloader.Reload()
+	}
+}
+
 // metricsHeaderTimeout bounds the reading of a request for metrics.
 const metricsHeaderTimeout = 5 * time.Second
 
--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -45,6 +45,14 @@
 	Run(ctx, cut context.Context) error
 }
 
+// Reloader is a daemon that reads its settings file again on SIGHUP. Without it
+// the signal changes nothing.
+type Reloader interface {
+	// Reload reads and checks the settings again; settings that are wrong change
+	// nothing.
+	Reload()
+}
+
 // Main runs a daemon's command line and returns its exit status. load reads and
 // checks the settings and returns how to start with them.
 func Main(program string, arguments []string, load func(file string) (func() (Daemon, error), error)) int {
@@ -100,6 +108,7 @@
 func runUntilSignal(daemon Daemon) int {
 	ctx, cut, stop := Signals()
 	defer stop()
+	defer reloadOnHangup(daemon)()
 	if err := daemon.Run(ctx, cut); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return ExitUnreachable
@@ -107,6 +116,23 @@
 	return ExitDone
 }
 
+// reloadOnHangup lets a daemon reload on SIGHUP, until stop is called.
+func reloadOnHangup(daemon Daemon) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for range hangups {
+			if reloader, ok := daemon.(Reloader); ok {
+				reloader.Reload()
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(hangups)
+	}
+}
+
 // Signals returns a context that ends with the first SIGINT or SIGTERM and one
 // that ends with the second.
 func Signals() (first, second context.Context, stop func()) {
--- a/daemon/direct/directory.go
+++ b/daemon/direct/directory.go
@@ -23,7 +23,7 @@
 		addresses = append(addresses, entry.CallerAddress)
 	}
 	ttl := directoryTTL
-	if most := e.settings.Bounds.DirectoryTTL; most > 0 {
+	if most := e.bounds.Load().DirectoryTTL; most > 0 {
 		ttl = min(ttl, most)
 	}
 	return addresses, ttl
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -31,18 +31,23 @@
 // Config is what an Entry is made of.
 type Config struct {
 	Settings settings.Direct
-	Store    *platform.Store
-	Clock    clockwork.Clock
-	Logger   *logrus.Logger
+	// File is where the settings came from.
+	File   string
+	Store  *platform.Store
+	Clock  clockwork.Clock
+	Logger *logrus.Logger
 }
 
 // Entry is the process.
 type Entry struct {
 	settings settings.Direct
-	store    *platform.Store
-	clock    clockwork.Clock
-	logger   *logrus.Logger
-	log      *logrus.Entry
+	file     string
+	// bounds are those in force; SIGHUP may change them.
+	bounds atomic.Pointer[settings.Bounds]
+	store  *platform.Store
+	clock  clockwork.Clock
+	logger *logrus.Logger
+	log    *logrus.Entry
 
 	self       presence.Peer
 	peers      *presence.Table
@@ -64,7 +69,7 @@
 func New(cfg Config) *Entry {
 	s := cfg.Settings
 	e := &Entry{
-		settings: s, store: cfg.Store, clock: cfg.Clock, logger: cfg.Logger,
+		settings: s, file: cfg.File, store: cfg.Store, clock: cfg.Clock, logger: cfg.Logger,
 		log: logs.Part(cfg.Logger, "entry"),
 		self: presence.Peer{
 			Name: s.Name, Incarnation: rand.Uint64(), CallerAddress: s.CallerAddress,
@@ -76,6 +81,7 @@
 			Warmup:        dispatch.Warmup{Share: s.Bounds.WarmupShare, Slack: s.Bounds.WarmupSlack},
 		}),
 	}
+	e.bounds.Store(&s.Bounds)
 	e.targets = newTargets(e.dispatcher, e.clock, logs.Part(cfg.Logger, "targets"))
 	e.budgets = newBudgets(s.Bounds)
 	e.metrics = metrics.New("direct", metrics.DefaultOrganisations)
@@ -92,6 +98,19 @@
 	return !e.leaving.Load() && e.version.Load() != nil && e.targetsKnown.Load()
 }
 
+// Reload implements command.Reloader: bounds hold at once, but for those of
+// retries, whose budgets are spent already; addresses hold from the next start.
+func (e *Entry) Reload() {
+	loaded, err := settings.LoadDirect(e.file)
+	if err != nil {
+		e.log.WithError(err).Error("settings not reloaded")
+		return
+	}
+	e.bounds.Store(&loaded.Bounds)
+	e.dispatcher.SetWarmup(dispatch.Warmup{Share: loaded.Bounds.WarmupShare, Slack: loaded.Bounds.WarmupSlack}, e.clock.Now())
+	e.log.WithField("file", e.file).Info("settings reloaded")
+}
+
 // every calls f at each interval until the context ends.
 func every(ctx context.Context, clock clockwork.Clock, interval time.Duration, f func()) {
 	ticker := clock.NewTicker(interval)
--- a/daemon/direct/load.go
+++ b/daemon/direct/load.go
@@ -21,10 +21,10 @@
 	return func() (command.Daemon, error) {
 		log := logs.NewBounded(os.Stdout)
 		daemon := New(Config{
-			Settings: loaded,
-			Store:    platform.NewStore(loaded.StoreAddress),
-			Clock:    clockwork.NewRealClock(),
-			Logger:   logs.New(log, loaded.Log),
+			Settings: loaded, File: file,
+			Store:  platform.NewStore(loaded.StoreAddress),
+			Clock:  clockwork.NewRealClock(),
+			Logger: logs.New(log, loaded.Log),
 		})
 		return command.Closing(daemon, log), nil
 	}, nil
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -177,7 +177,7 @@
 	e.leaving.Store(true)
 	beats.send()
 	e.log.Info("leaving")
-	end := e.clock.Now().Add(e.settings.Bounds.Grace - endMargin)
+	end := e.clock.Now().Add(e.bounds.Load().Grace - endMargin)
 	keep := 3 * directoryTTL
 	e.waitFor(cut, keep-directoryTTL)
 	e.closing.Store(true)
--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -48,14 +48,17 @@
 // Config is what an Agent is made of.
 type Config struct {
 	Settings settings.Rank
-	Store    *platform.Store
-	Clock    clockwork.Clock
-	Logger   *logrus.Logger
+	// File is where the settings came from.
+	File   string
+	Store  *platform.Store
+	Clock  clockwork.Clock
+	Logger *logrus.Logger
 }
 
 // Agent is the process. One goroutine does its work.
 type Agent struct {
 	settings settings.Rank
+	file     string
 	store    *platform.Store
 	clock    clockwork.Clock
 	log      *logrus.Entry
@@ -127,7 +130,7 @@
 	registry := prometheus.NewRegistry()
 	return &Agent{
 		registry: registry, metrics: placement.NewMetrics(registry),
-		settings: cfg.Settings, store: cfg.Store, clock: cfg.Clock, log: logs.Part(cfg.Logger, "rank"),
+		settings: cfg.Settings, file: cfg.File, store: cfg.Store, clock: cfg.Clock, log: logs.Part(cfg.Logger, "rank"),
 		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxSize),
 		facts: make(chan storeFacts, 1), engine: expertmap.NewOrderEngine(orders{target}), since: now,
 	}
@@ -164,6 +167,16 @@
 	return nil
 }
 
+// Reload implements command.Reloader. Nothing of an agent's settings may change
+// while it runs, so they are only checked.
+func (a *Agent) Reload() {
+	if _, err := settings.LoadRank(a.file); err != nil {
+		a.log.WithError(err).Error("settings not reloaded")
+		return
+	}
+	a.log.WithField("file", a.file).Info("settings reloaded")
+}
+
 // serveMetrics serves the metrics if the settings name an address, until stop.
 func (a *Agent) serveMetrics() (stop func(), err error) {
 	if a.settings.MetricsAddress == "" {
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -275,6 +275,15 @@
 		}
 	})
 
+	t.Run("a reload stops nothing", func(t *testing.T) {
+		for _, entry := range s.entries {
+			require.NoError(t, entry.command.Process.Signal(syscall.SIGHUP))
+			require.Eventually(t, func() bool { return strings.Contains(entry.log(), "settings reloaded") }, 2*time.Second, 10*time.Millisecond)
+			status, _, err := s.send(entry, "/search/x")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+		}
+	})
 	t.Run("the ranks get an even map, with orders lost and late", func(t *testing.T) { s.rebalance(t) })
 	t.Run("an entry that leaves cuts nothing", func(t *testing.T) { s.leave(t) })
 	t.Run("a killed entry leaves the directory", func(t *testing.T) { s.kill(t) })
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -83,6 +83,14 @@
 	d.serveAll(now)
 }
 
+// SetWarmup sets what cold targets may get.
+func (d *Dispatcher) SetWarmup(warmup Warmup, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.warmup = warmup
+	d.serveAll(now)
+}
+
 // SetProcesses sets how many processes send to the same targets.
 func (d *Dispatcher) SetProcesses(count int) {
 	d.mu.Lock()
