--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -19,6 +19,9 @@
 	// failed: a call that a dark store took is never answered.
 	feedWait  = 15 * time.Second
 	probeWait = 500 * time.Millisecond
+	// settle is the pause after changes: those that come together, as when many
+	// targets start, then take one call.
+	settle = 100 * time.Millisecond
 	// readFirst bounds the first attempt to read a table whole, readMost later
 	// ones: a store that was dark answers a new call as soon as it is back, never an
 	// old one, and a slow store needs more time.
@@ -103,6 +106,7 @@
 	f.version = max(f.version, version)
 	if len(rows) > 0 {
 		f.observer.Changed(rows)
+		f.sleep(ctx, settle)
 	}
 	return nil
 }
@@ -126,9 +130,12 @@
 
 func (f *follower) pause(ctx context.Context) {
 	longest := min(pauseFirst<<min(f.failures, 8), pauseMost)
-	pause := longest/2 + time.Duration(rand.Float64()*float64(longest/2))
+	f.sleep(ctx, longest/2+time.Duration(rand.Float64()*float64(longest/2)))
+}
+
+func (f *follower) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(pause):
+	case <-time.After(d):
 	}
 }
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -46,7 +46,7 @@
 func (s *fakeStore) Read(ctx context.Context, _, _ string) ([]platform.Row, uint64, error) {
 	if s.isDark() {
 		<-ctx.Done()
-		return nil, 0, &platform.CallError{Call: "rows-get", Cause: ctx.Err()}
+		return nil, 0, &platform.CallError{Call: "read", Cause: ctx.Err()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -62,10 +62,10 @@
 		ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 		defer cancel()
 		<-ctx.Done()
-		return nil, 0, &platform.CallError{Call: "rows-feed", Cause: ctx.Err()}
+		return nil, 0, &platform.CallError{Call: "feed", Cause: ctx.Err()}
 	}
 	if s.refusing() {
-		return nil, 0, &platform.StatusError{Call: "rows-feed", Status: 503}
+		return nil, 0, &platform.StatusError{Call: "feed", Status: 503}
 	}
 	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
 		s.mu.Lock()
--- /dev/null
+++ b/daemon/rank/refresh.go
@@ -0,0 +1,96 @@
+package rank
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/version/expertmap"
+	"verbenaseam.example/verbenaseam/version/rebalance"
+)
+
+// refresh reads the engine's report and follows the group from incarnation to
+// incarnation.
+func (a *Agent) refresh(now time.Time) {
+	a.reported = now
+	before := a.engine.Last()
+	var report expertmap.RankReport
+	var err error
+	if a.driver == nil {
+		err = a.attach(now)
+		report = a.engine.Last()
+	} else {
+		report, err = a.engine.Refresh()
+	}
+	if err != nil {
+		if !a.failing {
+			a.log.WithError(err).Warn("target lost")
+		}
+		a.failing = true
+		return
+	}
+	if a.failing {
+		a.failing = false
+		a.log.Info("target regained")
+	}
+	a.notePace(report.Pace)
+	if a.driver != nil && before.Size > 0 && (report.Incarnation != before.Incarnation || report.Rank != before.Rank || !report.Born.Equal(before.Born)) {
+		a.formed(report, now)
+	}
+}
+
+// slowPace is the pace from which on a target counts as slow.
+const slowPace = 1.2
+
+// notePace tells when the target turns slow and when it is back.
+func (a *Agent) notePace(pace float64) {
+	before := a.pace
+	a.pace = pace
+	if (before >= slowPace) == (pace >= slowPace) {
+		return
+	}
+	a.log.WithFields(logrus.Fields{"pace": pace, "before": before}).Info("target's pace changed")
+}
+
+// attach connects to the engine for the first time.
+func (a *Agent) attach(now time.Time) error {
+	driver, err := expertmap.NewDriver(now, expertmap.Config{
+		Incarnation: a.incarnation, Patience: patience, Stagger: stagger,
+	}, a.engine, transport{a}, a)
+	if err != nil {
+		return err
+	}
+	if a.engine.Last().Size == 0 {
+		return nil
+	}
+	a.driver = driver
+	a.formed(a.engine.Last(), now)
+	return nil
+}
+
+// formed starts anew with another incarnation of the group.
+func (a *Agent) formed(report expertmap.RankReport, now time.Time) {
+	a.driver.Formed(now, a.engine.Facts())
+	a.planner, a.directive, a.since = nil, nil, now
+	a.counts, a.counted = platform.Counts{}, time.Time{}
+	a.assembly = rebalance.Assembly{}
+	a.preparing = preparation{}
+	a.log.WithFields(logrus.Fields{
+		"group": report.Group, "incarnation": report.Incarnation, "rank": report.Rank, "size": report.Size, "running": report.Running,
+	}).Info("group formed")
+}
+
+// dropStray lets a group go that is held for no proposal.
+func (a *Agent) dropStray(now time.Time) {
+	if !a.engine.Last().Holding || a.driver.Agent().Undecided() != nil {
+		a.stray = time.Time{}
+		return
+	}
+	if a.stray.IsZero() {
+		a.stray = now
+	}
+	if err := a.engine.Stray(now, a.stray); err != nil {
+		a.log.WithError(err).Debug("stray hold not dropped")
+	}
+}
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -37,17 +36,6 @@
 warmup_slack = 5
 `
 
-const platformConfiguration = `{"version":%d,"routes":[
- {"name":"chat","hostname":"h.example","prefix":"/chat/","route_type":"streaming","timeout_ms":8000,"target_latency_ms":500,
-  "priority":1,"service":"model","max_attempts":2,"resumable":true,"target_gap_ms":120},
- {"name":"look","hostname":"h.example","prefix":"%s","route_type":"idempotent","timeout_ms":2000,"target_latency_ms":300,
-  "priority":2,"service":"plain","max_attempts":2}],
- "services":[{"name":"model","max_connections":100,"runtime":{"capacity":4,"stride":1,"step_ms":5,
-   "sets":1,"experts":6,"rank_capacity":4,"is_spare":2,"expert_mb":1,"usual":{"prompt":1,"answer":1}}},
-  {"name":"plain","max_connections":100}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":100000},
- "tenants":[{"name":"org","api_keys":["key"]}]}`
-
 // platformSystem is the whole system on stand-ins of the platform.
 type platformSystem struct {
 	t       *testing.T
@@ -146,7 +134,7 @@
 }
 
 func (s *platformSystem) configure(version int, lookups string) {
-	s.store.Put(platform.TableOperator, platform.KeyConfiguration, fmt.Appendf(nil, platformConfiguration, version, lookups))
+	s.store.Put(platform.TableOperator, platform.KeyConfiguration, standin.Configuration(version, lookups))
 }
 
 func (s *platformSystem) addRank(n int, port string) {
@@ -172,18 +160,7 @@
 
 // directory asks an entry where to connect.
 func (s *platformSystem) directory(entry *platformProcess) []string {
-	answer, err := http.Get("http://" + entry.directory + "/v1/resolve?name=h.example&region=r&zone=z1")
-	if err != nil {
-		return nil
-	}
-	defer answer.Body.Close()
-	var found struct {
-		Addresses []string `json:"addresses"`
-	}
-	if json.NewDecoder(answer.Body).Decode(&found) != nil {
-		return nil
-	}
-	return found.Addresses
+	return standin.AskDirectory(entry.directory, "z1")
 }
 
 var attempts struct {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -10,13 +10,21 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 )
 
-var (
+// streamError is why a stream ended before its end.
+type streamError string
+
+// Error implements error.
+func (e streamError) Error() string { return string(e) }
+
+const (
 	// errCallerGone means that nothing can be written to the caller any more.
-	errCallerGone = errors.New("the caller has left")
+	errCallerGone = streamError("the caller has left")
 	// errTornEvent means that a stream ended in the middle of an event.
-	errTornEvent = errors.New("the stream ended in the middle of an event")
+	errTornEvent = streamError("the stream ended in the middle of an event")
 	// errEventTooLong means that an event is longer than any target sends.
-	errEventTooLong = errors.New("an event is too long")
+	errEventTooLong = streamError("an event is too long")
+	// errSilent means that the target was silent while others went on.
+	errSilent = streamError("the target is silent while others go on")
 )
 
 const (
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -9,9 +9,6 @@
 	"verbenaseam.example/verbenaseam/request/dispatch"
 )
 
-// errSilent is why an attempt at a silent target was ended.
-var errSilent = errors.New("the target is silent while others go on")
-
 // watch ends an attempt whose target is silent for too long while others of its
 // service go on.
 type watch struct {
