--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -175,9 +175,12 @@
 	first bool
 }
 
-// agentsAtOnce is how many agents are sent to in one tick: more at once would be
-// lost where the link is narrow.
-const agentsAtOnce = 16
+const (
+	// agentsAtOnce is how many agents are sent to in one tick: more at once would
+	// be lost where the link is narrow. wholesAtOnce is the same for whole maps.
+	agentsAtOnce = 16
+	wholesAtOnce = 3
+)
 
 // direct puts a directive to all agents on its way.
 func (a *Agent) direct(now time.Time, first bool) {
@@ -212,20 +215,23 @@
 	if next := a.planner.Next(); next != nil {
 		parts = next.Parts()
 	}
-	some := min(agentsAtOnce, len(a.outbox))
-	for _, one := range a.outbox[:some] {
+	sent, wholes := 0, 0
+	for sent < min(agentsAtOnce, len(a.outbox)) && wholes < wholesAtOnce {
+		one := a.outbox[sent]
+		sent++
 		a.send(one.to, rebalance.Envelope{Directive: &directive})
 		switch {
-		case prepared[one.to.Addr()]:
+		case prepared[one.to.Addr()] || len(parts) == 0:
 		case one.first && small:
 			a.send(one.to, rebalance.Envelope{Delta: &delta})
 		default:
+			wholes++
 			for _, part := range parts {
 				a.send(one.to, rebalance.Envelope{Part: &part})
 			}
 		}
 	}
-	a.outbox = append(a.outbox[:0], a.outbox[some:]...)
+	a.outbox = append(a.outbox[:0], a.outbox[sent:]...)
 }
 
 // askMissing reads the targets anew while members are missing.
--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -32,6 +32,8 @@
 	experts = 72
 	slots   = 8
 	spare   = 3
+	// megabytes is the size of an expert.
+	megabytes = 2200
 )
 
 const (
@@ -149,7 +151,7 @@
 	var outcome Outcome
 	start := time.Unix(0, 0)
 	g := &group{running: &rebalance.Map{Experts: inTurn()}, stepped: start}
-	shape := config.Experts{Sets: layers, PerSet: experts, Slots: slots, Spare: spare}
+	shape := config.Experts{Sets: layers, PerSet: experts, Slots: slots, Spare: spare, Megabytes: megabytes}
 	planner := rebalance.NewPlanner(shape, 0, rebalance.Status{Group: "g", Size: ranks, Agent: 1}, policy)
 	sent := uint64(0)
 	skew := 1.0
--- a/internal/measure/rebalance/studies.go
+++ b/internal/measure/rebalance/studies.go
@@ -29,7 +29,7 @@
 	wide, single, cheap := rebalance.DefaultPolicy(), rebalance.DefaultPolicy(), rebalance.DefaultPolicy()
 	wide.NewPerRank = 4
 	single.Slices = 1
-	cheap.CopyCost, cheap.LeastGain = 0.008, 0.03
+	cheap.CopyCost, cheap.LeastGain = cheap.CopyCost/6, 0.03
 	return []way{
 		{"product", rebalance.DefaultPolicy()},
 		{"4 new experts a rank", wide},
--- a/version/rebalance/delta.go
+++ b/version/rebalance/delta.go
@@ -17,20 +17,22 @@
 	Number uint64 `cbor:"1,keyasint"`
 	Base   uint64 `cbor:"2,keyasint"`
 	// Layers, Experts and Ranks are the shape of both: Experts by layer.
-	Layers  int      `cbor:"3,keyasint"`
-	Experts int      `cbor:"4,keyasint"`
-	Ranks   int      `cbor:"5,keyasint"`
-	Changes []Change `cbor:"6,keyasint"`
+	Layers  int `cbor:"3,keyasint"`
+	Experts int `cbor:"4,keyasint"`
+	Ranks   int `cbor:"5,keyasint"`
+	// Changes holds four numbers a change: the layer, the rank, the expert that
+	// leaves the rank and the one that comes to it, or -1 for none.
+	Changes []int `cbor:"6,keyasint"`
 	// Sum is the checksum of the map's contents.
 	Sum uint64 `cbor:"7,keyasint"`
 }
 
-// Change is what one rank holds of one layer.
-type Change struct {
-	Layer   int   `cbor:"1,keyasint"`
-	Rank    int   `cbor:"2,keyasint"`
-	Experts []int `cbor:"3,keyasint"`
-}
+const (
+	// changeNumbers is how many numbers a change takes in a Delta.
+	changeNumbers = 4
+	// noExpert stands for none.
+	noExpert = -1
+)
 
 // Sum returns a checksum of the map's contents.
 func (m *Map) Sum() uint64 {
@@ -68,14 +70,34 @@
 	}
 	for layer, ranks := range next.Experts {
 		for rank, held := range ranks {
-			if !slices.Equal(held, base.Experts[layer][rank]) {
-				delta.Changes = append(delta.Changes, Change{Layer: layer, Rank: rank, Experts: held})
+			gone := missingFrom(held, base.Experts[layer][rank])
+			come := missingFrom(base.Experts[layer][rank], held)
+			for at := range max(len(gone), len(come)) {
+				delta.Changes = append(delta.Changes, layer, rank, expertAt(gone, at), expertAt(come, at))
 			}
 		}
 	}
 	return delta
 }
 
+// missingFrom lists the experts of all that held lacks.
+func missingFrom(held, all []int) []int {
+	var missing []int
+	for _, expert := range all {
+		if !slices.Contains(held, expert) {
+			missing = append(missing, expert)
+		}
+	}
+	return missing
+}
+
+func expertAt(experts []int, at int) int {
+	if at < len(experts) {
+		return experts[at]
+	}
+	return noExpert
+}
+
 // Apply returns the map that a delta makes of its base, false if the base is
 // another or the result is not what the planner has.
 func (d *Delta) Apply(base *Map) (*Map, bool) {
@@ -89,11 +111,17 @@
 	for layer, ranks := range base.Experts {
 		next.Experts[layer] = slices.Clone(ranks)
 	}
-	for _, change := range d.Changes {
-		if change.Layer < 0 || change.Layer >= d.Layers || change.Rank < 0 || change.Rank >= len(next.Experts[change.Layer]) {
+	for at := 0; at+changeNumbers <= len(d.Changes); at += changeNumbers {
+		layer, rank, gone, come := d.Changes[at], d.Changes[at+1], d.Changes[at+2], d.Changes[at+3]
+		if layer < 0 || layer >= d.Layers || rank < 0 || rank >= len(next.Experts[layer]) {
 			return nil, false
 		}
-		next.Experts[change.Layer][change.Rank] = change.Experts
+		held := slices.DeleteFunc(slices.Clone(next.Experts[layer][rank]), func(expert int) bool { return expert == gone })
+		if come != noExpert {
+			held = append(held, come)
+		}
+		slices.Sort(held)
+		next.Experts[layer][rank] = held
 	}
 	return next, next.Sum() == d.Sum
 }
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -18,6 +19,15 @@
 	Experts [][][]int
 }
 
+// sort puts each rank's experts in order, so that equal maps look alike.
+func (m *Map) sort() {
+	for _, ranks := range m.Experts {
+		for _, experts := range ranks {
+			slices.Sort(experts)
+		}
+	}
+}
+
 // Status is what an agent tells the planner of its rank.
 type Status struct {
 	// Group names the group, Incarnation its incarnation.
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -165,16 +165,9 @@
 		return Delta{}, false
 	}
 	delta := DeltaOf(p.current, p.next, p.experts.PerSet)
-	bytes := partHead
-	for _, change := range delta.Changes {
-		bytes += changeBytes + expertBytes*len(change.Experts)
-	}
-	return delta, bytes <= datagramSize
+	return delta, partHead+expertBytes*len(delta.Changes) <= datagramSize
 }
 
-// changeBytes is what a change takes beside its experts.
-const changeBytes = 10
-
 // Prepared tells whether a rank has copied the map under way.
 func (p *Planner) Prepared(rank int) bool {
 	one := p.members[rank]
@@ -255,7 +248,7 @@
 		factor = p.policy.CalmFactor
 	}
 	plan, err := placement.ImproveEven(input, p.current.Experts, placement.EvenSettings{
-		CopyCost: factor * p.policy.CopyCost, NewPerRank: p.policy.NewPerRank, MaxSteps: searchSteps,
+		CopyCost: factor * p.policy.copyCost(p.experts.Megabytes, p.size), NewPerRank: p.policy.NewPerRank, MaxSteps: searchSteps,
 	})
 	if err != nil {
 		p.current = nil
@@ -266,6 +259,7 @@
 	}
 	p.plan = plan
 	p.next = &Map{ID: p.nextID(), Experts: plan.Experts}
+	p.next.sort()
 	took := p.enter(preparing, now)
 	return &Decision{What: Prepare, Map: p.next.ID, Plan: plan, Took: took}
 }
@@ -310,6 +304,7 @@
 		}
 	}
 	p.current = &Map{ID: expertmap.MapOf(running), Experts: experts}
+	p.current.sort()
 	return true
 }
 
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -192,6 +192,15 @@
 	require.InDelta(t, 1.0, (&pace{}).share(), 0.001, "no pause is known")
 }
 
+func TestCopiesAreDearerTheLargerTheyAreAndTheSmallerTheGroup(t *testing.T) {
+	policy := DefaultPolicy()
+	small := policy.copyCost(2200, 12)
+	require.InDelta(t, 0.05, small, 0.001)
+	require.InDelta(t, small/2, policy.copyCost(1100, 12), 1e-9)
+	require.InDelta(t, small/4, policy.copyCost(2200, 48), 1e-9)
+	require.Zero(t, policy.copyCost(0, 12))
+}
+
 func TestMessagesSurviveTheWire(t *testing.T) {
 	envelope := Envelope{Status: &Status{Group: "g", Rank: 3, Held: [][]int{{1}}}}
 	data, err := Encode(envelope)
@@ -251,9 +260,9 @@
 func TestADeltaMakesTheSameMapOrNone(t *testing.T) {
 	base := InTurn(2, 8, 4)
 	next := &Map{ID: expertmap.MapID{Epoch: 4096, Version: 1}, Experts: InTurn(2, 8, 4).Experts}
-	next.Experts[1][2] = []int{2, 6, 0}
+	next.Experts[1][2] = []int{0, 2, 6}
 	delta := DeltaOf(base, next, 8)
-	require.Len(t, delta.Changes, 1)
+	require.Equal(t, []int{1, 2, noExpert, 0}, delta.Changes)
 
 	var assembly Assembly
 	assembly.AddDelta(delta)
@@ -277,7 +286,7 @@
 	got, ok = assembly.Map(third.ID.Number())
 	require.True(t, ok)
 	require.Equal(t, third, got)
-	for _, bad := range []Delta{{Number: 1 << 40}, {Number: 1 << 40, Layers: 1 << 30, Experts: 1, Ranks: 1}, {Number: 1 << 40, Base: step.Number, Layers: 2, Changes: []Change{{Layer: 7}}}} {
+	for _, bad := range []Delta{{Number: 1 << 40}, {Number: 1 << 40, Layers: 1 << 30, Experts: 1, Ranks: 1}, {Number: 1 << 40, Base: step.Number, Layers: 2, Changes: []int{7, 0, 0, 0}}} {
 		assembly.AddDelta(bad)
 		_, ok = assembly.Map(1 << 40)
 		require.False(t, ok)
