--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -95,7 +95,7 @@
 func (e *Entry) listen() (*servers, error) {
 	s := &servers{callers: &http.Server{
 		Handler: e.closingHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit,
-		ErrorLog: nil,
+		ConnState: newIdleConnections(e.idleLimit).note,
 	}}
 	s.others = []*http.Server{
 		{Handler: platform.Readiness(e.ready), ReadHeaderTimeout: headerTimeout},
