--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -60,7 +60,9 @@
 	version atomic.Pointer[config.Version]
 	// targetsKnown tells that the targets have been read.
 	targetsKnown atomic.Bool
-	leaving      atomic.Bool
+	// registered is the version of this entry's row in the store, 0 before.
+	registered atomic.Uint64
+	leaving    atomic.Bool
 	// closing tells that callers are asked to leave their connections.
 	closing atomic.Bool
 }
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -77,10 +77,28 @@
 func (e *Entry) writeRow(ctx context.Context, row platform.Row) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	_, err := e.store.Apply(ctx, platform.Transaction{Writes: []platform.Row{row}})
+	version, err := e.store.Apply(ctx, platform.Transaction{Writes: []platform.Row{row}})
+	if err == nil {
+		e.registered.Store(version)
+	}
 	return err
 }
 
+// unregister deletes this entry's row, unless a later start has written it anew.
+func (e *Entry) unregister() {
+	row, err := platform.EncodePeer(e.self)
+	if err != nil || e.registered.Load() == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	defer cancel()
+	row.Value, row.Version = nil, e.registered.Load()
+	_, err = e.store.Apply(ctx, platform.Transaction{Conditions: []platform.Row{row}, Deletes: []platform.Row{row}})
+	if err != nil {
+		e.log.WithError(err).Warn("registration not deleted")
+	}
+}
+
 // heartbeats tells the other entries of this one, and takes in what they tell.
 type heartbeats struct {
 	entry  *Entry
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -45,6 +45,7 @@
 	e.log.WithFields(logrus.Fields{"name": e.self.Name, "callers": e.settings.CallerAddress}).Info("started")
 	<-ctx.Done()
 	e.leave(cut, servers, beats)
+	e.unregister()
 	stop()
 	servers.close()
 	group.Wait()
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -329,6 +329,8 @@
 		t.Fatal("the entry does not end")
 	}
 	require.Contains(t, leaver.log(), "stopped")
+	require.False(t, s.store.Has(platform.TableEntries, "edge-0"), "its registration goes with it")
+	require.True(t, s.store.Has(platform.TableEntries, "edge-1"))
 }
 
 // kill kills the entry that is left once another has come.
