--- /dev/null
+++ b/process/settings/direct_test.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const directFile = `[entry]
+name = edge-1
+failure_domain = z1
+caller_address = 10.0.0.1:1
+ready_address = 10.0.0.1:2
+directory_address = 10.0.0.1:3
+peer_address = 10.0.0.1:4
+[store]
+address = 10.0.0.9:1
+[bounds]
+apply = 2000ms
+retry_share = 0.2
+warmup_slack = 5
+`
+
+func written(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	return file
+}
+
+func TestLoadDirect(t *testing.T) {
+	loaded, err := LoadDirect(written(t, directFile))
+	require.NoError(t, err)
+	require.Equal(t, "edge-1", loaded.Name)
+	require.Equal(t, "10.0.0.9:1", loaded.StoreAddress)
+	require.Equal(t, 2*time.Second, loaded.Bounds.Apply)
+	require.Equal(t, 0.2, loaded.Bounds.RetryShare)
+	require.Equal(t, "json", loaded.Log.Format)
+}
+
+func TestLoadDirectTellsAllFaults(t *testing.T) {
+	broken := strings.NewReplacer("10.0.0.1:1", "somewhere", "0.2", "much", "= 5", "= -5").Replace(directFile) + "unknown = 1\n"
+	_, err := LoadDirect(written(t, broken))
+	var faults Errors
+	require.ErrorAs(t, err, &faults)
+	require.Len(t, faults, 4)
+}
+
+func TestLoadRank(t *testing.T) {
+	text := "[rank]\nname = side-1\nfailure_domain = z\ntarget_address = 10.0.0.1:5\nservice = s\npeer_address = 10.0.0.1:6\n[store]\naddress = 10.0.0.9:1\n"
+	loaded, err := LoadRank(written(t, text))
+	require.NoError(t, err)
+	require.Equal(t, "10.0.0.1:5", loaded.TargetAddress)
+	_, err = LoadRank(written(t, strings.Replace(text, "service = s\n", "", 1)))
+	require.Error(t, err)
+}
