Planners start above every epoch that an agent has heard of

Cause: after a group is formed anew no map shows earlier epochs, but agents remember them and refuse lower ones; a planner that had restarted would have been refused for ever (found by reading; the test fails without the change).

--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -11,10 +11,14 @@
 
 // statusOf returns what a report says, without counts.
 func (a *Agent) statusOf(report expertmap.RankReport) rebalance.Status {
+	epoch := uint64(0)
+	if a.driver != nil {
+		epoch = a.driver.Agent().Epoch()
+	}
 	return rebalance.Status{
 		Group: report.Group, Incarnation: report.Incarnation, Rank: report.Rank, Size: report.Size,
 		Agent: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.ArmedVersion,
-		Refused: a.preparing.refused, Pace: report.Pace,
+		Refused: a.preparing.refused, Pace: report.Pace, Epoch: epoch,
 	}
 }
 
--- a/version/expertmap/agent.go
+++ b/version/expertmap/agent.go
@@ -260,6 +260,9 @@
 // Current returns the map in use or set to be used next.
 func (a *Agent) Current() MapID { return a.current }
 
+// Epoch returns the highest lease epoch seen; proposals of lower ones are refused.
+func (a *Agent) Epoch() uint64 { return a.epoch }
+
 // Group returns the group incarnation, the agent's rank and the group's size.
 func (a *Agent) Group() (incarnation uint64, rank, size int) {
 	return a.group, a.rank, a.size
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -48,6 +48,8 @@
 	Held [][]int `cbor:"11,keyasint"`
 	// Refused is the number of a map that the engine will not copy; 0 for none.
 	Refused uint64 `cbor:"12,keyasint"`
+	// Epoch is the highest epoch of a map that the agent has heard of.
+	Epoch uint64 `cbor:"14,keyasint,omitempty"`
 	// Pace is how much slower than usual the rank is; 1 is as usual.
 	Pace float64 `cbor:"13,keyasint,omitempty"`
 }
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -103,7 +103,8 @@
 		next.held = old.held
 	}
 	p.members[status.Rank] = next
-	p.highest = max(p.highest, status.Running, status.Prepared, status.Armed)
+	seen := expertmap.MapID{Epoch: status.Epoch}
+	p.highest = max(p.highest, status.Running, status.Prepared, status.Armed, seen.Number())
 }
 
 // HearCounts takes in what a rank's requests chose.
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -163,6 +163,14 @@
 	require.Greater(t, second.Map.Number(), first.Map.Number())
 }
 
+func TestAPlannerStartsAboveWhatAnyAgentHasHeardOf(t *testing.T) {
+	b := newBed(t)
+	// The group was formed anew, so that no map shows it, but an agent remembers.
+	b.status[2].Epoch = 5<<rankBits | 1
+	decision, _ := b.until(Prepare)
+	require.Greater(t, decision.Map.Epoch, uint64(5<<rankBits|1))
+}
+
 func TestTwoPlannersNeverNameTheSameMap(t *testing.T) {
 	b := newBed(t)
 	b.until(Prepare)
