Propose switches for after the vote

Cause: with 63 ranks a vote takes longer than two steps, and the group stood still for 60 ms at each of 35 switches, over the pause that streams may have.

--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -70,6 +70,8 @@
 	since   time.Time
 	lead    uint64
 	pace    pace
+	// voteTime is how long the last vote took.
+	voteTime time.Duration
 	// searched is when a map was last looked for.
 	searched time.Time
 	// copies and skews are those of the map under way, for the log.
@@ -325,8 +327,18 @@
 	return nil, nil
 }
 
+// steps is how far ahead a switch is proposed: the vote must end before its step
+// is due, or the group stands still for the rest of it.
+func (p *Planner) steps() uint64 {
+	if p.pace.took <= 0 {
+		return p.lead
+	}
+	during := uint64((p.voteTime + p.pace.took - 1) / p.pace.took)
+	return min(max(p.lead, during+1), leadMost)
+}
+
 func (p *Planner) proposal(step uint64) *expertmap.Proposal {
-	at := step + p.lead
+	at := step + p.steps()
 	agents := make([]uint64, p.size)
 	for rank, one := range p.members {
 		agents[rank] = one.status.Agent
@@ -343,6 +355,7 @@
 	if p.phase != proposed || p.next == nil || to != p.next.ID {
 		return nil
 	}
+	p.voteTime = now.Sub(p.since)
 	if ended.Decision == expertmap.Commit {
 		p.lead = max(p.policy.Lead, p.lead-1)
 		return &Decision{What: Agreed, Map: to, Plan: p.plan, Took: p.enter(switching, now)}
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -126,6 +126,17 @@
 	require.Nil(t, b.planner.Ended(expertmap.Ended{ID: expertmap.ProposalID{Epoch: 99}, Decision: expertmap.Commit}, b.now), "another's")
 }
 
+func TestASwitchIsProposedForAfterTheVote(t *testing.T) {
+	p := Planner{lead: 2}
+	require.Equal(t, uint64(2), p.steps())
+	p.pace.took, p.voteTime = 70*time.Millisecond, 45*time.Millisecond
+	require.Equal(t, uint64(2), p.steps())
+	p.voteTime = 90 * time.Millisecond
+	require.Equal(t, uint64(3), p.steps())
+	p.voteTime = time.Hour
+	require.Equal(t, uint64(leadMost), p.steps())
+}
+
 func TestNothingIsPlannedWhileARankIsSilent(t *testing.T) {
 	b := newBed(t)
 	b.silent[2] = true
