Keep the connections of refused attempts

Cause: the watch of an attempt ended its context before the short answer of a refusal was read, and the connection was dropped. The test sees 5 connections before and 1 after.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -143,10 +143,10 @@
 	tryCtx, watched := h.watch(ctx, c, t)
 	answer, found := h.ask(ctx, tryCtx, c, t)
 	if answer == nil || !found.deliver || c.again(found, h.clock.Now()) && h.budget(c.service).Tokens() >= 1 {
-		watched.stop()
 		if answer != nil {
 			h.discard(answer)
 		}
+		watched.stop()
 		h.dispatcher.Done(t, found.result, h.clock.Now())
 		return found, h.failed(c, found)
 	}
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -114,10 +114,10 @@
 		if found.success {
 			return &source{target: t, answer: answer, ctx: tryCtx, watch: watched}
 		}
-		watched.stop()
 		if answer != nil {
 			h.discard(answer)
 		}
+		watched.stop()
 		h.dispatcher.Done(t, found.result, h.clock.Now())
 		if !h.sendAgain(ctx, c, found) {
 			h.cut(c, found)
