--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -54,6 +54,7 @@
 		return nil, &SendError{Cause: err}
 	}
 	e := &exchange{pool: p, conn: c}
+	// A deadline cannot be set on a closed connection, which the write tells.
 	_ = c.SetDeadline(request.Deadline)
 	e.stop = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	if n, err := c.Write(request.encode()); err != nil {
@@ -173,6 +174,7 @@
 }
 
 func (e *exchange) keep() {
+	// A connection on which it fails is closed, which the next use tells.
 	_ = e.conn.SetDeadline(time.Time{})
 	e.pool.keep(e.conn, time.Now().Add(e.keepFor))
 }
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -120,11 +121,12 @@
 		return
 	}
 	for _, address := range e.peers.Addresses() {
-		to, err := net.ResolveUDPAddr("udp", address)
+		to, err := netip.ParseAddrPort(address)
 		if err != nil {
+			h.log.WithError(err).WithField("peer", address).Debug("address cannot be read")
 			continue
 		}
-		if _, err := h.socket.WriteToUDP(message, to); err != nil {
+		if _, err := h.socket.WriteToUDPAddrPort(message, to); err != nil {
 			h.log.WithError(err).WithField("peer", address).Debug("heartbeat not sent")
 		}
 	}
