Propose switches at most 10 steps ahead; arm without a second try; a route's timeout is a 504

The engines' number of orders stays 0, so late orders are not refused by it; an order to arm for a step 32 ahead came late, after the abort. Mitigated, not cured: listed. (2) For the same reason each first order to arm was refused and given again.

--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -210,6 +210,10 @@
 	return split[len(split)-1].Pool
 }
 
+// deadlineSlack lets the end of a call's context come before that of its
+// connection, so that the one is not taken for a fault of the target.
+const deadlineSlack = 100 * time.Millisecond
+
 // outgoing is the request as it goes to a target.
 func (c *call) outgoing(headers *Headers, t *dispatch.Target, now time.Time) *direct.Request {
 	header := endToEnd(c.request.Header)
@@ -226,7 +230,7 @@
 	}
 	return &direct.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
-		Header: header, Body: c.body, HasBody: c.hasBody, Deadline: c.deadline,
+		Header: header, Body: c.body, HasBody: c.hasBody, Deadline: c.deadline.Add(deadlineSlack),
 		IDHeader: headers.Attempt, ID: c.id,
 	}
 }
--- a/version/expertmap/orders.go
+++ b/version/expertmap/orders.go
@@ -14,8 +14,8 @@
 var ErrNotArmed = errors.New("the engine holds for a switch that is not set")
 
 // Orders is an engine that takes numbered orders. An order may be lost, or be
-// carried out seconds after it was given; one that names a number of orders which
-// is no longer true is refused.
+// carried out seconds after it was given. An engine that counts its orders refuses
+// one that names another number than it has counted; not all do.
 type Orders interface {
 	Report() (RankReport, error)
 	// Arm sets the switch to a prepared map, Disarm takes it back, Hold keeps the
@@ -145,13 +145,12 @@
 		if err != nil || !ok {
 			return false, errors.Join(ErrOrderOpen, err)
 		}
-		e.last.Orders++
 	}
-	ok, err := e.orders.Arm(e.last.Orders, r.Incarnation, proposal.To.Number(), proposal.Step)
+	// An engine that counts the hold refuses this order, and the call is repeated.
+	ok, err := e.orders.Arm(r.Orders, r.Incarnation, proposal.To.Number(), proposal.Step)
 	if err != nil || !ok {
 		return false, errors.Join(ErrOrderOpen, err)
 	}
-	e.last.Orders++
 	return true, nil
 }
 
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -17,8 +17,9 @@
 	// up, besides the time that the copies take.
 	prepareLimit = 3 * time.Second
 	// leadMost is how many steps ahead a switch is proposed at most, after proposals
-	// that came too late.
-	leadMost = 48
+	// that came too late. Its step must be begun before an order that got no answer
+	// can be carried out, which is seconds later: it is refused then.
+	leadMost = 10
 	// rankBits is the part of an epoch that names the planner's rank, so that two
 	// planners never make the same epoch.
 	rankBits = 12
