Make a map void after an order for it got no answer

Change: the rank copies what it has under the next number before it lets go, after which the engine refuses the aborted map; a step for which an order to let go got no answer is not held again; a late hold behind an agreed switch is dropped (the simulation found that a group stood still there).

--- a/daemon/rank/orders.go
+++ b/daemon/rank/orders.go
@@ -5,6 +5,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/version/expertmap"
+	"verbenaseam.example/verbenaseam/version/rebalance"
 )
 
 // orders gives orders to the engine on this host.
@@ -34,3 +35,25 @@
 func (o orders) Go(given, incarnation, step uint64) (bool, error) {
 	return o.target.Go(context.Background(), platform.Order{Orders: given, Incarnation: incarnation}, step)
 }
+
+// Copy implements expertmap.Orders.
+func (o orders) Copy(given, incarnation, version uint64) (bool, error) {
+	ctx := context.Background()
+	report, err := o.target.Report(ctx)
+	if err != nil {
+		return false, err
+	}
+	counts, err := o.target.Counts(ctx)
+	if err != nil {
+		return false, err
+	}
+	_, held, err := o.target.Held(ctx)
+	if err != nil {
+		return false, err
+	}
+	experts, err := rebalance.AroundRank(held, report.Rank, report.Size, len(counts.Experts))
+	if err != nil {
+		return false, err
+	}
+	return o.target.Prepare(ctx, platform.Order{Orders: given, Incarnation: incarnation}, version, experts)
+}
--- /dev/null
+++ b/daemon/rank/orders_test.go
@@ -0,0 +1,56 @@
+package rank
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/platform/standin"
+	"verbenaseam.example/verbenaseam/version/expertmap"
+)
+
+// TestAnOrderThatComesAfterItsProposalWasAbortedDoesNothing replays a day on which
+// a step ran on two maps: an order to set the switch got no answer, the proposal
+// was aborted, and the order was carried out after the group had been let go.
+func TestAnOrderThatComesAfterItsProposalWasAbortedDoesNothing(t *testing.T) {
+	const late = 300 * time.Millisecond
+	targets := []*standin.Target{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}}
+	server := httptest.NewServer(targets[0])
+	t.Cleanup(server.Close)
+	group := standin.NewGroup(2, 4, targets...)
+	group.SetCounting(false)
+	target := platform.NewRank(strings.TrimPrefix(server.URL, "http://"))
+
+	to := expertmap.MapID{Epoch: 1, Version: expertmap.NextVersion(0)}
+	ok, err := target.Prepare(t.Context(), platform.Order{Incarnation: 1}, to.Number(), [][][]int{{{0, 2, 1}, {1, 3}}, {{0, 2}, {1, 3}}})
+	require.NoError(t, err)
+	require.True(t, ok)
+	engine := expertmap.NewOrderEngine(orders{target})
+	_, err = engine.Refresh()
+	require.NoError(t, err)
+	proposal := expertmap.Proposal{ID: expertmap.ProposalOf(to, 5), Group: 1, To: to, Step: 5}
+
+	targets[0].SetRankFaults(standin.RankFaults{LostOrders: 1, LostOp: "arm", LateOrders: true, LateBy: late})
+	_, err = engine.Hold(proposal)
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return engine.Release(proposal.ID) == nil }, late/2, time.Millisecond)
+	report, err := engine.Refresh()
+	require.NoError(t, err)
+	require.False(t, report.Holding, "the group goes on")
+	require.Equal(t, to.Void().Number(), report.Prepared)
+
+	require.Never(t, func() bool {
+		report, err := engine.Refresh()
+		return err != nil || report.ArmedVersion != 0
+	}, 2*late, 10*time.Millisecond, "the late order must not set the switch")
+	for range 6 {
+		group.Step(nil)
+	}
+	_, running, mixed := group.State()
+	require.Zero(t, running)
+	require.Zero(t, mixed)
+}
--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -90,7 +90,7 @@
 	if a.stray.IsZero() {
 		a.stray = now
 	}
-	if err := a.engine.Stray(now, a.stray); err != nil {
+	if err := a.engine.Stray(now, a.stray, a.driver.Agent().Current()); err != nil {
 		a.log.WithError(err).Debug("stray hold not dropped")
 	}
 }
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -122,7 +122,7 @@
 	} else if a.directive != nil {
 		wanted, _ = a.assembly.Map(a.directive.Prepare)
 	}
-	if wanted == nil || a.engine.Last().Prepared == wanted.ID.Number() || a.engine.Last().Running >= wanted.ID.Number() {
+	if wanted == nil || a.engine.Last().Prepared >= wanted.ID.Number() || a.engine.Last().Running >= wanted.ID.Number() {
 		return nil
 	}
 	return wanted
--- a/version/expertmap/number.go
+++ b/version/expertmap/number.go
@@ -28,3 +28,16 @@
 func (p ProposalID) Target() (to MapID, step uint64) {
 	return MapID{Epoch: p.Epoch, Version: p.Sequence >> stepBits}, p.Sequence & (1<<stepBits - 1)
 }
+
+// versionStride is the distance between the versions that planners give: the one
+// between belongs to the map that makes the earlier one void.
+const versionStride = 2
+
+// NextVersion returns the version of the map after one of the given version.
+func NextVersion(version uint64) uint64 { return version - version%versionStride + versionStride }
+
+// Void returns the map whose copying makes this one impossible to arm.
+func (m MapID) Void() MapID { return MapID{Epoch: m.Epoch, Version: m.Version + 1} }
+
+// IsVoid tells whether the map only makes another one impossible to arm.
+func (m MapID) IsVoid() bool { return m.Version%versionStride != 0 }
--- a/version/expertmap/orders.go
+++ b/version/expertmap/orders.go
@@ -13,9 +13,11 @@
 // never let go, since it would begin the step on the old map.
 var ErrNotArmed = errors.New("the engine holds for a switch that is not set")
 
-// Orders is an engine that takes numbered orders. An order may be lost, or be
-// carried out seconds after it was given. An engine that counts its orders refuses
-// one that names another number than it has counted; not all do.
+// Orders is an engine that takes orders. An order may be lost, or be carried out
+// seconds after it was given. An engine that counts its orders refuses one that
+// names another number than it has counted; not all do. All refuse to copy a map
+// whose number is not above those of all maps they were told to copy, and to arm
+// any but the last of these.
 type Orders interface {
 	Report() (RankReport, error)
 	// Arm sets the switch to a prepared map, Disarm takes it back, Hold keeps the
@@ -25,12 +27,15 @@
 	Disarm(orders, incarnation, version uint64) (bool, error)
 	Hold(orders, incarnation, step uint64) (bool, error)
 	Go(orders, incarnation, step uint64) (bool, error)
+	// Copy has the rank copy, under this number, the experts that it has already.
+	Copy(orders, incarnation, version uint64) (bool, error)
 }
 
 // OrderEngine makes an Engine of one that takes orders. A promise is a hold
 // together with the switch that is set behind it, so that the engine keeps the
 // promise whole: the hold comes first, and to take a promise back the switch goes
-// first. It is not safe for concurrent use.
+// first. An order that got no answer may still be carried out, and is made void
+// before the group may go on without it. It is not safe for concurrent use.
 type OrderEngine struct {
 	orders Orders
 	// last is the latest report, with the orders given since counted in.
@@ -38,6 +43,12 @@
 	// tries counts the attempts to hold for the proposal trying.
 	trying ProposalID
 	tries  int
+	// doubtful is the newest map for which an order to set the switch, or to take
+	// it back, may still be carried out; 0 for none.
+	doubtful uint64
+	// openGo is the highest step for which an order to let the group go may still
+	// be carried out.
+	openGo uint64
 }
 
 const (
@@ -46,6 +57,8 @@
 	// fenceAhead is how far ahead the step lies that is held and let go only to
 	// make orders of an earlier agent void.
 	fenceAhead = 1 << 24
+	// mostAhead is how many steps ahead a switch may lie.
+	mostAhead = 16
 )
 
 // NewOrderEngine returns an OrderEngine.
@@ -57,10 +70,15 @@
 // Refresh reads the engine's report.
 func (e *OrderEngine) Refresh() (RankReport, error) {
 	report, err := e.orders.Report()
-	if err == nil {
-		e.last = report
+	if err != nil {
+		return e.last, err
+	}
+	if report.Incarnation != e.last.Incarnation {
+		// Orders name the incarnation, so those of an earlier one are void.
+		e.doubtful, e.openGo = 0, 0
 	}
-	return e.last, err
+	e.last = report
+	return report, nil
 }
 
 // Attach implements Engine. Orders of an earlier agent that are still on their
@@ -70,6 +88,12 @@
 	if err != nil {
 		return Facts{}, err
 	}
+	e.doubtful, e.openGo = report.Prepared, report.Step+mostAhead
+	if report.ArmedVersion == 0 {
+		if err := e.void(report.Prepared); err != nil {
+			return Facts{}, err
+		}
+	}
 	if report.Holding && report.ArmedVersion == 0 {
 		if err := e.letGo(report.Held); err != nil {
 			return Facts{}, err
@@ -86,6 +110,23 @@
 	return e.Facts(), nil
 }
 
+// void makes it impossible to set the switch to a map for which an order may
+// still be carried out: the rank copies what it has already under the next number,
+// after which the engine refuses the map.
+func (e *OrderEngine) void(version uint64) error {
+	r := e.last
+	if version == 0 || e.doubtful != version || MapOf(version).IsVoid() {
+		return nil
+	}
+	if r.Prepared != version || r.Running == version {
+		e.doubtful = 0
+		return nil
+	}
+	_, err := e.orders.Copy(r.Orders, r.Incarnation, MapOf(version).Void().Number())
+	// The next report tells whether the engine has taken the order.
+	return errors.Join(ErrOrderOpen, err)
+}
+
 // fence makes the engine take an order, so that those that were given before and
 // not taken yet are refused.
 func (e *OrderEngine) fence() error {
@@ -95,7 +136,7 @@
 		return errors.Join(ErrOrderOpen, err)
 	}
 	e.last.Orders++
-	return e.letGo(step)
+	return e.goInto(step)
 }
 
 // Facts returns what the latest report says.
@@ -132,9 +173,6 @@
 		return true, nil
 	}
 	if !e.mayHold(proposal) || e.tries > mostTries {
-		if !holds {
-			return false, nil
-		}
 		return false, e.Release(proposal.ID)
 	}
 	if r.Holding && !holds {
@@ -148,6 +186,9 @@
 	}
 	// An engine that counts the hold refuses this order, and the call is repeated.
 	ok, err := e.orders.Arm(r.Orders, r.Incarnation, proposal.To.Number(), proposal.Step)
+	if err != nil {
+		e.doubtful = max(e.doubtful, proposal.To.Number())
+	}
 	if err != nil || !ok {
 		return false, errors.Join(ErrOrderOpen, err)
 	}
@@ -157,7 +198,10 @@
 // mayHold tells whether the engine can promise the proposal.
 func (e *OrderEngine) mayHold(proposal Proposal) bool {
 	r := e.last
-	if r.Incarnation != proposal.Group || r.Step >= proposal.Step {
+	if r.Incarnation != proposal.Group || proposal.Step <= r.Step || proposal.Step > r.Step+mostAhead {
+		return false
+	}
+	if proposal.Step <= e.openGo {
 		return false
 	}
 	if r.ArmedVersion != 0 && (r.ArmedVersion != proposal.To.Number() || r.ArmedStep != proposal.Step) {
@@ -175,13 +219,22 @@
 	}
 	if r.ArmedVersion == to.Number() && r.ArmedStep == step {
 		ok, err := e.orders.Disarm(r.Orders, r.Incarnation, r.ArmedVersion)
+		if err != nil {
+			e.doubtful = max(e.doubtful, r.ArmedVersion)
+		}
 		if err != nil || !ok {
 			return errors.Join(ErrOrderOpen, err)
 		}
 		e.last.Orders++
 		e.last.ArmedVersion, e.last.ArmedStep = 0, 0
 	}
-	if !r.Holding || r.Held != step || e.last.ArmedVersion != 0 {
+	if e.last.ArmedVersion != 0 {
+		return nil
+	}
+	if err := e.void(to.Number()); err != nil {
+		return err
+	}
+	if !r.Holding || r.Held != step {
 		return nil
 	}
 	return e.letGo(step)
@@ -202,7 +255,17 @@
 	return e.letGo(proposal.Step)
 }
 
+// letGo lets the group into a step, which is not held for again if the order may
+// still be carried out later.
 func (e *OrderEngine) letGo(step uint64) error {
+	err := e.goInto(step)
+	if err != nil {
+		e.openGo = max(e.openGo, step)
+	}
+	return err
+}
+
+func (e *OrderEngine) goInto(step uint64) error {
 	ok, err := e.orders.Go(e.last.Orders, e.last.Incarnation, step)
 	if err != nil || !ok {
 		return errors.Join(ErrOrderOpen, err)
@@ -216,10 +279,14 @@
 // was given up on may be carried out seconds later.
 const straySpan = 200 * time.Millisecond
 
-// Stray drops a hold that belongs to no proposal; since is when it was first
-// seen, the zero time if it was not there before.
-func (e *OrderEngine) Stray(now, since time.Time) error {
-	if !e.last.Holding || e.last.ArmedVersion != 0 || since.IsZero() || now.Sub(since) < straySpan {
+// Stray drops a hold that belongs to no undecided proposal; since is when it was
+// first seen, the zero time if it was not there before. current is the map in use
+// or agreed to be used next.
+func (e *OrderEngine) Stray(now, since time.Time, current MapID) error {
+	if !e.last.Holding || since.IsZero() || now.Sub(since) < straySpan {
+		return nil
+	}
+	if armed := e.last.ArmedVersion; armed != 0 && MapOf(armed) != current {
 		return nil
 	}
 	return e.letGo(e.last.Held)
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -282,7 +282,7 @@
 		p.epoch = (highest.Epoch>>rankBits+1)<<rankBits | uint64(p.rank)
 		p.version = 0
 	}
-	p.version++
+	p.version = expertmap.NextVersion(p.version)
 	return expertmap.MapID{Epoch: p.epoch, Version: p.version}
 }
 
@@ -319,7 +319,8 @@
 		took := p.enter(proposed, now)
 		return &Decision{What: Propose, Map: p.next.ID, Plan: p.plan, Took: took}, p.proposal(step)
 	}
-	refused := !p.all(func(s Status) bool { return s.Refused != number })
+	// A rank that was told to copy a later map refuses this one.
+	refused := !p.all(func(s Status) bool { return s.Refused != number && s.Prepared <= number })
 	if refused || now.Sub(p.since) > prepareLimit {
 		failed := p.next.ID
 		p.next = nil
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -126,6 +126,20 @@
 	require.Nil(t, b.planner.Ended(expertmap.Ended{ID: expertmap.ProposalID{Epoch: 99}, Decision: expertmap.Commit}, b.now), "another's")
 }
 
+func TestAMapThatARankMadeVoidIsGivenUpAtOnce(t *testing.T) {
+	b := newBed(t)
+	decision, _ := b.until(Prepare)
+	failed := decision.Map
+	b.prepared(failed.Number())
+	_, first := b.until(Propose)
+	b.status[2].Prepared = failed.Void().Number()
+	require.NotNil(t, b.planner.Ended(expertmap.Ended{ID: first.ID, Decision: expertmap.Abort}, b.now))
+	b.until(GivenUp)
+	decision, _ = b.until(Prepare)
+	require.Greater(t, decision.Map.Number(), failed.Void().Number(), "all ranks can copy the next map")
+	require.False(t, decision.Map.IsVoid())
+}
+
 func TestASwitchIsProposedForAfterTheVote(t *testing.T) {
 	p := Planner{lead: 2}
 	require.Equal(t, uint64(2), p.steps())
