One client for the platform: entries and agents use the users' store

Cause: the product carried its own idea of the platform (an OpenAPI document, 6,922 generated lines, a client, a stand-in over HTTP, an object store that nothing used) beside the adapter of the users' store.

Change: platform.Service implements what entries and agents use over platform.Store; platform/standin stands in for the store in their tests too. Settings name store_address instead of url and key.

Tests: the contract test of the stand-in and the client now lives in platform/ and holds both to the same; the cases of object calls and of a wrong key went with what they tested.

--- a/api/generate.go
+++ b/api/generate.go
@@ -4,5 +4,4 @@
 
 //go:generate go tool ogen --clean --package callerapi --target gen/callerapi caller.yaml
 //go:generate go tool ogen --clean --package operatorapi --target gen/operatorapi operator.yaml
-//go:generate go tool ogen --clean --package platformapi --target gen/platformapi platform.yaml
 //go:generate go tool ogen --clean --package engineapi --target gen/engineapi engine.yaml
--- a/daemon/agent/load.go
+++ b/daemon/agent/load.go
@@ -6,8 +6,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"verbenaseam.example/verbenaseam/daemon/command"
+	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
-	"verbenaseam.example/verbenaseam/process/platform"
 	"verbenaseam.example/verbenaseam/process/settings"
 )
 
@@ -19,13 +19,9 @@
 		return nil, err
 	}
 	return func() (command.Daemon, error) {
-		service, err := platform.NewClient(loaded.Platform.URL, loaded.Platform.Key)
-		if err != nil {
-			return nil, err
-		}
 		return New(Config{
 			Settings: loaded,
-			Platform: service,
+			Platform: platform.NewService(platform.NewStore(loaded.Platform.StoreAddress)),
 			Clock:    clockwork.NewRealClock(),
 			Logger:   logs.New(os.Stderr, loaded.Log),
 		})
--- a/daemon/dev/dev.go
+++ b/daemon/dev/dev.go
@@ -17,8 +17,9 @@
 	"verbenaseam.example/verbenaseam/daemon/node"
 	enginestandin "verbenaseam.example/verbenaseam/internal/standin/engine"
 	"verbenaseam.example/verbenaseam/internal/standin/plain"
-	platformstandin "verbenaseam.example/verbenaseam/internal/standin/platform"
-	"verbenaseam.example/verbenaseam/process/platform"
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/platform/standin"
+	service "verbenaseam.example/verbenaseam/process/platform"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/version/rollout"
 	"verbenaseam.example/verbenaseam/version/table"
@@ -68,7 +69,7 @@
 	// failures; Ledger counts the orders really run.
 	Engines  map[string]*enginestandin.Engine
 	Services map[string]*plain.Service
-	Platform *platformstandin.Server
+	Platform *standin.Store
 	Ledger   *plain.Ledger
 
 	config  Config
@@ -89,7 +90,6 @@
 const (
 	readyLimit    = 20 * time.Second
 	readyInterval = 20 * time.Millisecond
-	platformKey   = "dev-platform-key"
 	shutdownLimit = 30 * time.Second
 )
 
@@ -98,7 +98,7 @@
 	s := &System{
 		config: cfg, clock: clockwork.NewRealClock(), Ledger: plain.NewLedger(),
 		Engines: map[string]*enginestandin.Engine{}, Services: map[string]*plain.Service{},
-		Platform: platformstandin.New(platformstandin.Config{Key: platformKey, ListLag: time.Second}),
+		Platform: standin.NewStore(),
 	}
 	plans := planTargets(cfg.PortBase)
 	if err := s.start(ctx, plans); err != nil {
@@ -109,10 +109,12 @@
 }
 
 func (s *System) start(ctx context.Context, plans []targetPlan) error {
-	if err := s.serve(address(s.config.PortBase, portPlatform), s.Platform.Handler()); err != nil {
+	if err := s.serve(address(s.config.PortBase, portPlatform), s.Platform); err != nil {
+		return err
+	}
+	if err := listHosts(s.Platform, s.hosts(plans)); err != nil {
 		return err
 	}
-	s.Platform.SetHosts(s.hosts(plans)...)
 	if err := s.proposeTables(ctx, plans); err != nil {
 		return err
 	}
@@ -131,16 +133,16 @@
 	return s.awaitReady(ctx)
 }
 
-func (s *System) hosts(plans []targetPlan) []platform.Host {
-	hosts := []platform.Host{}
+func (s *System) hosts(plans []targetPlan) []service.Host {
+	hosts := []service.Host{}
 	for i := range entryCount {
-		hosts = append(hosts, platform.Host{
+		hosts = append(hosts, service.Host{
 			Name: entryName(i), Role: link.RoleEntry,
 			Address: address(s.config.PortBase, portLink+i), FailureDomain: entryDomain(i),
 		})
 	}
 	for _, plan := range plans {
-		hosts = append(hosts, platform.Host{
+		hosts = append(hosts, service.Host{
 			Name: plan.name, Role: "target", Address: plan.agent, FailureDomain: plan.domain,
 		})
 	}
@@ -148,7 +150,7 @@
 }
 
 func (s *System) proposeTables(ctx context.Context, plans []targetPlan) error {
-	log := rollout.NewLog(s.Platform, s.clock)
+	log := rollout.NewLog(s.Service(), s.clock)
 	_, err := log.Propose(ctx, rollout.Change{
 		ID: uuid.NewString(), Operator: "dev", Base: 0, Next: planTable(plans),
 	})
@@ -159,17 +161,13 @@
 	if err := s.serve(plan.engine, s.backEnd(plan)); err != nil {
 		return err
 	}
-	service, err := s.platformClient()
-	if err != nil {
-		return err
-	}
 	started, err := agent.New(agent.Config{
 		Settings: settings.Agent{
 			Name: plan.name, FailureDomain: plan.domain, LinkAddress: plan.agent,
 			StatusAddress: plan.status, EngineURL: "http://" + plan.engine, EngineKind: string(plan.kind),
 			ProbeInterval: settings.DefaultProbeInterval, Shutdown: s.shutdown(), TLS: s.config.TLS,
 		},
-		Platform: service, Clock: s.clock, Logger: s.config.Logger,
+		Platform: s.Service(), Clock: s.clock, Logger: s.config.Logger,
 	})
 	if err != nil {
 		return err
@@ -190,8 +188,9 @@
 	return s.Engines[plan.name].Handler()
 }
 
-func (s *System) platformClient() (platform.Service, error) {
-	return platform.NewClient("http://"+address(s.config.PortBase, portPlatform), platformKey)
+// Service returns a client of the platform.
+func (s *System) Service() service.Service {
+	return platform.NewService(platform.NewStore(address(s.config.PortBase, portPlatform)))
 }
 
 func (s *System) shutdown() settings.Shutdown {
@@ -203,10 +202,6 @@
 func entryDomain(i int) string { return failureDomains[i%len(failureDomains)] }
 
 func (s *System) startEntry(i int, operatorKey string) error {
-	service, err := s.platformClient()
-	if err != nil {
-		return err
-	}
 	base := s.config.PortBase
 	started, err := entry.New(entry.Config{
 		Settings: settings.Entry{
@@ -216,7 +211,7 @@
 			OperatorKeyHashes: []string{hashOf(operatorKey)},
 			Limits:            settings.DefaultLimits(), Shutdown: s.shutdown(), TLS: s.config.TLS,
 		},
-		Platform: service, Clock: s.clock, Logger: s.config.Logger,
+		Platform: s.Service(), Clock: s.clock, Logger: s.config.Logger,
 	})
 	if err != nil {
 		return err
--- a/daemon/entry/orders.go
+++ b/daemon/entry/orders.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/api/gen/operatorapi"
+	"verbenaseam.example/verbenaseam/process/platform"
 	"verbenaseam.example/verbenaseam/request/gateway"
 	"verbenaseam.example/verbenaseam/request/order"
 )
@@ -31,7 +32,7 @@
 	// rest of the platform's rate is for operators and leases.
 	platformWritesPerSecond = 320
 	sweepInterval           = time.Minute
-	sweepPage               = 256
+	sweepPage               = platform.MostEntries / 2
 )
 
 // sweepOften deletes expired order records, while this is the first of the live
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -34,7 +34,7 @@
 
 // Reader reads tables; platform.Store is one.
 type Reader interface {
-	Read(ctx context.Context, table, part string) ([]platform.Row, uint64, error)
+	Read(ctx context.Context, table string) ([]platform.Row, uint64, error)
 	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Row, uint64, error)
 }
 
@@ -81,7 +81,7 @@
 		limit := min(readFirst<<min(f.failures/2, 8), readMost)
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		rows, version, err := f.reader.Read(ctx, f.table, "")
+		rows, version, err := f.reader.Read(ctx, f.table)
 		if err != nil {
 			return err
 		}
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -80,7 +80,7 @@
 
 func (a *Agent) read(ctx context.Context) (storeFacts, error) {
 	var found storeFacts
-	rows, _, err := a.store.Read(ctx, platform.TableOperator, "")
+	rows, _, err := a.store.Read(ctx, platform.TableOperator)
 	if err != nil {
 		return found, err
 	}
@@ -97,7 +97,7 @@
 		}
 		found.gap = version.LeastGap(a.settings.Service)
 	}
-	rows, _, err = a.store.Read(ctx, platform.TableTargets, "")
+	rows, _, err = a.store.Read(ctx, platform.TableTargets)
 	if err != nil {
 		return found, err
 	}
--- a/process/platform/errors.go
+++ b/process/platform/errors.go
@@ -1,5 +1,7 @@
 package platform
 
+import "fmt"
+
 // UnavailableError means the platform did not take the call: it had no effect.
 type UnavailableError struct {
 	// Cause is the underlying error.
@@ -41,28 +43,11 @@
 // Error implements error.
 func (e *RateLimitedError) Error() string { return "platform rate limit reached" }
 
-// NotFoundError means the object does not exist.
-type NotFoundError struct {
-	// Name is the object's name.
-	Name string
-}
-
-// Error implements error.
-func (e *NotFoundError) Error() string { return "object not found: " + e.Name }
-
-// UnauthorizedError means the platform refused the bearer key; it is the Cause
-// of an UnavailableError.
-type UnauthorizedError struct{}
+// TooLargeError means that a transaction has more than MostEntries entries; it is
+// the Cause of an UnavailableError.
+type TooLargeError struct{ Entries int }
 
 // Error implements error.
-func (e *UnauthorizedError) Error() string { return "platform refused the key" }
-
-// RequestError means the platform found the call malformed; it is the Cause of
-// an UnavailableError.
-type RequestError struct {
-	// Message is what the platform said.
-	Message string
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("the transaction has %d entries, at most %d are taken", e.Entries, MostEntries)
 }
-
-// Error implements error.
-func (e *RequestError) Error() string { return "platform refused the call: " + e.Message }
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -1,5 +1,6 @@
-// Package platform is what verbenaseam uses of the platform's service: a
-// transactional table, an object store and a lagging list of live hosts.
+// Package platform is what entries and agents use of a platform: a transactional
+// table and a list of hosts. The adapter in the folder platform/ at the root
+// implements it over the platform's store.
 package platform
 
 import "context"
@@ -26,6 +27,9 @@
 	Value []byte
 }
 
+// MostEntries bounds the conditions, puts and deletes of a Txn together.
+const MostEntries = 100
+
 // Txn writes all its rows if all its conditions hold, else none.
 type Txn struct {
 	Conditions []Condition
@@ -56,13 +60,6 @@
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
 }
 
-// Objects is the platform's object store.
-type Objects interface {
-	PutObject(ctx context.Context, name string, content []byte) error
-	GetObject(ctx context.Context, name string) ([]byte, error)
-	DeleteObject(ctx context.Context, name string) error
-}
-
 // Host is one line of the live list.
 type Host struct {
 	// Name is unique among the live hosts.
@@ -85,6 +82,5 @@
 // Service is everything the platform gives.
 type Service interface {
 	Table
-	Objects
 	LiveList
 }
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -4,12 +4,10 @@
 	"time"
 )
 
-// Platform says where the platform's service is.
+// Platform says where the platform is.
 type Platform struct {
-	// URL is the service's base URL.
-	URL string
-	// Key authenticates this process to it.
-	Key string
+	// StoreAddress is the IP:port of its store.
+	StoreAddress string
 }
 
 // TLS names the files for mutual TLS between processes; all empty means plain
@@ -166,8 +164,7 @@
 }
 
 func readPlatform(r *reader, into *Platform) {
-	r.url("platform", "url", &into.URL, required)
-	r.text("platform", "key", &into.Key, required, "the key of this process at the platform")
+	r.address("platform", "store_address", &into.StoreAddress, required)
 }
 
 func readTLS(r *reader, into *TLS) {
--- a/request/order/recorder.go
+++ b/request/order/recorder.go
@@ -15,8 +15,9 @@
 	// DefaultCommitsPerSecond is an entry's share of the platform's writes with
 	// four entries.
 	DefaultCommitsPerSecond = 80
-	// DefaultMaxBatch is the number of orders in one transaction.
-	DefaultMaxBatch = 128
+	// DefaultMaxBatch is the number of orders in one transaction; each takes a
+	// condition and a write.
+	DefaultMaxBatch = platform.MostEntries / 2
 	// DefaultMaxQueue bounds the writes that wait.
 	DefaultMaxQueue = 4096
 	// DefaultQueuePatience bounds a write's wait for its transaction.
--- a/version/rollout/checkpoint.go
+++ b/version/rollout/checkpoint.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"verbenaseam.example/verbenaseam/process/platform"
 	"verbenaseam.example/verbenaseam/version/table"
@@ -89,21 +90,23 @@
 		if err != nil {
 			return err
 		}
-		var txn platform.Txn
+		var deletes []string
 		for _, row := range rows {
 			if row.Key >= limit {
 				break
 			}
-			txn.Deletes = append(txn.Deletes, row.Key)
+			deletes = append(deletes, row.Key)
 			if also != nil {
-				txn.Deletes = append(txn.Deletes, also(row)...)
+				deletes = append(deletes, also(row)...)
 			}
 		}
-		if len(txn.Deletes) == 0 {
+		if len(deletes) == 0 {
 			return nil
 		}
-		if _, err = l.rows.Commit(ctx, txn); err != nil {
-			return err
+		for some := range slices.Chunk(deletes, platform.MostEntries) {
+			if _, err = l.rows.Commit(ctx, platform.Txn{Deletes: some}); err != nil {
+				return err
+			}
 		}
 	}
 }
