--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -75,6 +75,8 @@
 
 	engine *expertmap.OrderEngine
 	driver *expertmap.Driver
+	// place is the one for which the driver was formed.
+	place place
 	// reported is when the engine's report was read, failing that it could not be.
 	reported time.Time
 	failing  bool
--- a/daemon/rank/orders_test.go
+++ b/daemon/rank/orders_test.go
@@ -6,10 +6,13 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/platform/standin"
+	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/version/expertmap"
 )
 
@@ -54,3 +57,26 @@
 	require.Zero(t, running)
 	require.Zero(t, mixed)
 }
+
+// TestANewIncarnationIsSeenWhoeverReadTheReport replays a day on which a call of a
+// proposal under way read the report of a group that had formed anew: the agent
+// stayed in the old incarnation, and no map changed for the rest of the day.
+func TestANewIncarnationIsSeenWhoeverReadTheReport(t *testing.T) {
+	target := &standin.Target{ID: "a", Service: "s"}
+	server := httptest.NewServer(target)
+	t.Cleanup(server.Close)
+	group := standin.NewGroup(1, 4, target, &standin.Target{ID: "b", Service: "s"})
+	agent := New(Config{
+		Settings: settings.Rank{Name: "a", TargetAddress: strings.TrimPrefix(server.URL, "http://"), Service: "s"},
+		Clock:    clockwork.NewRealClock(), Logger: logs.Discard(),
+	})
+	agent.refresh(time.Now())
+	incarnation, _, _ := agent.driver.Agent().Group()
+	require.Equal(t, uint64(1), incarnation)
+	group.Reform()
+	_, err := agent.engine.Refresh()
+	require.NoError(t, err)
+	agent.refresh(time.Now())
+	incarnation, _, _ = agent.driver.Agent().Group()
+	require.Equal(t, uint64(2), incarnation)
+}
--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -14,7 +14,6 @@
 // incarnation.
 func (a *Agent) refresh(now time.Time) {
 	a.reported = now
-	before := a.engine.Last()
 	var report expertmap.RankReport
 	var err error
 	if a.driver == nil {
@@ -35,7 +34,7 @@
 		a.log.Info("target regained")
 	}
 	a.notePace(report.Pace)
-	if a.driver != nil && before.Size > 0 && (report.Incarnation != before.Incarnation || report.Rank != before.Rank || !report.Born.Equal(before.Born)) {
+	if a.driver != nil && a.place != placeOf(report) {
 		a.formed(report, now)
 	}
 }
@@ -69,8 +68,22 @@
 	return nil
 }
 
+// place is which rank of which incarnation of a group an engine is; an engine that
+// has started anew has another one. Any call may read the report that brings it, so
+// that it is not told from the report before.
+type place struct {
+	incarnation uint64
+	rank        int
+	born        int64
+}
+
+func placeOf(report expertmap.RankReport) place {
+	return place{report.Incarnation, report.Rank, report.Born.UnixMilli()}
+}
+
 // formed starts anew with another incarnation of the group.
 func (a *Agent) formed(report expertmap.RankReport, now time.Time) {
+	a.place = placeOf(report)
 	a.driver.Formed(now, a.engine.Facts())
 	a.planner, a.directive, a.since = nil, nil, now
 	a.counts, a.counted = platform.Counts{}, time.Time{}
