Let one engine hold the group for a switch, by order of another host

Seen by giving each kind of order in turn: only the hold draws the freeze. Recovering the silent rank from afar was tried and reverted: the frozen host answers nobody.

Change: the planner's host has another rank's engine, the keeper, hold the group; the keeper's agent runs the vote, asks the planner's rank only once that has shown that it lives, and after an abort lets go when all who were asked have confirmed that they will not switch. The others promise without a hold. An agent no longer drops a hold as stray while an end is unapplied (found by the simulation), a map is never proposed twice for the same step, and proposals wait 100 ms after an abort.

--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -98,7 +98,10 @@
 	// gap is the longest pause that a stream of the service may have.
 	gap       time.Duration
 	addresses []netip.AddrPort
-	asked     time.Time
+	// targets are the targets' addresses by host, remotes their clients by address.
+	targets map[netip.Addr]string
+	remotes map[string]*platform.Rank
+	asked   time.Time
 
 	// host is this agent's, port the one that all agents use.
 	host netip.Addr
@@ -134,7 +137,7 @@
 		registry: registry, metrics: placement.NewMetrics(registry),
 		settings: cfg.Settings, file: cfg.File, store: cfg.Store, clock: cfg.Clock, log: logs.Part(cfg.Logger, "rank"),
 		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxSize),
-		facts: make(chan storeFacts, 1), engine: expertmap.NewOrderEngine(orders{target}), since: now,
+		facts: make(chan storeFacts, 1), remotes: map[string]*platform.Rank{}, engine: expertmap.NewOrderEngine(orders{target}), since: now,
 	}
 }
 
--- a/daemon/rank/orders_test.go
+++ b/daemon/rank/orders_test.go
@@ -35,7 +35,10 @@
 	engine := expertmap.NewOrderEngine(orders{target})
 	_, err = engine.Refresh()
 	require.NoError(t, err)
-	proposal := expertmap.Proposal{ID: expertmap.ProposalOf(to, 5), Group: 1, To: to, Step: 5}
+	proposal := expertmap.Proposal{ID: expertmap.ProposalOf(to, 5), Group: 1, To: to, Step: 5, Kept: true}
+	kept, err := expertmap.Keep(orders{target}, proposal)
+	require.NoError(t, err)
+	require.True(t, kept)
 
 	targets[0].SetRankFaults(standin.RankFaults{LostOrders: 1, LostOp: "arm", LateOrders: true, LateBy: late})
 	_, err = engine.Hold(proposal)
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -9,6 +9,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/version/config"
+	"verbenaseam.example/verbenaseam/version/expertmap"
 	"verbenaseam.example/verbenaseam/version/placement"
 	"verbenaseam.example/verbenaseam/version/rebalance"
 )
@@ -29,6 +30,8 @@
 	// addresses are those at which the agents of the service's hosts take
 	// datagrams.
 	addresses []netip.AddrPort
+	// targets are the targets' addresses by host.
+	targets map[netip.Addr]string
 }
 
 // role takes planning over when no lower rank plans.
@@ -79,7 +82,7 @@
 }
 
 func (a *Agent) read(ctx context.Context) (storeFacts, error) {
-	var found storeFacts
+	found := storeFacts{targets: map[netip.Addr]string{}}
 	rows, _, err := a.store.Read(ctx, platform.TableOperator)
 	if err != nil {
 		return found, err
@@ -108,6 +111,7 @@
 		}
 		if address, ok := a.peerOf(registration.Address); ok {
 			found.addresses = append(found.addresses, address)
+			found.targets[address.Addr()] = registration.Address
 		}
 	}
 	return found, nil
@@ -128,7 +132,7 @@
 		a.experts, a.gap = found.experts, found.gap
 	}
 	if len(found.addresses) > 0 {
-		a.addresses = found.addresses
+		a.addresses, a.targets = found.addresses, found.targets
 	}
 }
 
@@ -144,7 +148,7 @@
 	decision, proposal := a.planner.Step(a.engine.Last().Step, now)
 	a.note(decision)
 	if proposal != nil {
-		a.driver.Propose(now, *proposal)
+		a.propose(*proposal, now)
 	}
 	first := decision != nil && decision.What == rebalance.Prepare
 	if first || now.Sub(a.directed) >= a.directiveInterval() {
@@ -154,6 +158,46 @@
 	a.sendOutbox()
 }
 
+// propose has the group held and puts a proposal to the vote.
+func (a *Agent) propose(proposal expertmap.Proposal, now time.Time) {
+	proposal.Kept, proposal.Proposer = true, a.engine.Last().Rank
+	kept, err := a.keep(&proposal)
+	if err != nil {
+		a.log.WithError(err).Debug("the group is not held")
+	}
+	if err != nil || !kept {
+		a.note(a.planner.Ended(expertmap.Ended{ID: proposal.ID, Decision: expertmap.Abort}, now))
+		return
+	}
+	a.driver.Propose(now, proposal)
+}
+
+// keep has another rank's engine hold the group for the proposal, and names that
+// rank in it.
+func (a *Agent) keep(proposal *expertmap.Proposal) (bool, error) {
+	report := a.engine.Last()
+	directive := a.planner.Directive()
+	for next := 1; next < report.Size; next++ {
+		rank := (report.Rank + next) % report.Size
+		host, known := directive.Host(rank)
+		address := a.targets[host]
+		if !known || host == a.host || address == "" {
+			continue
+		}
+		proposal.Keeper = rank
+		return expertmap.Keep(orders{a.remote(address)}, *proposal)
+	}
+	return false, nil
+}
+
+// remote returns the client of another host's target.
+func (a *Agent) remote(address string) *platform.Rank {
+	if a.remotes[address] == nil {
+		a.remotes[address] = platform.NewRank(address)
+	}
+	return a.remotes[address]
+}
+
 // directiveInterval leaves ranks time to copy a map before it is sent to them
 // whole.
 func (a *Agent) directiveInterval() time.Duration {
--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -96,7 +96,7 @@
 
 // dropStray lets a group go that is held for no proposal.
 func (a *Agent) dropStray(now time.Time) {
-	if !a.engine.Last().Holding || a.driver.Agent().Undecided() != nil {
+	if !a.engine.Last().Holding || !a.driver.Agent().Idle() {
 		a.stray = time.Time{}
 		return
 	}
--- a/version/expertmap/agent.go
+++ b/version/expertmap/agent.go
@@ -12,6 +12,8 @@
 	promised
 	committed
 	aborted
+	// waiting means that this agent has proposed, and the keeper has not asked it.
+	waiting
 )
 
 // record is what an agent knows of one proposal.
@@ -27,6 +29,14 @@
 	leads bool
 	// pollAt is when this agent polls the others (again).
 	pollAt time.Time
+	// withdrawAt is when the proposer gives up waiting for the keeper, or the keeper
+	// for the proposer.
+	withdrawAt time.Time
+	// ready tells the keeper that the proposer may be asked.
+	ready bool
+	// released holds, by rank, who is sure never to switch; it is nil but at the
+	// keeper of an aborted proposal.
+	released []bool
 	// applied tells that the engine has taken the end.
 	applied bool
 }
@@ -161,7 +171,7 @@
 	if !a.concerns(proposal.Group) || a.find(proposal.ID) != nil || a.recall != nil {
 		return out
 	}
-	found := a.consider(now, proposal, &out)
+	found := a.consider(now, proposal, true, &out)
 	if found == nil && !a.brought(proposal) {
 		out.Ended = append(out.Ended, Ended{ID: proposal.ID, Decision: Abort})
 	}
@@ -170,6 +180,7 @@
 	}
 	found.leads = true
 	found.pollAt = now.Add(a.config.Patience)
+	found.withdrawAt = now.Add(keeperPatience * a.config.Patience)
 	a.poll(found, &out)
 	return out
 }
@@ -191,6 +202,12 @@
 		a.receiveRecall(message, &out)
 	case KindRecalled:
 		a.receiveRecalled(now, message, &out)
+	case KindReady:
+		a.receiveReady(message, &out)
+	case KindDismiss:
+		a.receiveDismiss(message, &out)
+	case KindReleased:
+		a.receiveReleased(message, &out)
 	}
 	return out
 }
@@ -227,8 +244,14 @@
 	a.repeatRecall(now, &out)
 	for _, known := range a.records {
 		switch {
+		case known.state == waiting:
+			a.awaitKeeper(now, known, &out)
+		case known.released != nil && !known.applied:
+			a.gather(now, known, &out)
 		case known.state == asking:
 			out.Actions = append(out.Actions, Action{Kind: ActionHold, Proposal: known.proposal})
+		case known.state == promised && a.keepsUnready(known) && !now.Before(known.withdrawAt):
+			a.abandon(known, &out)
 		case known.state == promised && !now.Before(known.pollAt) && a.broken != neverPolls:
 			known.leads = true
 			known.pollAt = now.Add(a.patience())
@@ -253,6 +276,9 @@
 	return nil
 }
 
+// Idle tells whether no proposal is undecided and the engine has taken all ends.
+func (a *Agent) Idle() bool { return a.Undecided() == nil && !a.unapplied() }
+
 // Recalling tells whether the agent still asks the others what it promised; its
 // engine gets no leave until all have answered or the group is formed anew.
 func (a *Agent) Recalling() bool { return a.recall != nil }
--- a/version/expertmap/codec.go
+++ b/version/expertmap/codec.go
@@ -39,7 +39,7 @@
 	switch m.Kind {
 	case KindPoll:
 		return m.Proposal != nil && m.Proposal.ID == m.ID
-	case KindPromise, KindRecall, KindRecalled:
+	case KindPromise, KindRecall, KindRecalled, KindReady, KindDismiss, KindReleased:
 		return true
 	case KindOutcome:
 		return m.Decision == Commit || m.Decision == Abort
--- a/version/expertmap/orders.go
+++ b/version/expertmap/orders.go
@@ -31,11 +31,12 @@
 	Copy(orders, incarnation, version uint64) (bool, error)
 }
 
-// OrderEngine makes an Engine of one that takes orders. A promise is a hold
-// together with the switch that is set behind it, so that the engine keeps the
-// promise whole: the hold comes first, and to take a promise back the switch goes
-// first. An order that got no answer may still be carried out, and is made void
-// before the group may go on without it. It is not safe for concurrent use.
+// OrderEngine makes an Engine of one that takes orders. The engine of one rank,
+// the keeper, holds the whole group for a proposal (see Keep); a promise is the
+// switch that is set meanwhile, so that the engines keep the promises. The keeper
+// lets the group go once the switch is agreed, or all others have taken theirs
+// back. An order that got no answer may still be carried out, and is made void
+// before. It is not safe for concurrent use.
 type OrderEngine struct {
 	orders Orders
 	// last is the latest report, with the orders given since counted in.
@@ -52,13 +53,15 @@
 }
 
 const (
-	// mostTries is how often a hold is tried before it is refused.
+	// mostTries is how often a switch is tried to be set before it is refused.
 	mostTries = 12
 	// fenceAhead is how far ahead the step lies that is held and let go only to
 	// make orders of an earlier agent void.
 	fenceAhead = 1 << 24
 	// mostAhead is how many steps ahead a switch may lie.
 	mostAhead = 16
+	// unknownRank stands for a keeper that an agent has not heard of.
+	unknownRank = -1
 )
 
 // NewOrderEngine returns an OrderEngine.
@@ -88,7 +91,10 @@
 	if err != nil {
 		return Facts{}, err
 	}
-	e.doubtful, e.openGo = report.Prepared, report.Step+mostAhead
+	if report.Prepared != 0 || report.Running != 0 {
+		// An earlier agent may have given orders that are still on their way.
+		e.doubtful, e.openGo = report.Prepared, report.Step+mostAhead
+	}
 	if report.ArmedVersion == 0 {
 		if err := e.void(report.Prepared); err != nil {
 			return Facts{}, err
@@ -150,14 +156,29 @@
 	}
 	to := MapOf(r.ArmedVersion)
 	set := &Proposal{ID: ProposalOf(to, r.ArmedStep), Group: r.Incarnation, From: facts.Running, To: to, Step: r.ArmedStep}
+	set.Kept, set.Keeper, set.Proposer = true, unknownRank, unknownRank
 	if r.Holding && r.Held == r.ArmedStep {
-		facts.Held = set
-	} else {
-		facts.Pending = set
+		set.Keeper = r.Rank
 	}
+	facts.Held = set
 	return facts
 }
 
+// Keep makes the engine of a proposal's keeper hold the group. Another host than
+// the keeper's gives the order, so that the loss of either leaves the other one to
+// let the group go. It returns false if the engine refuses; after an error it may
+// hold, and drops that as a stray hold.
+func Keep(keeper Orders, proposal Proposal) (bool, error) {
+	report, err := keeper.Report()
+	if err != nil {
+		return false, err
+	}
+	if report.Incarnation != proposal.Group || report.Rank != proposal.Keeper || report.Step >= proposal.Step || report.Holding {
+		return false, nil
+	}
+	return keeper.Hold(report.Orders, report.Incarnation, proposal.Step)
+}
+
 // Hold implements Engine.
 func (e *OrderEngine) Hold(proposal Proposal) (bool, error) {
 	if e.trying != proposal.ID {
@@ -168,23 +189,15 @@
 	if err != nil {
 		return false, err
 	}
-	holds := r.Holding && r.Held == proposal.Step
-	if holds && r.ArmedVersion == proposal.To.Number() && r.ArmedStep == proposal.Step {
+	if !proposal.Kept || proposal.keptBy(r.Rank) && (!r.Holding || r.Held != proposal.Step) {
+		return false, e.Release(proposal.ID)
+	}
+	if r.ArmedVersion == proposal.To.Number() && r.ArmedStep == proposal.Step {
 		return true, nil
 	}
 	if !e.mayHold(proposal) || e.tries > mostTries {
 		return false, e.Release(proposal.ID)
 	}
-	if r.Holding && !holds {
-		return false, errors.Join(ErrOrderOpen, e.letGo(r.Held))
-	}
-	if !holds {
-		ok, err := e.orders.Hold(r.Orders, r.Incarnation, proposal.Step)
-		if err != nil || !ok {
-			return false, errors.Join(ErrOrderOpen, err)
-		}
-	}
-	// An engine that counts the hold refuses this order, and the call is repeated.
 	ok, err := e.orders.Arm(r.Orders, r.Incarnation, proposal.To.Number(), proposal.Step)
 	if err != nil {
 		e.doubtful = max(e.doubtful, proposal.To.Number())
@@ -279,9 +292,9 @@
 // was given up on may be carried out seconds later.
 const straySpan = 200 * time.Millisecond
 
-// Stray drops a hold that belongs to no undecided proposal; since is when it was
-// first seen, the zero time if it was not there before. current is the map in use
-// or agreed to be used next.
+// Stray drops a hold that belongs to no proposal; its agent is idle. since is when
+// it was first seen, the zero time if it was not there before. current is the map in
+// use or agreed to be used next.
 func (e *OrderEngine) Stray(now, since time.Time, current MapID) error {
 	if !e.last.Holding || since.IsZero() || now.Sub(since) < straySpan {
 		return nil
--- a/version/expertmap/orders_test.go
+++ b/version/expertmap/orders_test.go
@@ -20,6 +20,10 @@
 	simSound simFault = iota
 	// simVoidSkipped says that a map is void while it still can be armed.
 	simVoidSkipped
+	// simUnheld says that the keeper's engine holds while it does not.
+	simUnheld
+	// simReleasedForged lets the keeper go before the others have confirmed.
+	simReleasedForged
 	// simGoUnarmed lets the group go without looking whether the switch is set.
 	simGoUnarmed
 )
@@ -29,7 +33,9 @@
 	report RankReport
 	// highest is the highest version that the rank was told to copy.
 	highest uint64
-	late    []func()
+	// unheld is a step for which the rank is said to hold.
+	unheld uint64
+	late   []func()
 }
 
 // copyMap takes an order to copy a map.
@@ -52,10 +58,17 @@
 	agents   []*simAgent
 	mail     []Message
 	now      time.Time
+	// planned is the map that was proposed last, by whom and for which step.
+	planned struct {
+		to   MapID
+		lead int
+		step uint64
+	}
 	// lossy is how likely an order gets no answer.
 	lossy float64
-	// kills is how many turns of a hundred kill an agent.
-	kills int
+	// kills and freezes are how many turns of a hundred kill an agent, and freeze one
+	// for a time.
+	kills, freezes int
 	// steps counts the steps, switches those in which the map changed.
 	steps, switches int
 	starts          uint64
@@ -63,10 +76,17 @@
 
 // simAgent is the agent of one rank; nil driver while it is down.
 type simAgent struct {
-	group  *simGroup
-	rank   int
+	simOrders
 	driver *Driver
 	engine *OrderEngine
+	// thaws is when a frozen agent goes on.
+	thaws time.Time
+}
+
+// simOrders is somebody's access to the engine of a rank.
+type simOrders struct {
+	group *simGroup
+	rank  int
 	// skipped is the map that was said to be copied and was not.
 	skipped uint64
 }
@@ -75,13 +95,13 @@
 	g := &simGroup{random: rand.New(rand.NewPCG(seed, 7)), counting: counting, fault: fault, now: time.Unix(0, 0), lossy: 0.3, kills: 1}
 	for rank := range size {
 		g.ranks = append(g.ranks, &simRank{report: RankReport{Group: "g", Incarnation: 1, Rank: rank, Size: size, Open: true}})
-		g.agents = append(g.agents, &simAgent{group: g, rank: rank})
+		g.agents = append(g.agents, &simAgent{simOrders: simOrders{group: g, rank: rank}})
 	}
 	return g
 }
 
 // order carries an order out now, later, or both says so and not.
-func (a *simAgent) order(orders uint64, begin func(r *RankReport) bool) (bool, error) {
+func (a *simOrders) order(orders uint64, begin func(r *RankReport) bool) (bool, error) {
 	rank := a.group.ranks[a.rank]
 	carryOut := func() bool {
 		if rank.report.Orders != orders {
@@ -108,11 +128,14 @@
 }
 
 // Report implements Orders.
-func (a *simAgent) Report() (RankReport, error) {
+func (a *simOrders) Report() (RankReport, error) {
 	report := a.group.ranks[a.rank].report
 	if a.skipped != 0 && report.Prepared+1 == a.skipped {
 		report.Prepared = a.skipped
 	}
+	if unheld := a.group.ranks[a.rank].unheld; unheld > report.Step {
+		report.Holding, report.Held = true, unheld
+	}
 	if a.group.fault == simGoUnarmed && report.Holding {
 		report.ArmedVersion, report.ArmedStep = a.believedArmed(report)
 	}
@@ -120,7 +143,7 @@
 }
 
 // believedArmed says that the switch is set whatever the engine says.
-func (a *simAgent) believedArmed(report RankReport) (version, step uint64) {
+func (a *simOrders) believedArmed(report RankReport) (version, step uint64) {
 	if report.ArmedVersion != 0 {
 		return report.ArmedVersion, report.ArmedStep
 	}
@@ -128,7 +151,7 @@
 }
 
 // Arm implements Orders.
-func (a *simAgent) Arm(orders, _, version, step uint64) (bool, error) {
+func (a *simOrders) Arm(orders, _, version, step uint64) (bool, error) {
 	return a.order(orders, func(r *RankReport) bool {
 		if r.Prepared != version || r.Step >= step || r.ArmedVersion != 0 {
 			return false
@@ -139,7 +162,7 @@
 }
 
 // Disarm implements Orders.
-func (a *simAgent) Disarm(orders, _, version uint64) (bool, error) {
+func (a *simOrders) Disarm(orders, _, version uint64) (bool, error) {
 	return a.order(orders, func(r *RankReport) bool {
 		if r.ArmedVersion != version {
 			return false
@@ -150,7 +173,11 @@
 }
 
 // Hold implements Orders.
-func (a *simAgent) Hold(orders, _, step uint64) (bool, error) {
+func (a *simOrders) Hold(orders, _, step uint64) (bool, error) {
+	if a.group.fault == simUnheld {
+		a.group.ranks[a.rank].unheld = step
+		return true, nil
+	}
 	return a.order(orders, func(r *RankReport) bool {
 		if r.Holding || r.Step >= step {
 			return false
@@ -161,7 +188,7 @@
 }
 
 // Copy implements Orders.
-func (a *simAgent) Copy(orders, _, version uint64) (bool, error) {
+func (a *simOrders) Copy(orders, _, version uint64) (bool, error) {
 	if a.group.fault == simVoidSkipped {
 		a.skipped = version
 		return true, nil
@@ -170,7 +197,7 @@
 }
 
 // Go implements Orders.
-func (a *simAgent) Go(orders, _, step uint64) (bool, error) {
+func (a *simOrders) Go(orders, _, step uint64) (bool, error) {
 	return a.order(orders, func(r *RankReport) bool {
 		if !r.Holding || r.Held != step {
 			return false
@@ -182,12 +209,26 @@
 
 // Send implements Transport.
 func (a *simAgent) Send(rank int, message Message) {
+	message.To = rank
+	if a.forged(message) {
+		return
+	}
 	if a.group.random.IntN(10) > 0 {
-		message.To = rank
 		a.group.mail = append(a.group.mail, message)
 	}
 }
 
+// forged answers a message at once and untruly if the fault asks for that.
+func (a *simAgent) forged(message Message) bool {
+	answer := Message{Group: message.Group, From: message.To, To: message.From, ID: message.ID, Peer: message.Agent, Agent: message.Agent}
+	if a.group.fault != simReleasedForged || message.Kind != KindDismiss {
+		return false
+	}
+	answer.Kind = KindReleased
+	a.group.mail = append(a.group.mail, answer)
+	return true
+}
+
 // ProposalEnded implements Observer.
 func (a *simAgent) ProposalEnded(Ended) {}
 
@@ -197,7 +238,7 @@
 // start starts an agent anew; it may fail, as its first orders may be lost.
 func (a *simAgent) start() {
 	a.group.starts++
-	a.engine = NewOrderEngine(a)
+	a.engine = NewOrderEngine(&a.simOrders)
 	driver, err := NewDriver(a.group.now, Config{Incarnation: a.group.starts, Patience: 50 * time.Millisecond, Stagger: time.Millisecond}, a.engine, a, a)
 	if err != nil {
 		return
@@ -205,6 +246,18 @@
 	a.driver = driver
 }
 
+// tick lets an agent work, unless it is frozen, and starts one that is down.
+func (a *simAgent) tick() {
+	switch {
+	case a.group.now.Before(a.thaws):
+	case a.driver == nil:
+		a.start()
+	default:
+		a.driver.Tick(a.group.now)
+		a.group.dropStray(a)
+	}
+}
+
 // step lets the group make a step unless a rank holds; it tells if the ranks made
 // it on different maps.
 func (g *simGroup) step() (mixed string) {
@@ -241,11 +294,14 @@
 	if lead.driver == nil {
 		return
 	}
-	to := MapID{Epoch: 1, Version: version * versionStride}
 	report := g.ranks[lead.rank].report
-	if again := MapOf(report.Prepared); g.random.IntN(2) == 0 && report.Prepared > report.Running && !again.IsVoid() {
-		to = again
+	to := MapID{Epoch: 1, Version: version * versionStride}
+	at := report.Step + 1 + g.random.Uint64N(mostAhead-1)
+	if last := g.planned; g.random.IntN(2) == 0 && last.lead == lead.rank && last.to.Number() > report.Running {
+		// A planner proposes a map again, but never twice for the same step.
+		to, at = last.to, max(at, last.step+1)
 	}
+	g.planned.to, g.planned.lead, g.planned.step = to, lead.rank, at
 	agents := make([]uint64, len(g.agents))
 	for rank, agent := range g.agents {
 		g.ranks[rank].copyMap(to.Number())
@@ -253,10 +309,14 @@
 			agents[rank] = agent.driver.agent.config.Incarnation
 		}
 	}
-	at := g.ranks[lead.rank].report.Step + 1 + g.random.Uint64N(mostAhead-1)
-	lead.driver.Propose(g.now, Proposal{
+	proposal := Proposal{
 		ID: ProposalOf(to, at), Group: 1, From: MapOf(g.ranks[lead.rank].report.Running), To: to, Step: at, Agents: agents,
-	})
+		Kept: true, Proposer: lead.rank, Keeper: (lead.rank + 1 + g.random.IntN(len(g.agents)-1)) % len(g.agents),
+	}
+	if kept, err := Keep(&simOrders{group: g, rank: proposal.Keeper}, proposal); err != nil || !kept {
+		return
+	}
+	lead.driver.Propose(g.now, proposal)
 }
 
 // turn lets one thing happen.
@@ -269,20 +329,18 @@
 		at := g.random.IntN(len(g.mail))
 		message := g.mail[at]
 		g.mail = append(g.mail[:at], g.mail[at+1:]...)
-		if to := g.agents[message.To]; to.driver != nil {
+		if to := g.agents[message.To]; to.driver != nil && !g.now.Before(to.thaws) {
 			to.driver.Receive(g.now, message)
 		}
 	case choice < 60:
-		if agent.driver == nil {
-			agent.start()
-			break
-		}
-		agent.driver.Tick(g.now)
+		agent.tick()
 	case choice < 65 && len(rank.late) > 0:
 		rank.late[0]()
 		rank.late = rank.late[1:]
 	case choice < 65+g.kills:
 		agent.driver = nil
+	case choice < 65+g.kills+g.freezes:
+		agent.thaws = g.now.Add(time.Duration(g.random.IntN(400)) * time.Millisecond)
 	case choice < 72:
 		g.propose(version)
 	default:
@@ -301,12 +359,7 @@
 	for range 400 {
 		g.now = g.now.Add(20 * time.Millisecond)
 		for _, agent := range g.agents {
-			if agent.driver == nil {
-				agent.start()
-				continue
-			}
-			agent.driver.Tick(g.now)
-			g.dropStray(agent)
+			agent.tick()
 		}
 		for len(g.mail) > 0 {
 			message := g.mail[0]
@@ -326,7 +379,10 @@
 }
 
 func (g *simGroup) dropStray(agent *simAgent) {
-	if _, err := agent.engine.Refresh(); err != nil || agent.driver.agent.Undecided() != nil {
+	if agent.driver == nil || g.now.Before(agent.thaws) {
+		return
+	}
+	if _, err := agent.engine.Refresh(); err != nil || !agent.driver.agent.Idle() {
 		return
 	}
 	// The error is that of a lost order, which the next turn gives again.
@@ -339,10 +395,13 @@
 	for _, agent := range g.agents {
 		agent.start()
 	}
-	if seed%4 == 0 {
+	switch seed % 4 {
+	case 0:
 		g.kills = 3
+	case 1:
+		g.freezes = 1
 	}
-	for turn := range 1500 {
+	for turn := range 6000 {
 		if wrong := g.turn(uint64(turn) + 1); wrong != "" {
 			return wrong, g.switches
 		}
@@ -366,6 +425,8 @@
 
 func TestBrokenRulesOfLateOrdersAreCaught(t *testing.T) {
 	for name, fault := range map[string]simFault{
+		"the keeper promises without a hold":      simUnheld,
+		"the keeper does not wait for the others": simReleasedForged,
 		"a map with late orders is not made void": simVoidSkipped,
 		"the group is let go without a switch":    simGoUnarmed,
 	} {
--- a/version/expertmap/types.go
+++ b/version/expertmap/types.go
@@ -42,6 +42,14 @@
 	// Agents holds, by rank, the incarnation of the agent that is asked. A later
 	// incarnation cannot know how an earlier one voted, unless its engine holds.
 	Agents []uint64
+	// Kept tells that the engine of rank Keeper holds the whole group, so that the
+	// others promise without a hold. The keeper promises first and asks all others;
+	// the rank Proposer, whose host gave the order to hold, it asks only once that
+	// has shown that it lives. After an abort it lets go when all who were asked have
+	// confirmed that they will not switch. Ranks that are not known are negative.
+	Kept     bool `cbor:",omitempty"`
+	Keeper   int  `cbor:",omitempty"`
+	Proposer int  `cbor:",omitempty"`
 }
 
 // Decision is how a proposal ended.
@@ -86,6 +94,13 @@
 	KindRecall
 	// KindRecalled answers with Known and Current.
 	KindRecalled
+	// KindReady tells the keeper that the proposer lives and may be asked.
+	KindReady
+	// KindDismiss tells that a proposal was aborted and asks whether the receiver is
+	// sure never to switch; the keeper sends it.
+	KindDismiss
+	// KindReleased answers that it is.
+	KindReleased
 )
 
 // Known is a proposal as another agent knows it.
--- a/version/expertmap/vote.go
+++ b/version/expertmap/vote.go
@@ -12,7 +12,7 @@
 // have told, so it can be counted on to have refused. A proposal that does not
 // say whom it asks comes from an agent that found it in its engine; the refusal
 // is kept, since the same proposal may yet come whole.
-func (a *Agent) consider(now time.Time, proposal Proposal, out *Output) *record {
+func (a *Agent) consider(now time.Time, proposal Proposal, leads bool, out *Output) *record {
 	if !a.installed.Less(proposal.ID) || a.brought(proposal) {
 		return nil
 	}
@@ -33,6 +33,10 @@
 		a.promise(now, asked, out)
 		return asked
 	}
+	if leads && proposal.Kept {
+		asked.state = waiting
+		return asked
+	}
 	out.Actions = append(out.Actions, Action{Kind: ActionHold, Proposal: proposal})
 	return asked
 }
@@ -84,6 +88,11 @@
 func (a *Agent) promise(now time.Time, asked *record, out *Output) {
 	asked.state = promised
 	asked.promises[a.rank] = true
+	if asked.proposal.keptBy(a.rank) {
+		asked.leads = true
+		asked.withdrawAt = now.Add(a.config.Patience)
+		a.poll(asked, out)
+	}
 	if asked.pollAt.IsZero() {
 		asked.pollAt = now.Add(a.patience())
 	}
@@ -103,14 +112,18 @@
 	proposal := *message.Proposal
 	found := a.find(proposal.ID)
 	if found == nil || (a.broken == refusalForgotten && found.state == aborted) {
-		found = a.consider(now, proposal, out)
+		found = a.consider(now, proposal, false, out)
+	}
+	if found != nil && found.state == waiting && found.proposal.keptBy(message.From) {
+		found.state = asking
+		out.Actions = append(out.Actions, Action{Kind: ActionHold, Proposal: found.proposal})
 	}
 	switch {
 	case found == nil && a.brought(proposal):
 		out.Messages = append(out.Messages, a.outcome(message.From, proposal.ID, Commit))
 	case found == nil:
 		out.Messages = append(out.Messages, a.outcome(message.From, proposal.ID, Abort))
-	case found.state == asking:
+	case found.state == asking || found.state == waiting:
 		found.pollers[message.From] = message.Agent
 	case found.state == promised:
 		out.Messages = append(out.Messages, a.promiseTo(message.From, message.Agent, proposal.ID))
@@ -128,6 +141,11 @@
 		return
 	}
 	found.promises[message.From] = true
+	if found.state == waiting && found.proposal.keptBy(message.From) {
+		ready := a.message(KindReady, message.From, message.ID)
+		ready.Peer = message.Agent
+		out.Messages = append(out.Messages, ready)
+	}
 	a.count(found, out)
 }
 
@@ -167,12 +185,16 @@
 
 // end makes the end known to the engine and to those who wait for the vote.
 func (a *Agent) end(known *record, ending state, out *Output) {
+	promisedBefore := known.state == promised
+	known.applied = known.applied || known.state == waiting
 	known.state = ending
 	id := known.proposal.ID
 	out.Ended = append(out.Ended, Ended{ID: id, Decision: known.decision()})
 	if ending == committed {
 		a.current, a.installed = known.proposal.To, id
 		out.Actions = append(out.Actions, Action{Kind: ActionSwitch, Proposal: known.proposal})
+	} else if promisedBefore && known.proposal.keptBy(a.rank) {
+		a.beginGather(known, out)
 	} else if !known.applied {
 		out.Actions = append(out.Actions, Action{Kind: ActionRelease, Proposal: known.proposal})
 	}
@@ -187,7 +209,7 @@
 // poll asks every rank whose promise was not seen.
 func (a *Agent) poll(known *record, out *Output) {
 	for rank := range a.size {
-		if rank == a.rank || known.promises[rank] {
+		if rank == a.rank || !a.asksFor(known, rank) {
 			continue
 		}
 		message := a.message(KindPoll, rank, known.proposal.ID)
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -20,6 +20,8 @@
 	// that came too late. Its step must be begun before an order that got no answer
 	// can be carried out, which is seconds later: it is refused then.
 	leadMost = 10
+	// retryPause is the time between an abort and the next proposal.
+	retryPause = 100 * time.Millisecond
 	// rankBits is the part of an epoch that names the planner's rank, so that two
 	// planners never make the same epoch.
 	rankBits = 12
@@ -70,6 +72,10 @@
 	phase   phase
 	since   time.Time
 	lead    uint64
+	// proposedFor is the latest step for which the next map was proposed.
+	proposedFor uint64
+	// retryAt is when a map may be proposed again after an abort.
+	retryAt time.Time
 	pace    pace
 	// voteTime is how long the last vote took.
 	voteTime time.Duration
@@ -263,6 +269,7 @@
 	}
 	p.plan = plan
 	p.next = &Map{ID: p.nextID(), Experts: plan.Experts}
+	p.proposedFor = 0
 	p.next.sort()
 	took := p.enter(preparing, now)
 	return &Decision{What: Prepare, Map: p.next.ID, Plan: plan, Took: took}
@@ -315,7 +322,7 @@
 // awaitPrepared proposes the switch once all ranks have copied the map.
 func (p *Planner) awaitPrepared(step uint64, now time.Time) (*Decision, *expertmap.Proposal) {
 	number := p.next.ID.Number()
-	if p.all(func(s Status) bool { return s.Prepared == number }) && p.complete(now) {
+	if p.all(func(s Status) bool { return s.Prepared == number }) && p.complete(now) && p.mayPropose(step, now) {
 		took := p.enter(proposed, now)
 		return &Decision{What: Propose, Map: p.next.ID, Plan: p.plan, Took: took}, p.proposal(step)
 	}
@@ -329,6 +336,12 @@
 	return nil, nil
 }
 
+// mayPropose tells whether a map may be proposed, or proposed again: the hold of an
+// aborted proposal takes a while to go, and no step may lie too far ahead.
+func (p *Planner) mayPropose(step uint64, now time.Time) bool {
+	return !now.Before(p.retryAt) && p.proposedFor < step+leadMost
+}
+
 // steps is how far ahead a switch is proposed: the vote must end before its step
 // is due, or the group stands still for the rest of it.
 func (p *Planner) steps() uint64 {
@@ -340,7 +353,9 @@
 }
 
 func (p *Planner) proposal(step uint64) *expertmap.Proposal {
-	at := step + p.steps()
+	// The same map is never proposed twice for the same step.
+	at := max(step+p.steps(), p.proposedFor+1)
+	p.proposedFor = at
 	agents := make([]uint64, p.size)
 	for rank, one := range p.members {
 		agents[rank] = one.status.Agent
@@ -363,6 +378,7 @@
 		return &Decision{What: Agreed, Map: to, Plan: p.plan, Took: p.enter(switching, now)}
 	}
 	// The same map is proposed again for a later step.
+	p.retryAt = now.Add(retryPause)
 	p.lead = min(2*p.lead, leadMost)
 	return &Decision{What: Aborted, Map: to, Took: p.enter(preparing, now)}
 }
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -126,6 +126,28 @@
 	require.Nil(t, b.planner.Ended(expertmap.Ended{ID: expertmap.ProposalID{Epoch: 99}, Decision: expertmap.Commit}, b.now), "another's")
 }
 
+func TestAbortedProposalsDoNotRunAheadOfTheGroup(t *testing.T) {
+	b := newBed(t)
+	decision, _ := b.until(Prepare)
+	b.prepared(decision.Map.Number())
+	seen := map[uint64]bool{}
+	for range 3 * leadMost {
+		b.step -= 2 // the group stands still
+		_, proposal := b.turn()
+		if proposal == nil {
+			continue
+		}
+		require.False(t, seen[proposal.Step], "never twice for the same step")
+		seen[proposal.Step] = true
+		require.LessOrEqual(t, proposal.Step, b.step+leadMost)
+		b.planner.Ended(expertmap.Ended{ID: proposal.ID, Decision: expertmap.Abort}, b.now)
+	}
+	require.NotEmpty(t, seen)
+	b.step += 2 * leadMost
+	_, proposal := b.until(Propose)
+	require.NotNil(t, proposal)
+}
+
 func TestAMapThatARankMadeVoidIsGivenUpAtOnce(t *testing.T) {
 	b := newBed(t)
 	decision, _ := b.until(Prepare)
