Break rules in copies of the sources instead of in product code

The switches by which the model check and the histories of orders broke one rule at a time (hooks in request/order, broken in version/expertmap) are gone from product code. internal/mutant runs a test on an edited copy of the package, given to the compiler as an overlay; all 24 broken rules are still caught, with the same expected traces.

--- a/request/order/batch.go
+++ b/request/order/batch.go
@@ -58,18 +58,11 @@
 	limitedPause = 10 * time.Millisecond
 )
 
-// recorderHooks break one rule each; only tests set them.
-type recorderHooks struct {
-	skipReadBack   bool
-	dropConditions bool
-}
-
 // committer sends batches of writes; it is what the Recorder's workers run.
 type committer struct {
 	table platform.Table
 	// sleep waits; it returns early when ctx ends.
 	sleep func(ctx context.Context, wait time.Duration)
-	hooks recorderHooks
 }
 
 // batch is one run of a committer.
@@ -135,10 +128,6 @@
 	case stop(err):
 		return err
 	}
-	if b.hooks.skipReadBack {
-		b.allWritten(0)
-		return nil
-	}
 	b.maybe = true
 	return b.readBack(ctx, err)
 }
@@ -147,9 +136,7 @@
 	var txn platform.Txn
 	for _, i := range b.pending {
 		write := b.writes[i]
-		if !b.hooks.dropConditions {
-			txn.Conditions = append(txn.Conditions, platform.Condition{Key: write.Row, Revision: write.Revision})
-		}
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: write.Row, Revision: write.Revision})
 		txn.Puts = append(txn.Puts, platform.Put{Key: write.Row, Value: write.Content})
 	}
 	return txn
--- a/request/order/call.go
+++ b/request/order/call.go
@@ -180,10 +180,6 @@
 	switch {
 	case errors.Is(err, ErrNotSent):
 		reply = Reply{State: ExecutionNever, Reason: "the target cannot be reached"}
-	case err != nil && k.hooks.notRunWithoutTombstone:
-		return fail(failure.New(failure.NoTarget, failure.NotRun, "the target did not answer"))
-	case err != nil && k.hooks.retryWithoutTombstone:
-		reply = Reply{State: ExecutionNever}
 	case err != nil || !reply.State.final():
 		reply = k.resolve(ctx, attempt)
 	}
@@ -230,11 +226,6 @@
 // conclude ends or goes on with the call by the agent's word on the attempt in
 // k.now.
 func (k *call) conclude(ctx context.Context, reply Reply) step {
-	switch {
-	case reply.State == ExecutionGone && k.hooks.goneMeansNotRun,
-		reply.State == ExecutionForgotten && k.hooks.forgottenMeansNotRun:
-		reply.State = ExecutionNever
-	}
 	switch reply.State {
 	case ExecutionDone:
 		return k.endDone(ctx, reply)
@@ -253,10 +244,6 @@
 // abandon ends a call whose record may or may not have been written. It has not
 // dispatched the attempt; the agent's tombstone makes sure of it.
 func (k *call) abandon(ctx context.Context, next Record, cause error) step {
-	if k.hooks.dispatchUnknownInsert {
-		k.now = stored{record: next}
-		return k.dispatch(ctx)
-	}
 	reply := k.pursue(ctx, next.attempt(), k.deadline)
 	if reply.State == ExecutionNever {
 		return fail(failure.New(failure.PlatformDown, failure.NotRun, "the order cannot be recorded").WithCause(cause))
--- a/request/order/coordinator.go
+++ b/request/order/coordinator.go
@@ -96,21 +96,10 @@
 	Repeated bool
 }
 
-// coordinatorHooks break one rule each; only tests set them.
-type coordinatorHooks struct {
-	notRunWithoutTombstone bool
-	retryWithoutTombstone  bool
-	ignoreFingerprint      bool
-	goneMeansNotRun        bool
-	forgottenMeansNotRun   bool
-	dispatchUnknownInsert  bool
-}
-
 // Coordinator is an entry's side of once-only orders. It is safe for concurrent
 // use.
 type Coordinator struct {
 	config    Config
-	hooks     coordinatorHooks
 	clock     timer
 	followUps chan struct{}
 	// spawn runs a function beside the caller.
--- a/request/order/execution.go
+++ b/request/order/execution.go
@@ -38,21 +38,11 @@
 	keepUntil time.Duration
 }
 
-// executionHooks break one rule each; only tests set them.
-type executionHooks struct {
-	skipIncarnationCheck bool
-	ignoreNotAfter       bool
-	forgetTombstone      bool
-	runDuplicates        bool
-	lostMeansNever       bool
-}
-
 // Execution is an agent's memory of the orders of its incarnation: each key
 // runs at most once.
 type Execution struct {
 	config ExecutionConfig
 	start  time.Time
-	hooks  executionHooks
 
 	// mu guards everything below.
 	mu      sync.Mutex
@@ -108,8 +98,7 @@
 	key := executionKey{attempt.Organisation, attempt.Key}
 	reply := x.knownLocked(key, attempt, now)
 	if reply.State != ExecutionAbsent {
-		again := x.hooks.runDuplicates && reply.State != ExecutionNever
-		return Verdict{Run: again, Reply: reply}
+		return Verdict{Reply: reply}
 	}
 	if !x.roomLocked(now) {
 		x.refusedUpTo = max(x.refusedUpTo, attempt.NotAfter)
@@ -129,9 +118,6 @@
 	if entry == nil || entry.attempt.Nonce != attempt.Nonce || entry.reply.State != ExecutionRunning {
 		return Reply{State: ExecutionLost}
 	}
-	if x.hooks.lostMeansNever && reply.State == ExecutionLost {
-		reply.State = ExecutionNever
-	}
 	entry.reply = reply
 	entry.keepUntil = max(entry.keepUntil, attempt.NotAfter, x.Time()+x.config.ResultRetention)
 	return reply
@@ -153,11 +139,9 @@
 		return reply
 	}
 	never := Reply{State: ExecutionNever}
-	switch {
-	case x.hooks.forgetTombstone:
-	case x.roomLocked(now):
+	if x.roomLocked(now) {
 		x.putLocked(key, attempt, never, attempt.NotAfter)
-	default:
+	} else {
 		x.refusedUpTo = max(x.refusedUpTo, attempt.NotAfter)
 	}
 	return never
@@ -198,7 +182,7 @@
 }
 
 func (x *Execution) mineLocked(attempt Attempt) bool {
-	return attempt.Incarnation == x.config.Incarnation || x.hooks.skipIncarnationCheck
+	return attempt.Incarnation == x.config.Incarnation
 }
 
 // knownLocked says what is remembered of an attempt.
@@ -234,9 +218,6 @@
 
 // vacantLocked answers for an attempt that is not remembered.
 func (x *Execution) vacantLocked(attempt Attempt, now time.Duration) Reply {
-	if x.hooks.ignoreNotAfter {
-		return Reply{State: ExecutionAbsent}
-	}
 	if attempt.NotAfter <= x.forgottenUpTo {
 		return Reply{State: ExecutionForgotten}
 	}
--- a/request/order/order_test.go
+++ b/request/order/order_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/mutant"
 )
 
 // scenario is one history to play.
@@ -27,8 +30,8 @@
 // play runs a scenario: a first call, others with the same key from other
 // entries, one with another body, one without a key, a last one in calm, and
 // one long after.
-func (s scenario) play(hooks simHooks) string {
-	w := newWorld(s.seed, s.faults, hooks)
+func (s scenario) play() string {
+	w := newWorld(s.seed, s.faults)
 	w.call(0, 0, "kiln-4", 1, false)
 	for range w.rng.IntN(3) {
 		w.call(w.between(0, 3*time.Second), w.rng.IntN(simEntries), "kiln-4", 1, false)
@@ -71,7 +74,7 @@
 	}
 	for i := range random {
 		seed := uint64(1_000_000 + i)
-		w := newWorld(seed, nil, simHooks{})
+		w := newWorld(seed, nil)
 		faults := map[int]fault{}
 		for range 1 + w.rng.IntN(5) {
 			faults[w.rng.IntN(20)] = 1 + fault(w.rng.IntN(int(faultKinds)-1))
@@ -88,7 +91,7 @@
 	}
 	all := scenarios(seeds, random)
 	for _, s := range all {
-		require.Empty(t, s.play(simHooks{}), s.String())
+		require.Empty(t, s.play(), s.String())
 	}
 	t.Logf("%d histories", len(all))
 }
@@ -97,39 +100,76 @@
 // a broken rule shows sooner.
 const stride = 7919
 
-// TestBrokenRulesAreCaught breaks one rule at a time; the histories must show
-// it.
-func TestBrokenRulesAreCaught(t *testing.T) {
-	table := []struct {
-		desc  string
-		hooks simHooks
-	}{
-		{"agent skips the incarnation check", simHooks{execution: executionHooks{skipIncarnationCheck: true}}},
-		{"agent starts a dispatch that came too late", simHooks{execution: executionHooks{ignoreNotAfter: true}}},
-		{"agent forgets its tombstones", simHooks{execution: executionHooks{forgetTombstone: true}}},
-		{"agent runs a duplicate", simHooks{execution: executionHooks{runDuplicates: true}}},
-		{"agent calls a lost run one that never ran", simHooks{execution: executionHooks{lostMeansNever: true}}},
-		{"recorder takes a lost reply for success", simHooks{recorder: recorderHooks{skipReadBack: true}}},
-		{"recorder writes without conditions", simHooks{recorder: recorderHooks{dropConditions: true}}},
-		{"entry says not run without a tombstone", simHooks{coordinator: coordinatorHooks{notRunWithoutTombstone: true}}},
-		{"entry retries without a tombstone", simHooks{coordinator: coordinatorHooks{retryWithoutTombstone: true}}},
-		{"entry ignores another body", simHooks{coordinator: coordinatorHooks{ignoreFingerprint: true}}},
-		{"entry takes a gone incarnation for not run", simHooks{coordinator: coordinatorHooks{goneMeansNotRun: true}}},
-		{"entry takes a forgotten attempt for not run", simHooks{coordinator: coordinatorHooks{forgottenMeansNotRun: true}}},
-		{"entry dispatches without a sure record", simHooks{coordinator: coordinatorHooks{dispatchUnknownInsert: true}}},
+// brokenRules break a rule by edits of the sources.
+var brokenRules = []struct {
+	desc  string
+	edits []mutant.Edit
+}{
+	{"agent skips the incarnation check", []mutant.Edit{
+		{File: "execution.go", Old: "return attempt.Incarnation == x.config.Incarnation", New: "return true"},
+	}},
+	{"agent starts a dispatch that came too late", []mutant.Edit{
+		{File: "execution.go", Old: "	if attempt.NotAfter <= x.forgottenUpTo {\n", New: "	if true {\n		return Reply{State: ExecutionAbsent}\n	}\n	if attempt.NotAfter <= x.forgottenUpTo {\n"},
+	}},
+	{"agent forgets its tombstones", []mutant.Edit{
+		{File: "execution.go", Old: "		x.putLocked(key, attempt, never, attempt.NotAfter)\n", New: ""},
+	}},
+	{"agent runs a duplicate", []mutant.Edit{
+		{File: "execution.go", Old: "return Verdict{Reply: reply}\n", New: "return Verdict{Run: reply.State != ExecutionNever, Reply: reply}\n"},
+	}},
+	{"agent calls a lost run one that never ran", []mutant.Edit{
+		{File: "execution.go", Old: "	entry.reply = reply\n", New: "	if reply.State == ExecutionLost {\n		reply.State = ExecutionNever\n	}\n	entry.reply = reply\n"},
+	}},
+	{"recorder takes a lost reply for success", []mutant.Edit{
+		{File: "batch.go", Old: "	b.maybe = true\n	return b.readBack(ctx, err)\n", New: "	b.allWritten(0)\n	return nil\n"},
+	}},
+	{"recorder writes without conditions", []mutant.Edit{
+		{File: "batch.go", Old: "		txn.Conditions = append(txn.Conditions, platform.Condition{Key: write.Row, Revision: write.Revision})\n", New: ""},
+	}},
+	{"entry says not run without a tombstone", []mutant.Edit{
+		{File: "call.go", Old: "	case err != nil || !reply.State.final():\n", New: "	case err != nil:\n		return fail(failure.New(failure.NoTarget, failure.NotRun, \"the target did not answer\"))\n	case !reply.State.final():\n"},
+	}},
+	{"entry retries without a tombstone", []mutant.Edit{
+		{File: "call.go", Old: "	case err != nil || !reply.State.final():\n", New: "	case err != nil:\n		reply = Reply{State: ExecutionNever}\n	case !reply.State.final():\n"},
+	}},
+	{"entry ignores another body", []mutant.Edit{
+		{File: "wait.go", Old: "if record.Fingerprint != k.request.Fingerprint {", New: "if false {"},
+	}},
+	{"entry takes a gone incarnation for not run", []mutant.Edit{
+		{File: "call.go", Old: "	case ExecutionNever:\n		k.refused", New: "	case ExecutionNever, ExecutionGone:\n		k.refused"},
+		{File: "call.go", Old: "case ExecutionLost, ExecutionGone, ExecutionForgotten:", New: "case ExecutionLost, ExecutionForgotten:"},
+	}},
+	{"entry takes a forgotten attempt for not run", []mutant.Edit{
+		{File: "call.go", Old: "	case ExecutionNever:\n		k.refused", New: "	case ExecutionNever, ExecutionForgotten:\n		k.refused"},
+		{File: "call.go", Old: "case ExecutionLost, ExecutionGone, ExecutionForgotten:", New: "case ExecutionLost, ExecutionGone:"},
+	}},
+	{"entry dispatches without a sure record", []mutant.Edit{
+		{File: "call.go", Old: "	reply := k.pursue(ctx, next.attempt(), k.deadline)\n", New: "	if true {\n		k.now = stored{record: next}\n		return k.dispatch(ctx)\n	}\n	reply := k.pursue(ctx, next.attempt(), k.deadline)\n"},
+	}},
+}
+
+// TestBrokenHistories plays histories on an edited copy of the sources until one
+// shows the broken rule.
+func TestBrokenHistories(t *testing.T) {
+	if _, told := os.LookupEnv(mutant.Variable); !told {
+		t.Skip("run by TestBrokenRulesAreCaught on an edited copy")
 	}
 	all := scenarios(3, 6000)
-	for _, row := range table {
-		t.Run(row.desc, func(t *testing.T) {
-			for i := range all {
-				s := all[(i*stride)%len(all)]
-				if text := s.play(row.hooks); text != "" {
-					require.Empty(t, s.play(simHooks{}), "the rule kept")
-					t.Logf("history %d (%s): %s", i, s, text)
-					return
-				}
-			}
-			t.Fatalf("%d histories did not show it", len(all))
+	for i := range all {
+		s := all[(i*stride)%len(all)]
+		require.Empty(t, s.play(), "history %d (%s)", i, s)
+	}
+}
+
+// TestBrokenRulesAreCaught breaks one rule at a time; the histories must show it.
+func TestBrokenRulesAreCaught(t *testing.T) {
+	for _, rule := range brokenRules {
+		t.Run(rule.desc, func(t *testing.T) {
+			t.Parallel()
+			output, passed, err := mutant.Run(t.TempDir(), rule.edits, "TestBrokenHistories", rule.desc)
+			require.NoError(t, err)
+			require.False(t, passed, "the histories did not show it")
+			require.Contains(t, output, "history ")
 		})
 	}
 }
--- a/request/order/sim_net_test.go
+++ b/request/order/sim_net_test.go
@@ -185,7 +185,6 @@
 	a.execution = NewExecution(ExecutionConfig{
 		Incarnation: a.incarnation(), Clock: a.clock, MaxEntries: 4, ResultRetention: simWindow,
 	})
-	a.execution.hooks = a.w.hooks.execution
 }
 
 func (a *simAgent) crash() { a.restart() }
--- a/request/order/sim_test.go
+++ b/request/order/sim_test.go
@@ -74,7 +74,6 @@
 	current *task
 	faults  map[int]fault
 	ops     int
-	hooks   simHooks
 
 	table     *standin.Server
 	outageEnd time.Time
@@ -86,16 +85,10 @@
 	history   []*operation
 }
 
-type simHooks struct {
-	execution   executionHooks
-	recorder    recorderHooks
-	coordinator coordinatorHooks
-}
-
-func newWorld(seed uint64, faults map[int]fault, hooks simHooks) *world {
+func newWorld(seed uint64, faults map[int]fault) *world {
 	start := time.Unix(1_700_000_000, 0).UTC()
 	w := &world{
-		now: start, start: start, faults: faults, hooks: hooks,
+		now: start, start: start, faults: faults,
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		table:   standin.New(standin.Config{Clock: clockwork.NewFakeClock(), WritesPerSecond: -1, ReadsPerSecond: -1}),
 		origins: map[string]origin{},
@@ -218,7 +211,6 @@
 	}
 	coordinator.clock = simTimer{w}
 	coordinator.spawn = e.spawn
-	coordinator.hooks = w.hooks.coordinator
 	e.coordinator = coordinator
 	return e
 }
@@ -258,7 +250,6 @@
 	c := committer{
 		table: simTable{e},
 		sleep: func(_ context.Context, wait time.Duration) { e.w.sleep(wait) },
-		hooks: e.w.hooks.recorder,
 	}
 	for len(e.queue.waiting) > 0 {
 		items := e.queue.take(8)
--- a/request/order/wait.go
+++ b/request/order/wait.go
@@ -23,7 +23,7 @@
 		return again // says nothing of the life that is over
 	}
 	k.consulted = true
-	if record.Fingerprint != k.request.Fingerprint && !k.hooks.ignoreFingerprint {
+	if record.Fingerprint != k.request.Fingerprint {
 		return fail(failure.New(failure.KeyConflict, failure.NotRun, "the idempotency key was used with another request"))
 	}
 	switch record.State {
--- a/version/expertmap/agent.go
+++ b/version/expertmap/agent.go
@@ -52,36 +52,6 @@
 	}
 }
 
-// variant breaks one rule on purpose; only the tests of this package set it, to
-// show that the model check sees the rule missing.
-type variant uint8
-
-const (
-	_ variant = iota // the zero value breaks nothing
-	// voteNotStable forgets the promises of the agent's earlier incarnation.
-	voteNotStable
-	// groupIgnored takes messages and keeps promises of other incarnations.
-	groupIgnored
-	// commitEarly commits with one promise missing.
-	commitEarly
-	// agentsIgnored votes afresh where an earlier incarnation was asked.
-	agentsIgnored
-	// promiseUnheld promises without a hold at the engine.
-	promiseUnheld
-	// promiseTwice promises while another promise is undecided.
-	promiseTwice
-	// mapIgnored does not compare the map that a proposal replaces.
-	mapIgnored
-	// refusalForgotten votes afresh on a proposal it has refused.
-	refusalForgotten
-	// recallNothing resumes without asking what it promised.
-	recallNothing
-	// recallUnfenced lets late promises of an earlier incarnation count.
-	recallUnfenced
-	// neverPolls leaves the end to the coordinator.
-	neverPolls
-)
-
 // maxRecords bounds the proposals an agent remembers; of the older ones it
 // keeps only that it must refuse them.
 const maxRecords = 32
@@ -103,7 +73,6 @@
 // Agent decides for one rank. It is not safe for concurrent use.
 type Agent struct {
 	config Config
-	broken variant
 
 	group uint64
 	rank  int
@@ -136,9 +105,7 @@
 // are void.
 func (a *Agent) Formed(now time.Time, facts Facts) Output {
 	var out Output
-	if a.broken != groupIgnored {
-		a.records = nil
-	}
+	a.records = nil
 	a.group, a.rank, a.size = facts.Group, facts.Rank, facts.Size
 	a.fences = make([]uint64, a.size)
 	a.current, a.installed = facts.Running, facts.Installed
@@ -152,7 +119,7 @@
 
 // adopt goes on with the promise for which the engine holds.
 func (a *Agent) adopt(now time.Time, held *Proposal, out *Output) {
-	if held == nil || a.broken == voteNotStable {
+	if held == nil {
 		return
 	}
 	if held.Group != a.group {
@@ -252,7 +219,7 @@
 			out.Actions = append(out.Actions, Action{Kind: ActionHold, Proposal: known.proposal})
 		case known.state == promised && a.keepsUnready(known) && !now.Before(known.withdrawAt):
 			a.abandon(known, &out)
-		case known.state == promised && !now.Before(known.pollAt) && a.broken != neverPolls:
+		case known.state == promised && !now.Before(known.pollAt):
 			known.leads = true
 			known.pollAt = now.Add(a.patience())
 			a.poll(known, &out)
@@ -295,7 +262,7 @@
 }
 
 func (a *Agent) concerns(group uint64) bool {
-	return group == a.group || a.broken == groupIgnored
+	return group == a.group
 }
 
 func (a *Agent) patience() time.Duration {
--- a/version/expertmap/modelcheck_test.go
+++ b/version/expertmap/modelcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"os"
 	"runtime/debug"
 	"slices"
 	"strings"
@@ -11,6 +12,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/mutant"
 )
 
 // origin tells how a world was reached, for the trace.
@@ -153,7 +156,7 @@
 
 type modelCase struct {
 	desc    string
-	broken  variant
+	world   worldFault
 	crashes int
 	reforms bool
 	// forgetful engines keep no holds.
@@ -161,6 +164,9 @@
 	// lone leaves the second proposer out.
 	lone bool
 	want string
+	// drainEvery is how many states there are for one checked for liveness; 0 checks
+	// none.
+	drainEvery uint64
 	// large searches are left to the full tests.
 	large bool
 }
@@ -188,33 +194,71 @@
 	}
 }
 
-func TestModelCheckCatchesBrokenRules(t *testing.T) {
-	table := []modelCase{
-		{desc: "a vote does not outlive its agent", broken: voteNotStable, crashes: 1, want: "ended both ways"},
-		{desc: "the group incarnation is ignored", broken: groupIgnored, reforms: true, lone: true, want: "runs on maps"},
-		{desc: "release before all promises", broken: commitEarly, want: "ended both ways"},
-		{desc: "a restarted agent votes afresh", broken: agentsIgnored, crashes: 1, large: true, want: "ended both ways"},
-		{desc: "a promise without a hold", broken: promiseUnheld, want: "runs on maps"},
-		{desc: "two promises at once", broken: promiseTwice, large: true, want: "runs on maps"},
-		{desc: "the replaced map is not compared", broken: mapIgnored, want: "not the"},
-		{desc: "a refusal is forgotten", broken: refusalForgotten, want: "ended both ways"},
-		{desc: "a restarted agent resumes without asking", broken: recallNothing, crashes: 1, forgetful: true, want: "ended both ways"},
-		{desc: "late promises of a replaced agent count", broken: recallUnfenced, crashes: 1, forgetful: true, large: true, want: "ended both ways"},
-		{desc: "nobody but the coordinator finishes", broken: neverPolls, crashes: 1, want: "stuck"},
+// brokenRules are cases in which a rule is broken by edits of the sources.
+var brokenRules = []struct {
+	modelCase
+	edits []mutant.Edit
+}{
+	{modelCase{desc: "a vote does not outlive its agent", crashes: 1, want: "ended both ways"}, []mutant.Edit{
+		{File: "agent.go", Old: "if held == nil {", New: "if true {"},
+	}},
+	{modelCase{desc: "the group incarnation is ignored", world: engineIgnoresGroup, reforms: true, lone: true, want: "runs on maps"}, []mutant.Edit{
+		{File: "agent.go", Old: "	a.records = nil\n", New: ""},
+		{File: "agent.go", Old: "return group == a.group", New: "return true"},
+	}},
+	{modelCase{desc: "release before all promises", want: "ended both ways"}, []mutant.Edit{
+		{File: "vote.go", Old: "if missing > 0 {", New: "if missing > 1 {"},
+	}},
+	{modelCase{desc: "a restarted agent votes afresh", crashes: 1, large: true, want: "ended both ways"}, []mutant.Edit{
+		{File: "vote.go", Old: "return proposal.Agents[a.rank] == a.config.Incarnation", New: "return true"},
+	}},
+	{modelCase{desc: "a promise without a hold", want: "runs on maps"}, []mutant.Edit{
+		{File: "vote.go", Old: "	out.Actions = append(out.Actions, Action{Kind: ActionHold, Proposal: proposal})\n", New: "	a.promise(now, asked, out)\n"},
+	}},
+	{modelCase{desc: "two promises at once", world: engineForgetsHolds, large: true, want: "runs on maps"}, []mutant.Edit{
+		{File: "vote.go", Old: "if a.Undecided() != nil {", New: "if false {"},
+	}},
+	{modelCase{desc: "the replaced map is not compared", world: proposerNamesNoMap, want: "not the"}, []mutant.Edit{
+		{File: "vote.go", Old: "return proposal.From == a.current", New: "return true"},
+	}},
+	{modelCase{desc: "a refusal is forgotten", want: "ended both ways"}, []mutant.Edit{
+		{File: "vote.go", Old: "found := a.find(proposal.ID)\n	if found == nil {", New: "found := a.find(proposal.ID)\n	if found == nil || found.state == aborted {"},
+	}},
+	{modelCase{desc: "a restarted agent resumes without asking", crashes: 1, forgetful: true, want: "ended both ways"}, []mutant.Edit{
+		{File: "recall.go", Old: "	a.recall = &recall{answered: make([]bool, a.size), askAt: now}\n", New: "	out.Actions = append(out.Actions, Action{Kind: ActionResume})\n	if forgetful {\n		return\n	}\n	a.recall = &recall{}\n"},
+	}},
+	{modelCase{desc: "late promises of a replaced agent count", crashes: 1, forgetful: true, large: true, want: "ended both ways"}, []mutant.Edit{
+		{File: "recall.go", Old: "return message.Agent < a.fences[message.From]\n", New: "return false\n"},
+	}},
+	{modelCase{desc: "nobody but the coordinator finishes", crashes: 1, drainEvery: 1, want: "stuck"}, []mutant.Edit{
+		{File: "agent.go", Old: "case known.state == promised && !now.Before(known.pollAt):", New: "case false:"},
+	}},
+}
+
+// TestBrokenModel plays one of the broken rules on an edited copy of the sources.
+func TestBrokenModel(t *testing.T) {
+	name, told := os.LookupEnv(mutant.Variable)
+	if !told {
+		t.Skip("run by TestModelCheckCatchesBrokenRules on an edited copy")
 	}
-	for _, test := range table {
+	for _, test := range brokenRules {
+		if test.desc == name {
+			require.Empty(t, explore(newWorld(test.modelCase), test.drainEvery).trace)
+		}
+	}
+}
+
+func TestModelCheckCatchesBrokenRules(t *testing.T) {
+	for _, test := range brokenRules {
 		t.Run(test.desc, func(t *testing.T) {
 			if test.large && testing.Short() {
 				t.Skip("hundreds of thousands of states; the full tests search them")
 			}
-			drainEvery := uint64(0)
-			if test.broken == neverPolls {
-				drainEvery = 1
-			}
-			result := explore(newWorld(test), drainEvery)
-			t.Logf("%d states\n%s", result.states, result.trace)
-			require.NotEmpty(t, result.trace)
-			require.Contains(t, result.trace, test.want)
+			t.Parallel()
+			output, passed, err := mutant.Run(t.TempDir(), test.edits, "TestBrokenModel", test.desc)
+			require.NoError(t, err)
+			require.False(t, passed, "the broken rule is not seen: %s", output)
+			require.Contains(t, output, test.want)
 		})
 	}
 }
--- a/version/expertmap/recall.go
+++ b/version/expertmap/recall.go
@@ -31,10 +31,6 @@
 	if !forgetful {
 		return
 	}
-	if a.broken == recallNothing {
-		out.Actions = append(out.Actions, Action{Kind: ActionResume})
-		return
-	}
 	a.recall = &recall{answered: make([]bool, a.size), askAt: now}
 	a.recall.answered[a.rank] = true
 	a.repeatRecall(now, out)
@@ -56,7 +52,7 @@
 
 // fenced tells whether the promise comes from an agent that was replaced.
 func (a *Agent) fenced(message Message) bool {
-	return message.Agent < a.fences[message.From] && a.broken != recallUnfenced
+	return message.Agent < a.fences[message.From]
 }
 
 // receiveRecall fences the sender's earlier incarnations off, then tells what
--- a/version/expertmap/vote.go
+++ b/version/expertmap/vote.go
@@ -29,10 +29,6 @@
 	}
 	a.see(proposal.ID)
 	asked := a.remember(proposal, asking)
-	if a.broken == promiseUnheld {
-		a.promise(now, asked, out)
-		return asked
-	}
 	if leads && proposal.Kept {
 		asked.state = waiting
 		return asked
@@ -55,7 +51,7 @@
 	if len(proposal.Agents) != a.size {
 		return false
 	}
-	return proposal.Agents[a.rank] == a.config.Incarnation || a.broken == agentsIgnored
+	return proposal.Agents[a.rank] == a.config.Incarnation
 }
 
 // mayPromise applies the rules that need no engine. The engine adds its own: it
@@ -67,13 +63,13 @@
 	if !a.floor.Less(proposal.ID) {
 		return false
 	}
-	if a.Undecided() != nil && a.broken != promiseTwice {
+	if a.Undecided() != nil {
 		return false
 	}
 	if a.unapplied() {
 		return false
 	}
-	return proposal.From == a.current || a.broken == mapIgnored
+	return proposal.From == a.current
 }
 
 // unapplied tells whether the engine has yet to take the end of a proposal. A
@@ -111,7 +107,7 @@
 	}
 	proposal := *message.Proposal
 	found := a.find(proposal.ID)
-	if found == nil || (a.broken == refusalForgotten && found.state == aborted) {
+	if found == nil {
 		found = a.consider(now, proposal, false, out)
 	}
 	if found != nil && found.state == waiting && found.proposal.keptBy(message.From) {
@@ -160,7 +156,7 @@
 			missing++
 		}
 	}
-	if missing > 0 && (a.broken != commitEarly || missing > 1) {
+	if missing > 0 {
 		return
 	}
 	a.end(known, committed, out)
--- a/version/expertmap/world_test.go
+++ b/version/expertmap/world_test.go
@@ -34,8 +34,22 @@
 	bitsEach
 )
 
+// worldFault is what engines or proposers do wrong besides a broken rule, without
+// which that would not show.
+type worldFault uint8
+
+const (
+	worldSound worldFault = iota
+	// engineIgnoresGroup takes calls for other incarnations of the group.
+	engineIgnoresGroup
+	// engineForgetsHolds keeps the last hold only.
+	engineForgetsHolds
+	// proposerNamesNoMap names the first map as the one to replace.
+	proposerNamesNoMap
+)
+
 type world struct {
-	broken variant
+	broken worldFault
 	agents [worldRanks]*Agent // nil while the agent is dead
 	ranks  [worldRanks]Rank
 	// forgetful engines keep no holds; a rank is silent while its agent is dead or
@@ -57,7 +71,7 @@
 }
 
 func newWorld(c modelCase) *world {
-	w := &world{broken: c.broken, crashes: c.crashes, reforms: c.reforms, forgetful: c.forgetful, lone: c.lone}
+	w := &world{broken: c.world, crashes: c.crashes, reforms: c.reforms, forgetful: c.forgetful, lone: c.lone}
 	for rank := range w.ranks {
 		w.ranks[rank] = NewRank(Facts{Group: 1, Rank: rank, Size: worldRanks})
 		w.start(rank)
@@ -100,7 +114,7 @@
 		w.ranks[rank].facts.Held = nil
 		facts.Held, facts.Installed, facts.Forgetful = nil, ProposalID{}, true
 	}
-	agent := &Agent{config: config, broken: w.broken}
+	agent := &Agent{config: config}
 	w.agents[rank] = agent
 	w.driver(rank).do(farAhead, agent.Formed(farAhead, facts))
 }
@@ -109,15 +123,14 @@
 	return &Driver{agent: w.agents[rank], engine: engineOf{w, rank}, transport: w, observer: w}
 }
 
-// engineOf is a rank's engine; with groupIgnored it knows no incarnations, with
-// promiseTwice it keeps the last hold only.
+// engineOf is a rank's engine; it may be faulty.
 type engineOf struct {
 	w    *world
 	rank int
 }
 
 func (e engineOf) relabel(p Proposal) Proposal {
-	if e.w.broken == groupIgnored {
+	if e.w.broken == engineIgnoresGroup {
 		p.Group = e.w.ranks[e.rank].facts.Group
 	}
 	return p
@@ -128,7 +141,7 @@
 }
 
 func (e engineOf) Hold(p Proposal) (bool, error) {
-	if e.w.broken == promiseTwice {
+	if e.w.broken == engineForgetsHolds {
 		e.w.ranks[e.rank].facts.Held, e.w.ranks[e.rank].facts.Pending = nil, nil
 	}
 	return e.w.ranks[e.rank].Hold(e.relabel(p))
@@ -239,10 +252,10 @@
 		Step:   uint64(2 + rank),
 		Agents: slices.Clone(w.runs[:]),
 	}
-	if w.broken == mapIgnored {
+	if w.broken == proposerNamesNoMap {
 		proposal.From = MapID{}
 	}
-	if w.broken == promiseTwice {
+	if w.broken == engineForgetsHolds {
 		proposal.Step = 2
 	}
 	w.proposals[rank] = proposal
