Give up waits that a dark store took within the time of a configuration

Change: one call waits for the operator's table at most 0.75 of the bound in which a configuration must be in force, and its failure makes the waits for the other tables be given up too.

--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -58,15 +58,34 @@
 	known := &firstRead{Observer: e.targets, done: func() { e.targetsKnown.Store(true) }}
 	operator := &operator{entry: e, log: logs.Part(e.logger, "operator"), out: map[string]bool{}}
 	entries := &registrations{entry: e, log: logs.Part(e.logger, "peers")}
-	group.Go(func() { follow.Table(ctx, e.store, platform.TableOperator, operator, log) })
-	group.Go(func() { follow.Table(ctx, e.store, platform.TableTargets, known, log) })
-	group.Go(func() { follow.Table(ctx, e.store, platform.TableEntries, entries, log) })
+	alarm := follow.NewAlarm()
+	read := func(table string, observer follow.Observer, wait time.Duration) {
+		follow.Table(ctx, follow.Config{
+			Reader: e.store, Table: table, Observer: observer, Log: log, Wait: wait, Alarm: alarm,
+		})
+	}
+	group.Go(func() { read(platform.TableOperator, operator, e.operatorWait()) })
+	group.Go(func() { read(platform.TableTargets, known, follow.LongWait) })
+	group.Go(func() { read(platform.TableEntries, entries, follow.LongWait) })
 	group.Go(func() { e.register(ctx) })
 	group.Go(func() { every(ctx, e.clock, heartbeatEvery, beats.send) })
 	group.Go(func() { every(ctx, e.clock, tickEvery, e.tick) })
 	group.Go(beats.receive)
 }
 
+const (
+	// applyShare is the part of the time in which a configuration must be in force
+	// that one call waits for it, leastOperatorWait its least.
+	applyShare        = 0.75
+	leastOperatorWait = 500 * time.Millisecond
+)
+
+// operatorWait is how long one call waits for a change by the operator: a store that
+// went dark and came back may have lost the call.
+func (e *Entry) operatorWait() time.Duration {
+	return max(time.Duration(applyShare*float64(e.bounds.Load().Apply)), leastOperatorWait)
+}
+
 // firstRead calls done when an observer has taken in a whole table.
 type firstRead struct {
 	follow.Observer
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -15,10 +16,12 @@
 )
 
 const (
-	// feedWait is how long one call waits for a change, probeWait after a call that
-	// failed: a call that a dark store took is never answered.
-	feedWait  = 15 * time.Second
-	probeWait = 500 * time.Millisecond
+	// LongWait is how long one call may wait for a change of a table whose changes
+	// need not be seen soon after the store was dark.
+	LongWait = 15 * time.Second
+	// probeWait is the wait after a call that failed: a call that a dark store took is
+	// never answered.
+	probeWait = 250 * time.Millisecond
 	// settle is the pause after changes: those that come together, as when many
 	// targets start, then take one call.
 	settle = 100 * time.Millisecond
@@ -49,9 +52,52 @@
 	Regained()
 }
 
+// Config is what a table is followed with.
+type Config struct {
+	Reader   Reader
+	Table    string
+	Observer Observer
+	Log      *logrus.Entry
+	// Wait is how long one call waits for a change. A call that was under way as the
+	// store went dark is given up only after that, unless another table's is before.
+	Wait time.Duration
+	// Alarm is shared by all tables of a process.
+	Alarm *Alarm
+}
+
+// Alarm tells all followers of a store that a call of one of them has failed, so
+// that they give up long waits which the store may have lost too. It is safe for
+// concurrent use.
+type Alarm struct {
+	// mu guards raised; it is a leaf.
+	mu sync.Mutex
+	// raised is closed by the next alarm.
+	raised chan struct{}
+}
+
+// NewAlarm returns an Alarm.
+func NewAlarm() *Alarm { return &Alarm{raised: make(chan struct{})} }
+
+// next returns what is closed by the next alarm.
+func (a *Alarm) next() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.raised
+}
+
+func (a *Alarm) raise() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.raised)
+	a.raised = make(chan struct{})
+}
+
+// ErrAlarm means that a wait was given up since another call to the store failed.
+var ErrAlarm = errors.New("another call to the store has failed")
+
 // Table follows a table until the context ends.
-func Table(ctx context.Context, reader Reader, table string, observer Observer, log *logrus.Entry) {
-	f := &follower{reader: reader, table: table, observer: observer, log: log.WithField("table", table)}
+func Table(ctx context.Context, cfg Config) {
+	f := &follower{Config: cfg, log: cfg.Log.WithField("table", cfg.Table)}
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		if ctx.Err() != nil {
@@ -65,10 +111,8 @@
 }
 
 type follower struct {
-	reader   Reader
-	table    string
-	observer Observer
-	log      *logrus.Entry
+	Config
+	log *logrus.Entry
 	// whole tells that the table was read, version how far.
 	whole    bool
 	version  uint64
@@ -81,19 +125,15 @@
 		limit := min(readFirst<<min(f.failures/2, 8), readMost)
 		ctx, cancel := context.WithTimeout(ctx, limit)
 		defer cancel()
-		rows, version, err := f.reader.Read(ctx, f.table)
+		rows, version, err := f.Reader.Read(ctx, f.Table)
 		if err != nil {
 			return err
 		}
 		f.whole, f.version = true, version
-		f.observer.Whole(rows)
+		f.Observer.Whole(rows)
 		return nil
 	}
-	wait := feedWait
-	if f.failures > 0 {
-		wait = probeWait
-	}
-	rows, version, err := f.reader.Feed(ctx, f.table, f.version, wait)
+	rows, version, err := f.feed(ctx)
 	var lost *platform.HistoryLostError
 	if errors.As(err, &lost) {
 		f.whole = false
@@ -105,21 +145,46 @@
 	}
 	f.version = max(f.version, version)
 	if len(rows) > 0 {
-		f.observer.Changed(rows)
+		f.Observer.Changed(rows)
 		f.sleep(ctx, settle)
 	}
 	return nil
 }
 
+// feed waits for the next changes; a long wait ends with the alarm.
+func (f *follower) feed(ctx context.Context) ([]platform.Row, uint64, error) {
+	if f.failures > 0 {
+		return f.Reader.Feed(ctx, f.Table, f.version, probeWait)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	alarm := f.Alarm.next()
+	go func() {
+		select {
+		case <-alarm:
+			cancel(ErrAlarm)
+		case <-ctx.Done():
+		}
+	}()
+	rows, version, err := f.Reader.Feed(ctx, f.Table, f.version, f.Wait)
+	if err != nil && errors.Is(context.Cause(ctx), ErrAlarm) {
+		err = ErrAlarm
+	}
+	return rows, version, err
+}
+
 // note tells of the first failure and of the end of failures.
 func (f *follower) note(err error) {
 	switch {
 	case err != nil && f.failures == 0:
 		f.log.WithError(err).Warn("store lost")
-		f.observer.Lost()
+		f.Observer.Lost()
+		if !errors.Is(err, ErrAlarm) {
+			f.Alarm.raise()
+		}
 	case err == nil && f.failures > 0:
 		f.log.WithField("failures", f.failures).Info("store regained")
-		f.observer.Regained()
+		f.Observer.Regained()
 	}
 	if err == nil {
 		f.failures = 0
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -55,19 +55,19 @@
 }
 
 // feedSlack is how long after its wait a feed is given up, as by platform.Store.
-const feedSlack = time.Second
+const feedSlack = 500 * time.Millisecond
 
 func (s *fakeStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Row, uint64, error) {
 	if s.isDark() {
-		ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
-		defer cancel()
-		<-ctx.Done()
-		return nil, 0, &platform.CallError{Call: "feed", Cause: ctx.Err()}
+		return s.swallow(ctx, wait+feedSlack)
 	}
 	if s.refusing() {
 		return nil, 0, &platform.StatusError{Call: "feed", Status: 503}
 	}
 	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
+		if s.isDark() {
+			return s.swallow(ctx, time.Until(deadline)+feedSlack)
+		}
 		s.mu.Lock()
 		if s.compacted {
 			s.compacted = false
@@ -89,6 +89,14 @@
 	return nil, after, ctx.Err()
 }
 
+// swallow never answers a call.
+func (s *fakeStore) swallow(ctx context.Context, limit time.Duration) ([]platform.Row, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	<-ctx.Done()
+	return nil, 0, &platform.CallError{Call: "feed", Cause: ctx.Err()}
+}
+
 func (s *fakeStore) set(change func(*fakeStore)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,6 +139,45 @@
 	return logrus.NewEntry(logger)
 }
 
+func configOf(store Reader, table string, observer Observer) Config {
+	return Config{Reader: store, Table: table, Observer: observer, Log: quiet(), Wait: LongWait, Alarm: NewAlarm()}
+}
+
+// TestAWaitThatADarkStoreTookIsGivenUpWithAShorterOne replays a day on which the
+// store went dark for 9 s just after all tables had begun to wait: the configuration
+// was read 7 s after the store's return.
+func TestAWaitThatADarkStoreTookIsGivenUpWithAShorterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
+		soon, late := &seen{}, &seen{}
+		short := configOf(store, "soon", soon)
+		short.Wait = 1500 * time.Millisecond
+		long := configOf(store, "late", late)
+		long.Alarm = short.Alarm
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		group.Go(func() { Table(ctx, short) })
+		group.Go(func() { Table(ctx, long) })
+		time.Sleep(20 * time.Millisecond)
+		store.set(func(s *fakeStore) { s.dark = true })
+		time.Sleep(9 * time.Second)
+		store.set(func(s *fakeStore) {
+			s.dark = false
+			s.rows, s.version = append(s.rows, platform.Row{Key: "b", Version: 2}), 2
+		})
+		time.Sleep(1500 * time.Millisecond)
+		for _, observer := range []*seen{soon, late} {
+			observer.mu.Lock()
+			require.Equal(t, []string{"b"}, observer.changed)
+			require.Equal(t, 1, observer.lost)
+			require.Equal(t, 1, observer.regained)
+			observer.mu.Unlock()
+		}
+		cancel()
+		group.Wait()
+	})
+}
+
 func TestAStoreThatWasDarkIsReadSoonAfterItIsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &fakeStore{dark: true, version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
@@ -138,7 +185,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
-			Table(ctx, store, "t", observer, quiet())
+			Table(ctx, configOf(store, "t", observer))
 			close(done)
 		}()
 		const darkFor = 800 * time.Millisecond
@@ -163,7 +210,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
-			Table(ctx, store, "t", observer, quiet())
+			Table(ctx, configOf(store, "t", observer))
 			close(done)
 		}()
 		time.Sleep(time.Second)
@@ -187,7 +234,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
-			Table(ctx, store, "t", observer, quiet())
+			Table(ctx, configOf(store, "t", observer))
 			close(done)
 		}()
 		time.Sleep(10 * time.Millisecond)
