Hold callers to the configured time of headers and to their deadline for bodies

Cause: the time of headers in the configuration was not read (10 s were fixed), and a body that came slowly was waited for without end. Change: a caller's connection is closed when the headers of a request take longer than the limit in force; a body that is not whole by the request's deadline is refused at once as not run. Tests at the connection and the handler.

--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -19,9 +19,6 @@
 const (
 	// tickEvery is how often what depends on time alone is looked at.
 	tickEvery = 50 * time.Millisecond
-	// headerTimeout bounds the reading of a request's headers where no
-	// configuration says it.
-	headerTimeout = 10 * time.Second
 	// headerLimit is the most that net/http reads of headers; the configuration's
 	// own limit is checked afterwards.
 	headerLimit = 1 << 20
@@ -114,12 +111,11 @@
 // listen opens all sockets.
 func (e *Entry) listen() (*servers, error) {
 	s := &servers{callers: &http.Server{
-		Handler: e.closingHandler(), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerLimit,
-		ConnState: newIdleConnections(e.idleLimit).note,
+		Handler: e.closingHandler(), MaxHeaderBytes: headerLimit, ConnState: noteCaller,
 	}}
 	s.others = []*http.Server{
-		{Handler: platform.Readiness(e.ready), ReadHeaderTimeout: headerTimeout},
-		{Handler: platform.Directory(e.resolve), ReadHeaderTimeout: headerTimeout},
+		{Handler: platform.Readiness(e.ready), ReadHeaderTimeout: defaultHeader},
+		{Handler: platform.Directory(e.resolve), ReadHeaderTimeout: defaultHeader},
 	}
 	addresses := []string{e.settings.CallerAddress, e.settings.ReadyAddress, e.settings.DirectoryAddress}
 	if e.settings.MetricsAddress != "" {
@@ -132,6 +128,9 @@
 			s.close()
 			return nil, &ListenError{Address: address, Cause: err}
 		}
+		if len(s.listeners) == 0 {
+			listener = &callerListener{listener, e.callerLimits}
+		}
 		s.listeners = append(s.listeners, listener)
 	}
 	address, err := net.ResolveUDPAddr("udp", e.settings.PeerAddress)
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -55,10 +57,10 @@
 	if limit := version.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
 		return c, failure.New(failure.HeadersTooLarge, failure.NotRun, "the headers are too large")
 	}
+	c.setDeadline(&h.headers)
 	if err := c.readBody(w); err != nil {
 		return c, err
 	}
-	c.setDeadline(&h.headers)
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEvent = r.Header.Get(h.headers.LastEvent)
 	c.work = dispatch.Work{Service: c.service, Urgency: c.urgency(), Arrived: c.started, GiveUp: c.giveUp()}
@@ -121,11 +123,21 @@
 	if limit := c.version.Limits.BodyBytes; limit > 0 {
 		body = http.MaxBytesReader(w, r.Body, limit)
 	}
+	control := http.NewResponseController(w)
+	// The errors are those of a connection that is closed already.
+	_ = control.SetReadDeadline(c.deadline)
 	whole, err := io.ReadAll(body)
+	if err == nil {
+		// Otherwise the rest of the body is not waited for.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if asError(err, &tooLarge) {
 		return failure.New(failure.TooLarge, failure.NotRun, "the body is too large")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the body did not arrive in time").WithCause(err)
+	}
 	if err != nil {
 		return failure.New(failure.BadRequest, failure.NotRun, "the body did not arrive whole").WithCause(err)
 	}
