--- a/daemon/command/closing.go
+++ b/daemon/command/closing.go
@@ -5,12 +5,21 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/settings"
 )
 
-// Closing returns a daemon that closes something when it has run, such as its
-// log.
-func Closing(daemon Daemon, closer io.Closer) Daemon { return closing{daemon, closer} }
+// Logged returns a daemon that writes its log to standard output, without ever
+// waiting for that, and closes the log when it has run.
+func Logged(log settings.Log, build func(*logrus.Logger) Daemon) Daemon {
+	bounded := logs.NewBounded(os.Stdout)
+	return closing{build(logs.New(bounded, log)), bounded}
+}
 
 type closing struct {
 	daemon Daemon
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -62,7 +62,9 @@
 	targetsKnown atomic.Bool
 	// registered is the version of this entry's row in the store, 0 before.
 	registered atomic.Uint64
-	leaving    atomic.Bool
+	// startedUp tells that the entry has been ready.
+	startedUp atomic.Bool
+	leaving   atomic.Bool
 	// closing tells that callers are asked to leave their connections.
 	closing atomic.Bool
 }
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -66,7 +66,13 @@
 	group.Go(func() { read(platform.TableEntries, entries, follow.LongWait) })
 	group.Go(func() { e.register(ctx) })
 	group.Go(func() { every(ctx, e.clock, heartbeatEvery, beats.send) })
-	group.Go(func() { every(ctx, e.clock, tickEvery, e.tick) })
+	started := e.clock.Now()
+	group.Go(func() {
+		every(ctx, e.clock, tickEvery, func() {
+			e.tick()
+			e.noteReady(started)
+		})
+	})
 	group.Go(beats.receive)
 }
 
@@ -95,6 +101,13 @@
 	f.done()
 }
 
+// noteReady tells once how long the start took.
+func (e *Entry) noteReady(started time.Time) {
+	if e.ready() && e.startedUp.CompareAndSwap(false, true) {
+		e.log.WithField("after_ms", e.clock.Since(started).Milliseconds()).Info("ready")
+	}
+}
+
 func (e *Entry) tick() {
 	e.targets.tick()
 	e.dispatcher.Tick(e.clock.Now())
--- a/daemon/rank/load.go
+++ b/daemon/rank/load.go
@@ -1,13 +1,11 @@
 package rank
 
 import (
-	"os"
-
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/daemon/command"
 	"verbenaseam.example/verbenaseam/platform"
-	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/settings"
 )
 
@@ -18,14 +16,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return func() (command.Daemon, error) {
-		log := logs.NewBounded(os.Stdout)
-		daemon := New(Config{
-			Settings: loaded, File: file,
-			Store:  platform.NewStore(loaded.StoreAddress),
-			Clock:  clockwork.NewRealClock(),
-			Logger: logs.New(log, loaded.Log),
-		})
-		return command.Closing(daemon, log), nil
-	}, nil
+	build := func(logger *logrus.Logger) command.Daemon {
+		store := platform.NewStore(loaded.StoreAddress)
+		return New(Config{Settings: loaded, File: file, Store: store, Clock: clockwork.NewRealClock(), Logger: logger})
+	}
+	return func() (command.Daemon, error) { return command.Logged(loaded.Log, build), nil }, nil
 }
