--- a/version/rebalance/policy.go
+++ b/version/rebalance/policy.go
@@ -16,8 +16,9 @@
 	CopyCost float64
 	// LeastGain is the least fall of the mean skew for which a map is changed.
 	LeastGain float64
-	// Calm is the part of the longest pause of a stream below which a step counts
-	// as fast; then a copy must bring CalmFactor times as much.
+	// Calm is the part of the longest pause of a stream below which the mean step
+	// counts as fast; then a copy must bring CalmFactor times as much. Steps with long
+	// prompts in them take several times the mean.
 	Calm, CalmFactor float64
 	// NewPerRank bounds the experts that a rank copies for one map: each adds to
 	// the time until the map can be used.
@@ -35,6 +36,6 @@
 func DefaultPolicy() Policy {
 	return Policy{
 		HalfLife: 300 * time.Millisecond, Slices: 8, CopyCost: 2.7e-4, LeastGain: 0.2, NewPerRank: 1, Lead: 2,
-		Calm: 0.45, CalmFactor: 2,
+		Calm: 0.28, CalmFactor: 2,
 	}
 }
