--- a/version/expertmap/world_test.go
+++ b/version/expertmap/world_test.go
@@ -39,7 +39,7 @@
 type worldFault uint8
 
 const (
-	worldSound worldFault = iota
+	_ worldFault = iota // the zero value does nothing wrong
 	// engineIgnoresGroup takes calls for other incarnations of the group.
 	engineIgnoresGroup
 	// engineForgetsHolds keeps the last hold only.
