--- a/version/expertmap/agent.go
+++ b/version/expertmap/agent.go
@@ -6,9 +6,9 @@
 type state uint8
 
 const (
-	// asking means that the engine was told to hold and has not answered.
+	// asking means that the engine was asked for its promise and has not answered.
 	asking state = iota + 1
-	// promised means that the engine holds and the end is not known.
+	// promised means that the engine keeps the promise and the end is not known.
 	promised
 	committed
 	aborted
--- a/version/expertmap/doc.go
+++ b/version/expertmap/doc.go
@@ -9,6 +9,11 @@
 // promise stays undecided polls the others itself, so that a dead coordinator
 // blocks nobody.
 //
+// Where one engine can hold the whole group (Proposal.Kept), that of one rank, the
+// keeper, does so by order of another rank's host, and its agent coordinates; the
+// others promise without holds of their own. See keep.go, and OrderEngine for the
+// engine behind it.
+//
 // Agent is a pure state machine: messages, engine answers and time go in;
 // messages and actions come out. Driver connects an Agent to an Engine and a
 // Transport.
--- a/version/expertmap/orders.go
+++ b/version/expertmap/orders.go
@@ -41,7 +41,7 @@
 	orders Orders
 	// last is the latest report, with the orders given since counted in.
 	last RankReport
-	// tries counts the attempts to hold for the proposal trying.
+	// tries counts the attempts to set the switch of the proposal trying.
 	trying ProposalID
 	tries  int
 	// doubtful is the newest map for which an order to set the switch, or to take
@@ -166,8 +166,8 @@
 
 // Keep makes the engine of a proposal's keeper hold the group. Another host than
 // the keeper's gives the order, so that the loss of either leaves the other one to
-// let the group go. It returns false if the engine refuses; after an error it may
-// hold, and drops that as a stray hold.
+// let the group go. It returns false if the engine refuses; after an error the
+// engine may hold, which its own agent drops as a stray hold.
 func Keep(keeper Orders, proposal Proposal) (bool, error) {
 	report, err := keeper.Report()
 	if err != nil {
