Leave a silent target also when another of its requests was the last to go on

Their callers left after 2 s. Change: a target is silent if none of its requests went on for the patience.

--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -214,11 +214,16 @@
 func TestATargetIsSilentOnlyWhileOthersGoOn(t *testing.T) {
 	d := newDispatcher(2, 4)
 	first, second := take(t, d, start), take(t, d, start)
-	require.False(t, d.IsSilent(first, start, at(time.Second)), "nobody goes on")
+	require.False(t, d.IsSilent(first, time.Second, at(time.Second)), "nobody goes on")
 	d.Progress(second, at(900*time.Millisecond))
-	require.True(t, d.IsSilent(first, start, at(time.Second)))
-	require.False(t, d.IsSilent(second, start, at(time.Second)))
-	require.False(t, d.IsSilent(first, start, at(2*time.Second)), "the others are silent too by now")
+	require.True(t, d.IsSilent(first, time.Second, at(time.Second)))
+	require.False(t, d.IsSilent(second, time.Second, at(time.Second)))
+	require.False(t, d.IsSilent(first, time.Second, at(2*time.Second)), "the others are silent too by now")
+	// The latest sign of life may have been another request's at the same target.
+	d.Progress(first, at(time.Second))
+	d.Progress(second, at(1900*time.Millisecond))
+	require.False(t, d.IsSilent(first, time.Second, at(1950*time.Millisecond)))
+	require.True(t, d.IsSilent(first, time.Second, at(2*time.Second)))
 	d.Done(first, Silent, at(time.Second))
 	require.True(t, first.health.out(at(time.Second)))
 }
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -249,12 +249,12 @@
 // silent target to be at fault: when all are silent, another is no better.
 const othersProgress = 300 * time.Millisecond
 
-// IsSilent tells whether a target has made no progress since a moment while
-// others of its service have.
-func (d *Dispatcher) IsSilent(t *Target, since, now time.Time) bool {
+// IsSilent tells whether a target has made no progress for some time, with any of
+// its requests, while others of its service have.
+func (d *Dispatcher) IsSilent(t *Target, span time.Duration, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return t.progress.Before(since) && now.Sub(d.pool(t.registration.Service).progress) < othersProgress
+	return now.Sub(t.progress) >= span && now.Sub(d.pool(t.registration.Service).progress) < othersProgress
 }
 
 // downAfter is after how long without progress a service counts as down.
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -44,7 +44,7 @@
 	}
 	now := w.handler.clock.Now()
 	quiet := now.Sub(w.last)
-	if quiet >= w.patience && w.handler.dispatcher.IsSilent(w.target, w.last, now) {
+	if quiet >= w.patience && w.handler.dispatcher.IsSilent(w.target, w.patience, now) {
 		w.cancel(errSilent)
 		return
 	}
