--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(GO) tool staticcheck ./...
 
 fuzz:
-	sh scripts/fuzz.sh 10s
+	sh scripts/fuzz.sh 400000
 
 faults:
 	sh scripts/check-faults.sh
