Let a request wait a moment when no target is linked

Cause of TestEngineCrashIsRetried's one failure (503 no_target, 'not run', beside heavy load): a request for which no target was linked, or whose agents might not start work for the moment, was refused at once, though links are dialled again within a heartbeat's time-out. Such a request now goes back to the queue for up to 2 s (time-out and half a second), if it has not run or is idempotent.

Found on the way: a request that went back to the queue after an attempt that may have run forgot that attempt, and could be refused as not run. It is remembered over queue, retries and fallback pool (test: 'not-run' without, 'unknown' with).

--- a/request/gateway/call.go
+++ b/request/gateway/call.go
@@ -26,6 +26,10 @@
 	fingerprint  uint64
 	started      time.Time
 	deadline     time.Time
+	// mayHaveRun tells that an attempt ended without the word that it did not run.
+	mayHaveRun bool
+	// unreachable is when the call first found no target that may start work.
+	unreachable time.Time
 }
 
 // head is what an agent is told of the call; the target and the remaining time
@@ -60,6 +64,31 @@
 }
 
 // deadlinePassed is the failure of a call whose time ran out.
+// noted remembers whether the call may have run, and returns the failure with the
+// outcome of all attempts so far: the last may not have run, and one before may.
+func (c *call) noted(err *failure.Error) *failure.Error {
+	if err.Outcome != failure.NotRun {
+		c.mayHaveRun = true
+	}
+	if !c.mayHaveRun || err.Outcome != failure.NotRun {
+		return err
+	}
+	copied := *err
+	copied.Outcome = failure.Unknown
+	return &copied
+}
+
+// mayRejoin tells whether a call for which there was no target waits for one.
+func (c *call) mayRejoin(err *failure.Error, now time.Time) bool {
+	if err.Kind != failure.NoTarget && err.Kind != failure.NotReady {
+		return false
+	}
+	if c.unreachable.IsZero() {
+		c.unreachable = now
+	}
+	return now.Sub(c.unreachable) < rejoinTime
+}
+
 func deadlinePassed(outcome failure.Outcome) *failure.Error {
 	return failure.New(failure.DeadlineExceeded, outcome, "the request's time ran out")
 }
--- a/request/gateway/dispatch.go
+++ b/request/gateway/dispatch.go
@@ -34,6 +34,7 @@
 	if !ok {
 		return nil, err
 	}
+	c.noted(failure.From(err))
 	return g.dispatchRetrying(ctx, c, fallback)
 }
 
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -129,7 +129,7 @@
 			g.relay(ctx, w, c, answer)
 			return
 		}
-		found := failure.From(err)
+		found := c.noted(failure.From(err))
 		if !g.mayWait(c, found) || !g.waitOut(ctx, found) {
 			g.fail(w, c, found)
 			return
@@ -153,14 +153,23 @@
 	return result, release, nil
 }
 
-// mayWait tells whether a request that agents refused goes back to the queue:
-// it may be sent again, for it did not run or is idempotent, and its deadline
-// leaves time for the targets to take it.
+// rejoinTime bounds the wait for a pool none of whose targets can be reached or
+// may start work: a lost link is dialled again, and a restarted agent is back,
+// within a heartbeat's time-out and a little more.
+const rejoinTime = link.DefaultHeartbeatTimeout + 500*time.Millisecond
+
+// mayWait tells whether a request that no target took goes back to the queue: it
+// may be sent again, for it did not run or is idempotent, its deadline leaves
+// time for the targets to take it, and they are likely to be back soon.
 func (g *Gateway) mayWait(c *call, err *failure.Error) bool {
-	if !err.FromGate || (err.Outcome != failure.NotRun && !c.route.Idempotent) {
+	if c.mayHaveRun && !c.route.Idempotent {
+		return false
+	}
+	now := g.clock.Now()
+	if !err.FromGate && !c.mayRejoin(err, now) {
 		return false
 	}
-	return c.deadline.Sub(g.clock.Now()) > 2*err.RetryAfter
+	return c.deadline.Sub(now) > 2*err.RetryAfter
 }
 
 // waitOut lets the time pass that a refusal asked for. A full gate asks for
--- /dev/null
+++ b/request/gateway/gateway_test.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/connection/link"
+	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/health"
+	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/metrics"
+	"verbenaseam.example/verbenaseam/process/settings"
+	"verbenaseam.example/verbenaseam/request/admit"
+	"verbenaseam.example/verbenaseam/request/poison"
+	"verbenaseam.example/verbenaseam/request/stream"
+	"verbenaseam.example/verbenaseam/version/table"
+)
+
+const (
+	targetName = "target-1"
+	callerKey  = "foo"
+	// tables hold the SHA-256 of callerKey.
+	tables = `
+[failure_domain thamel]
+region = valley
+[target target-1]
+agent = 127.0.0.1:21001
+failure_domain = thamel
+[pool stock]
+kind = service
+targets = target-1
+cold_limit = 4
+maximum = 4
+fencing = ignored
+[route stock]
+path = /stock
+pool = stock
+idempotent = true
+timeout = 10s
+[organisation sorters]
+key_sha256 = 2c26b46b68ffc68ff99b453c1d30413413422d706483bfa0f98a5e886266e7ae
+`
+)
+
+// agent answers the streams of a link, the first with first if it is not nil.
+type agent struct {
+	first atomic.Pointer[failure.Error]
+	// served counts the streams.
+	served atomic.Int64
+}
+
+func (a *agent) ServeStream(_ context.Context, _ *link.Link, s *link.Stream) {
+	a.served.Add(1)
+	if refusal := a.first.Swap(nil); refusal != nil {
+		_ = s.SendHead(&stream.ResponseHead{Refusal: stream.RefusalOf(refusal)}, nil, true)
+		return
+	}
+	_ = s.SendHead(&stream.ResponseHead{Status: http.StatusOK}, []byte("whole"), true)
+}
+
+func (a *agent) ServeMessage(context.Context, *link.Link, uint16, []byte) {}
+
+// hiddenLinks is one link that may be lost from sight.
+type hiddenLinks struct {
+	link   *link.Link
+	hidden atomic.Bool
+}
+
+func (h *hiddenLinks) Get(string) (*link.Link, bool) {
+	if h.hidden.Load() {
+		return nil, false
+	}
+	return h.link, true
+}
+
+// linkTo connects an entry with an agent over loopback.
+func linkTo(t *testing.T, handler link.Handler) *hiddenLinks {
+	acceptor := link.NewAcceptor(link.Config{
+		Identity: link.Identity{Name: targetName, Role: link.RoleAgent, Incarnation: "1"},
+		Handler:  handler, Logger: logs.Discard(),
+	})
+	server := httptest.NewServer(acceptor)
+	t.Cleanup(server.Close)
+	l, err := link.Dial(t.Context(), server.Listener.Addr().String(), link.Config{
+		Identity: link.Identity{Name: "entry-1", Role: link.RoleEntry, Incarnation: "1"}, Logger: logs.Discard(),
+	})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return &hiddenLinks{link: l}
+}
+
+// newGateway returns a gateway in front of one target.
+func newGateway(t *testing.T, links Links, clock clockwork.Clock) *Gateway {
+	parsed, err := table.Parse(strings.NewReader(tables), "test")
+	require.NoError(t, err)
+	snapshot, err := table.Compile(parsed)
+	require.NoError(t, err)
+	targets := NewTargets("entry-1", 8, clock)
+	targets.Update(snapshot)
+	return New(Config{
+		Tables: fixedTables{snapshot}, Links: links, Targets: targets, Clock: clock,
+		Limits:  settings.Limits{HeaderBytes: 1 << 16, BodyBytes: 1 << 20, BodyTimeout: time.Second},
+		Metrics: metrics.New(link.RoleEntry, metrics.DefaultOrganisations),
+		Log:     logs.Part(logs.Discard(), "gateway"),
+		Quotas:  admit.NewQuotas("entry-1", 1, clock),
+		Poison:  poison.NewTracker(poison.Config{}, clock), ShareEvidence: func() {},
+		Health: health.NewCorrelator(health.Config{Clock: clock}),
+	})
+}
+
+type fixedTables struct{ snapshot *table.Snapshot }
+
+func (f fixedTables) Current() *table.Snapshot { return f.snapshot }
+
+// lookUp sends one request; the channel gives its answer.
+func lookUp(t *testing.T, g *Gateway) <-chan *httptest.ResponseRecorder {
+	answered := make(chan *httptest.ResponseRecorder, 1)
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/stock/tents", strings.NewReader(""))
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	go func() {
+		recorder := httptest.NewRecorder()
+		g.ServeHTTP(recorder, request)
+		answered <- recorder
+	}()
+	return answered
+}
+
+// unlinkedTime is longer than the attempts of one request take.
+const unlinkedTime = 500 * time.Millisecond
+
+// TestARequestWaitsForATargetThatIsLinkedAgain keeps a request for which no
+// target is linked at the moment.
+func TestARequestWaitsForATargetThatIsLinkedAgain(t *testing.T) {
+	links := linkTo(t, &agent{})
+	links.hidden.Store(true)
+	answered := lookUp(t, newGateway(t, links, clockwork.NewRealClock()))
+	time.Sleep(unlinkedTime)
+	links.hidden.Store(false)
+	recorder := <-answered
+	require.Equal(t, http.StatusOK, recorder.Code, recorder.Body.String())
+	require.Equal(t, "whole", recorder.Body.String())
+}
+
+// TestARequestWithoutATargetIsRefusedInTime bounds that wait.
+func TestARequestWithoutATargetIsRefusedInTime(t *testing.T) {
+	links := linkTo(t, &agent{})
+	links.hidden.Store(true)
+	started := time.Now()
+	recorder := <-lookUp(t, newGateway(t, links, clockwork.NewRealClock()))
+	require.Equal(t, http.StatusServiceUnavailable, recorder.Code, recorder.Body.String())
+	require.Equal(t, string(failure.NotRun), recorder.Header().Get(HeaderOutcome))
+	require.NotEmpty(t, recorder.Header().Get("Retry-After"))
+	require.Less(t, time.Since(started), 2*rejoinTime)
+}
+
+// TestARefusalRemembersAnEarlierAttempt fails an attempt that may have run and
+// then finds no target: the refusal must not say that the request did not run.
+func TestARefusalRemembersAnEarlierAttempt(t *testing.T) {
+	crashing := &agent{}
+	crashing.first.Store(failure.New(failure.EngineFailed, failure.Unknown, "the engine ended"))
+	links := linkTo(t, crashing)
+	g := newGateway(t, &losingLinks{hiddenLinks: links, agent: crashing}, clockwork.NewRealClock())
+	recorder := <-lookUp(t, g)
+	require.Equal(t, string(failure.Unknown), recorder.Header().Get(HeaderOutcome), recorder.Body.String())
+	require.EqualValues(t, 1, crashing.served.Load())
+}
+
+// losingLinks loses the link once the agent has served a stream.
+type losingLinks struct {
+	*hiddenLinks
+	agent *agent
+}
+
+func (l *losingLinks) Get(name string) (*link.Link, bool) {
+	if l.agent.served.Load() > 0 {
+		l.hidden.Store(true)
+	}
+	return l.hiddenLinks.Get(name)
+}
