Make calls again that the platform refused for its rate

Found by TestOperatorsOnOneBase: 7 of 15 runs failed on this machine with 503 platform_unavailable for one of 8 operators who change tables at once. Cause: the stand-in of the users' store keeps its real rates (400 writes a second, bursts of 40), and the log of tables took a refusal for the rate as an outage.

--- a/version/rollout/log.go
+++ b/version/rollout/log.go
@@ -39,7 +39,7 @@
 
 // NewLog returns the log kept in rows; clock gives the times that entries carry.
 func NewLog(rows platform.Table, clock clockwork.Clock) *Log {
-	return &Log{rows: rows, clock: clock, last: table.New()}
+	return &Log{rows: &patientTable{Table: rows, clock: clock}, clock: clock, last: table.New()}
 }
 
 // Update is what one read of the log brought.
