One intake and one decision on attempts for both interfaces

request/gateway and request/forward each read bodies, found keys, measured headers and decided on further attempts. Now request/intake reads and finds, request/headers says what travels on (two lists of hop-by-hop headers differed: links passed on what Connection names), and retry.Session decides for both; Policy.Once says that a request which may have run is not sent again. forward/decide.go only judges answers.

--- a/daemon/entry/callers.go
+++ b/daemon/entry/callers.go
@@ -6,6 +6,7 @@
 
 	"verbenaseam.example/verbenaseam/api/gen/callerapi"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/intake"
 	"verbenaseam.example/verbenaseam/request/steer"
 	"verbenaseam.example/verbenaseam/version/table"
 )
@@ -28,9 +29,9 @@
 	if snapshot == nil {
 		return nil, failure.New(failure.NotReady, failure.NotRun, "this entry has no configuration yet")
 	}
-	organisation, ok := snapshot.OrganisationByKey(bearer.Token)
-	if !ok {
-		return nil, failure.New(failure.Unauthorized, failure.NotRun, "the key is missing or wrong")
+	organisation, err := intake.Organisation(snapshot, bearer.Token)
+	if err != nil {
+		return nil, err
 	}
 	return context.WithValue(ctx, organisationKey{}, organisation), nil
 }
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -1,12 +1,9 @@
 package forward
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +11,9 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/headers"
+	"verbenaseam.example/verbenaseam/request/intake"
+	"verbenaseam.example/verbenaseam/request/retry"
 	"verbenaseam.example/verbenaseam/version/config"
 	"verbenaseam.example/verbenaseam/version/table"
 )
@@ -35,8 +35,8 @@
 	deadline time.Time
 	byRoute  bool
 	work     dispatch.Work
-	// everRan is the worst of what is known of the attempts.
-	everRan ran
+	// attempts decides whether the call is sent again.
+	attempts *retry.Session
 	// lastEvent is the id of the last event that the caller has.
 	lastEvent string
 	// target and waited are for the log.
@@ -54,7 +54,7 @@
 	if err := c.setRoute(&h.headers); err != nil {
 		return c, err
 	}
-	if limit := version.Limits.HeaderBytes; limit > 0 && headerBytes(r) > limit {
+	if limit := version.Limits.HeaderBytes; limit > 0 && headers.Size(r) > limit {
 		return c, failure.New(failure.HeadersTooLarge, failure.NotRun, "the headers are too large")
 	}
 	c.setDeadline(&h.headers)
@@ -64,21 +64,18 @@
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEvent = r.Header.Get(h.headers.LastEvent)
 	c.work = dispatch.Work{Service: c.service, Urgency: c.urgency(), Arrived: c.started, GiveUp: c.giveUp()}
+	c.attempts = retry.NewSession(retry.Policy{
+		MaxAttempts: c.route.Direct.MaxAttempts, Once: !c.route.Idempotent, Deadline: c.deadline,
+		Budget: h.budget(c.service), MinimumTime: leastTime,
+	})
 	return c, nil
 }
 
-func headerBytes(r *http.Request) int64 {
-	total := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			total += len(name) + len(value)
-		}
-	}
-	return int64(total)
-}
+// leastTime is the least time for which another attempt is worth making.
+const leastTime = 20 * time.Millisecond
 
 // setRoute finds the route by host and longest path, and checks the key.
-func (c *call) setRoute(headers *Headers) *failure.Error {
+func (c *call) setRoute(names *Headers) *failure.Error {
 	route, ok := c.version.Routes.Route(table.Query{Host: hostName(c.request.Host), Path: pathOf(c.request.RequestURI)})
 	if !ok {
 		return failure.New(failure.NoRoute, failure.NotRun, "no route takes this request")
@@ -87,16 +84,13 @@
 	if !c.version.KeysNeeded {
 		return nil
 	}
-	if key, ok := strings.CutPrefix(c.request.Header.Get(headers.Key), headers.KeyScheme); ok {
-		if organisation, found := c.version.Routes.OrganisationByKey(key); found {
-			c.organisation = organisation
-			return nil
-		}
+	key := intake.KeyOf(c.request.Header.Get(names.Key), names.KeyScheme)
+	organisation, refused := intake.Organisation(c.version.Routes, key)
+	if refused != nil && !route.Direct.Public {
+		return refused
 	}
-	if route.Direct.Public {
-		return nil
-	}
-	return failure.New(failure.Unauthorized, failure.NotRun, "the key is missing or wrong")
+	c.organisation = organisation
+	return nil
 }
 
 // hostName returns a host in lower case without its port.
@@ -119,36 +113,15 @@
 	if !c.hasBody {
 		return nil
 	}
-	body := r.Body
-	if limit := c.version.Limits.BodyBytes; limit > 0 {
-		body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	control := http.NewResponseController(w)
-	// The errors are those of a connection that is closed already.
-	_ = control.SetReadDeadline(c.deadline)
-	whole, err := io.ReadAll(body)
-	if err == nil {
-		// Otherwise the rest of the body is not waited for.
-		_ = control.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	if asError(err, &tooLarge) {
-		return failure.New(failure.TooLarge, failure.NotRun, "the body is too large")
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return failure.New(failure.DeadlineExceeded, failure.NotRun, "the body did not arrive in time").WithCause(err)
-	}
-	if err != nil {
-		return failure.New(failure.BadRequest, failure.NotRun, "the body did not arrive whole").WithCause(err)
-	}
-	c.body = whole
-	return nil
+	body, err := intake.ReadBody(w, r, c.version.Limits.BodyBytes, c.deadline)
+	c.body = body
+	return err
 }
 
 // setDeadline takes the earlier of what the caller waits and the route allows.
-func (c *call) setDeadline(headers *Headers) {
+func (c *call) setDeadline(names *Headers) {
 	c.deadline = c.started.Add(maxWait)
-	if wait, ok := waitOf(c.request.Header.Get(headers.Deadline)); ok {
+	if wait, ok := waitOf(c.request.Header.Get(names.Deadline)); ok {
 		c.deadline = c.started.Add(wait)
 	}
 	if c.route.Timeout <= 0 {
@@ -159,6 +132,10 @@
 	}
 }
 
+// succeeded ends an attempt whose answer is whole. The answer goes to the caller
+// also when its time has passed.
+func (c *call) succeeded(now time.Time) { c.attempts.Succeeded(now) }
+
 // class names the kind of a request for metrics.
 func (c *call) class() string {
 	switch {
@@ -227,22 +204,22 @@
 const deadlineSlack = 100 * time.Millisecond
 
 // outgoing is the request as it goes to a target.
-func (c *call) outgoing(headers *Headers, t *dispatch.Target, now time.Time) *direct.Request {
-	header := endToEnd(c.request.Header)
-	header.Del(headers.Key)
-	header.Del(headers.Organisation)
+func (c *call) outgoing(names *Headers, t *dispatch.Target, now time.Time) *direct.Request {
+	header := headers.EndToEnd(c.request.Header)
+	header.Del(names.Key)
+	header.Del(names.Organisation)
 	if c.organisation != nil {
-		header.Set(headers.Organisation, c.organisation.Name)
+		header.Set(names.Organisation, c.organisation.Name)
 	}
 	left := max(c.deadline.Sub(now).Milliseconds(), 1)
-	header.Set(headers.Deadline, strconv.FormatInt(left, 10))
-	header.Set(headers.Expect, t.ID())
+	header.Set(names.Deadline, strconv.FormatInt(left, 10))
+	header.Set(names.Expect, t.ID())
 	if c.lastEvent != "" {
-		header.Set(headers.LastEvent, c.lastEvent)
+		header.Set(names.LastEvent, c.lastEvent)
 	}
 	return &direct.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host,
 		Header: header, Body: c.body, HasBody: c.hasBody, Deadline: c.deadline.Add(deadlineSlack),
-		IDHeader: headers.Attempt, ID: c.id,
+		IDHeader: names.Attempt, ID: c.id,
 	}
 }
--- a/request/forward/decide.go
+++ b/request/forward/decide.go
@@ -6,48 +6,73 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 )
 
-// ran tells whether an attempt has run the request.
-type ran uint8
-
-const (
-	// notRun means that the request did not run and will not.
-	notRun ran = iota
-	// mayHaveRun means that nothing is known.
-	mayHaveRun
-	// hasRun means that the target answered after it worked on the request.
-	hasRun
-)
-
 // verdict is what the head of an answer, or the want of one, means.
 type verdict struct {
-	ran ran
+	// failure is why the answer is not the request's, or nil. Its outcome tells
+	// whether the target may have run the request.
+	failure *failure.Error
 	// deliver tells that the answer is the target's own and goes to the caller
 	// unless another target may do better.
 	deliver bool
-	// success tells that it is an answer with success.
-	success bool
-	result  dispatch.Result
+	// result is what the attempt says of the target.
+	result dispatch.Result
 	// reason is a few words for the log.
 	reason string
 }
 
+// success tells whether the answer is one that the caller wanted.
+func (v verdict) success() bool { return v.failure == nil }
+
+// refused is the verdict on an attempt that did not run.
+func refused(result dispatch.Result, reason string) verdict {
+	return verdict{
+		failure: failure.New(failure.Overloaded, failure.NotRun, "the targets refused the request"),
+		result:  result, reason: reason,
+	}
+}
+
+// noAnswer is the verdict on an attempt that may have run.
+func noAnswer(result dispatch.Result, reason string) verdict {
+	return verdict{
+		failure: failure.New(failure.Incomplete, failure.Unknown, "the target gave no whole answer"),
+		result:  result, reason: reason,
+	}
+}
+
+// abandoned is the verdict on an attempt that the caller, or the end of the
+// request's time, ended; it keeps whether the attempt may have run.
+func (v verdict) abandoned() verdict {
+	outcome := failure.Unknown
+	if v.failure != nil {
+		outcome = v.failure.Outcome
+	}
+	return verdict{
+		failure: failure.New(failure.DeadlineExceeded, outcome, timeUpMessage),
+		result:  dispatch.Abandoned, reason: "caller left or time ran out",
+	}
+}
+
+// timeUpMessage is for calls whose time has passed.
+const timeUpMessage = "the request's time ran out"
+
 // judgeError tells what a failure to get an answer means; left tells that the
 // caller has left.
 func judgeError(err error, left bool) verdict {
-	found := verdict{ran: mayHaveRun, result: dispatch.Failed, reason: "no answer"}
+	found := noAnswer(dispatch.Failed, "no answer")
 	var send *direct.SendError
 	var limit *direct.LimitError
 	if errors.As(err, &send) && !send.Sent {
-		found.ran, found.reason = notRun, "not sent"
+		found = refused(dispatch.Failed, "not sent")
 	}
 	if errors.As(err, &limit) {
-		found.result, found.reason = dispatch.Full, "no connection free"
+		found = refused(dispatch.Full, "no connection free")
 	}
 	if left {
-		found.result, found.reason = dispatch.Abandoned, "caller left or time ran out"
+		return found.abandoned()
 	}
 	return found
 }
@@ -55,40 +80,27 @@
 // judgeAnswer tells what the head of an answer of the target with the id means.
 func judgeAnswer(h *Headers, status int, header http.Header, id string) verdict {
 	if status == http.StatusMisdirectedRequest {
-		found := verdict{ran: notRun, result: dispatch.Full, reason: "refused by the target"}
 		if got := header.Get(h.Instance); got != "" && got != id {
-			found.result, found.reason = dispatch.Gone, "another target has the address"
+			return refused(dispatch.Gone, "another target has the address")
 		}
-		return found
+		return refused(dispatch.Full, "refused by the target")
 	}
 	if header.Get(h.NotRun) != "" {
-		return verdict{ran: notRun, result: dispatch.Full, reason: "refused by the target"}
+		return refused(dispatch.Full, "refused by the target")
 	}
 	signed := header.Get(h.Signature) != "" && header.Get("Content-Encoding") == ""
 	if !signed {
-		return verdict{ran: mayHaveRun, result: dispatch.Failed, reason: "the answer is not signed"}
+		return noAnswer(dispatch.Failed, "the answer is not signed")
 	}
 	if status < http.StatusMultipleChoices {
-		return verdict{ran: hasRun, deliver: true, success: true, result: dispatch.Served}
+		return verdict{deliver: true, result: dispatch.Served}
 	}
 	if status >= http.StatusInternalServerError {
-		return verdict{ran: hasRun, deliver: true, result: dispatch.Failed, reason: "the target failed"}
+		failed := failure.New(failure.EngineFailed, failure.Unknown, "the target failed")
+		return verdict{failure: failed, deliver: true, result: dispatch.Failed, reason: failed.Message}
 	}
-	return verdict{ran: hasRun, deliver: true, result: dispatch.Served}
-}
-
-// again tells whether a request may be sent to one more target.
-func (c *call) again(found verdict, now time.Time) bool {
-	if found.success || len(c.work.Tried) >= c.route.Direct.MaxAttempts {
-		return false
-	}
-	if found.deliver && found.result == dispatch.Served {
-		return false
-	}
-	if found.ran != notRun && !c.route.Idempotent {
-		return false
-	}
-	return c.deadline.Sub(now) > leastTime
+	// Another target would answer the same.
+	return verdict{failure: failure.New(failure.BadRequest, failure.Unknown, "the target refused the request for good"), deliver: true, result: dispatch.Served}
 }
 
 const (
@@ -102,11 +114,8 @@
 // patience is how long a target may be silent before another is tried; 0 for
 // requests that may not be sent to another.
 func (c *call) patience() time.Duration {
-	if !c.route.Idempotent || len(c.work.Tried) >= c.route.Direct.MaxAttempts {
+	if !c.route.Idempotent || c.attempts.Started() >= c.route.Direct.MaxAttempts {
 		return 0
 	}
 	return min(max(silentLatencies*c.route.Direct.Latency, silentLeast), silentMost)
 }
-
-// leastTime is the least time for which another attempt is worth making.
-const leastTime = 20 * time.Millisecond
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 
@@ -67,30 +66,36 @@
 			h.refuse(w, r, c, err)
 			return
 		}
-		found, err := h.attempt(ctx, w, c, t)
+		again, err := h.attempt(ctx, w, c, t)
 		if err == nil {
 			h.finish(c, "answered", "")
 			return
 		}
-		if !h.sendAgain(ctx, c, found) {
+		if !again {
 			h.refuse(w, r, c, err)
 			return
 		}
 	}
 }
 
-// sendAgain decides whether there is one more attempt, and pays for it.
+// sendAgain ends an attempt that failed, and tells whether there is one more; that
+// is paid for then.
 func (h *Handler) sendAgain(ctx context.Context, c *call, found verdict) bool {
-	if ctx.Err() != nil || !c.again(found, h.clock.Now()) {
+	decision := c.attempts.Failed(found.failure, h.clock.Now(), noJitter)
+	if ctx.Err() != nil {
 		return false
 	}
-	paid := h.budget(c.service).Take()
-	h.log.WithFields(logrus.Fields{
-		"request": c.id, "target": c.target, "reason": found.reason, "again": paid,
-	}).Info("attempt failed")
-	return paid
+	if decision.Retry || decision.Reason == retry.GiveUpBudget {
+		h.log.WithFields(logrus.Fields{
+			"request": c.id, "target": c.target, "reason": found.reason, "again": decision.Retry,
+		}).Info("attempt failed")
+	}
+	return decision.Retry
 }
 
+// noJitter is for attempts that follow each other at once, at another target.
+const noJitter = 0
+
 // wait gets a target for a call, at once or within the time that it may wait.
 func (h *Handler) wait(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
 	now := h.clock.Now()
@@ -122,40 +127,37 @@
 
 // refusal is the failure of a call that was not sent once more.
 func (h *Handler) refusal(c *call, kind failure.Kind, message string) *failure.Error {
-	outcome := failure.NotRun
-	if c.everRan != notRun {
-		outcome = failure.Unknown
-	}
 	now := h.clock.Now()
 	down := h.dispatcher.IsDown(c.service, now)
-	return failure.New(kind, outcome, message).WithRetryAfter(comeBack(down, c.deadline.Sub(now), rand.Float64()))
+	return failure.New(kind, c.attempts.Outcome(), message).WithRetryAfter(comeBack(down, c.deadline.Sub(now), rand.Float64()))
 }
 
 // timeUp is the failure of a call whose deadline has passed.
 func (h *Handler) timeUp(c *call) *failure.Error {
-	return h.refusal(c, failure.DeadlineExceeded, "the request's time ran out")
+	return h.refusal(c, failure.DeadlineExceeded, timeUpMessage)
 }
 
 // attempt sends a call to a target and relays its answer. A failure means that
-// nothing has been written to the caller.
-func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (verdict, *failure.Error) {
+// nothing has been written to the caller; again tells whether to try once more.
+func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (again bool, failed *failure.Error) {
 	h.begin(c, t)
 	tryCtx, watched := h.watch(ctx, c, t)
 	answer, found := h.ask(ctx, tryCtx, c, t)
-	if answer == nil || !found.deliver || c.again(found, h.clock.Now()) && h.budget(c.service).Tokens() >= 1 {
+	if found.success() && c.route.Direct.Streams {
+		return h.relayStream(ctx, w, c, &source{target: t, answer: answer, ctx: tryCtx, watch: watched})
+	}
+	defer watched.stop()
+	if !found.success() {
+		again = h.sendAgain(ctx, c, found)
+	}
+	if again || !found.deliver {
 		if answer != nil {
 			h.discard(answer)
 		}
-		watched.stop()
 		h.dispatcher.Done(t, found.result, h.clock.Now())
-		return found, h.failed(c, found)
-	}
-	c.everRan = max(c.everRan, found.ran)
-	if c.route.Direct.Streams && found.success {
-		return h.relayStream(ctx, w, c, &source{target: t, answer: answer, ctx: tryCtx, watch: watched})
+		return again, h.failed(c, found)
 	}
-	defer watched.stop()
-	return h.relayWhole(tryCtx, w, c, t, answer, found)
+	return h.relayWhole(ctx, tryCtx, w, c, t, answer, found)
 }
 
 // ask sends a call to a target and judges the head of its answer, or the want of
@@ -171,7 +173,7 @@
 // begin notes that a call is sent to a target.
 func (h *Handler) begin(c *call, t *dispatch.Target) {
 	kind := "first"
-	if len(c.work.Tried) > 0 {
+	if number, _ := c.attempts.Begin(); number > 0 {
 		kind = "retry"
 	}
 	h.metrics.Attempt(kind)
@@ -196,18 +198,14 @@
 // discardLimit is the longest body that is read only to keep its connection.
 const discardLimit = 4 << 10
 
-// failed is the failure of an attempt, and notes what is known of it.
+// failed is the failure of a call whose last attempt has failed.
 func (h *Handler) failed(c *call, found verdict) *failure.Error {
-	c.everRan = max(c.everRan, found.ran)
 	switch {
 	case found.result == dispatch.Abandoned:
 		return h.timeUp(c)
-	case c.everRan == notRun:
-		return h.refusal(c, failure.Overloaded, "the targets refused the request")
+	case c.attempts.Outcome() == failure.NotRun:
+		return h.refusal(c, failure.Overloaded, found.failure.Message)
 	default:
 		return h.refusal(c, failure.Incomplete, "the target gave no whole answer")
 	}
 }
-
-// asError is errors.As for a nil error too.
-func asError[T error](err error, into *T) bool { return err != nil && errors.As(err, into) }
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -28,28 +27,6 @@
 	LastEvent string
 }
 
-// hopByHop are the headers that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// endToEnd returns a copy of a message's headers without those that concern one
-// connection only or the framing.
-func endToEnd(from http.Header) http.Header {
-	out := from.Clone()
-	for _, field := range from["Connection"] {
-		for _, name := range strings.Split(field, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	out.Del("Content-Length")
-	return out
-}
-
 // maxWait bounds the deadline that a caller may name.
 const maxWait = time.Hour
 
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -10,25 +10,28 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/headers"
 )
 
 // answerLimit bounds the bytes of an answer that is not a stream.
 const answerLimit = 64 << 20
 
 // relayWhole reads the whole answer and then writes it, so that no part of one
-// that breaks off reaches the caller.
-func (h *Handler) relayWhole(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, answer *direct.Answer, found verdict) (verdict, *failure.Error) {
+// that breaks off reaches the caller. tryCtx is the attempt's part of ctx.
+func (h *Handler) relayWhole(ctx, tryCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, answer *direct.Answer, found verdict) (again bool, failed *failure.Error) {
 	defer answer.Close()
 	body, err := io.ReadAll(io.LimitReader(answer, answerLimit))
 	if err != nil {
-		found = broken(ctx)
-		h.dispatcher.Done(t, found.result, h.clock.Now())
-		return found, h.failed(c, found)
+		torn := broken(tryCtx)
+		// An attempt that failed before has been ended already.
+		again = found.success() && h.sendAgain(ctx, c, torn)
+		h.dispatcher.Done(t, torn.result, h.clock.Now())
+		return again, h.failed(c, torn)
 	}
 	h.dispatcher.Progress(t, h.clock.Now())
 	h.dispatcher.Done(t, found.result, h.clock.Now())
-	if found.success {
-		h.budget(c.service).Succeeded()
+	if found.success() {
+		c.succeeded(h.clock.Now())
 	}
 	h.metrics.FirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 	writeHead(w, answer)
@@ -36,22 +39,22 @@
 	w.WriteHeader(answer.Status)
 	// A caller that has left reads nothing; there is nobody to tell.
 	_, _ = w.Write(body)
-	return found, nil
+	return false, nil
 }
 
 // broken is the verdict on an answer that broke off; the context is that of the
 // attempt.
 func broken(ctx context.Context) verdict {
-	found := verdict{ran: mayHaveRun, result: dispatch.Failed, reason: "the answer broke off"}
+	found := noAnswer(dispatch.Failed, "the answer broke off")
 	if ctx.Err() != nil {
-		found.result, found.reason = dispatch.Abandoned, "caller left or time ran out"
+		found = found.abandoned()
 	}
 	return attemptResult(ctx, found)
 }
 
 func writeHead(w http.ResponseWriter, answer *direct.Answer) {
 	header := w.Header()
-	for name, values := range endToEnd(answer.Header) {
+	for name, values := range headers.EndToEnd(answer.Header) {
 		header[name] = values
 	}
 }
@@ -67,7 +70,7 @@
 // relayStream passes the events of a stream on as they come. A stream that
 // breaks before its first event is a failed attempt; one that breaks later goes
 // on at another target where the route allows it, and is cut off otherwise.
-func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, from *source) (verdict, *failure.Error) {
+func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, from *source) (again bool, failed *failure.Error) {
 	out := &streamWriter{w: w, control: http.NewResponseController(w), last: c.lastEvent}
 	for {
 		err := out.copy(from.answer, from.watch.progress, func() {
@@ -79,21 +82,22 @@
 		if err == nil {
 			from.watch.stop()
 			h.dispatcher.Done(from.target, dispatch.Served, h.clock.Now())
-			h.budget(c.service).Succeeded()
+			c.succeeded(h.clock.Now())
 			out.finish(from.answer)
-			return verdict{ran: hasRun, deliver: true, success: true}, nil
+			return false, nil
 		}
 		found := broken(from.ctx)
 		if errors.Is(err, errCallerGone) {
-			found.result = dispatch.Abandoned
+			found = found.abandoned()
 		}
 		from.watch.stop()
 		h.dispatcher.Done(from.target, found.result, h.clock.Now())
+		again := h.sendAgain(ctx, c, found)
 		if !out.started {
-			return found, h.failed(c, found)
+			return again, h.failed(c, found)
 		}
-		if found.result == dispatch.Abandoned || !h.sendAgain(ctx, c, found) {
-			h.cut(c, found)
+		if !again {
+			h.cut(c, found.reason)
 		}
 		from = h.resume(ctx, c)
 	}
@@ -106,12 +110,12 @@
 	for {
 		t, refused := h.wait(ctx, c)
 		if refused != nil {
-			h.cut(c, verdict{reason: "no target goes on with the stream"})
+			h.cut(c, "no target goes on with the stream")
 		}
 		h.begin(c, t)
 		tryCtx, watched := h.watch(ctx, c, t)
 		answer, found := h.ask(ctx, tryCtx, c, t)
-		if found.success {
+		if found.success() {
 			return &source{target: t, answer: answer, ctx: tryCtx, watch: watched}
 		}
 		if answer != nil {
@@ -120,14 +124,14 @@
 		watched.stop()
 		h.dispatcher.Done(t, found.result, h.clock.Now())
 		if !h.sendAgain(ctx, c, found) {
-			h.cut(c, found)
+			h.cut(c, found.reason)
 		}
 	}
 }
 
 // cut ends a stream that cannot be finished so that nobody takes it for whole.
 // It does not return.
-func (h *Handler) cut(c *call, found verdict) {
-	h.finish(c, "cut", found.reason)
+func (h *Handler) cut(c *call, reason string) {
+	h.finish(c, "cut", reason)
 	panic(http.ErrAbortHandler)
 }
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 )
 
@@ -75,10 +76,13 @@
 	w.cancel(nil)
 }
 
-// result corrects the result of an attempt that the watch has ended.
+// attemptResult corrects the result of an attempt that the watch has ended.
 func attemptResult(ctx context.Context, found verdict) verdict {
 	if errors.Is(context.Cause(ctx), errSilent) {
-		found.result, found.reason = dispatch.Silent, errSilent.Error()
+		if found.failure.Outcome == failure.NotRun {
+			return refused(dispatch.Silent, errSilent.Error())
+		}
+		return noAnswer(dispatch.Silent, errSilent.Error())
 	}
 	return found
 }
--- a/request/gateway/read.go
+++ b/request/gateway/read.go
@@ -1,16 +1,15 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/google/uuid"
 
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/headers"
+	"verbenaseam.example/verbenaseam/request/intake"
 	"verbenaseam.example/verbenaseam/request/prompt"
 	"verbenaseam.example/verbenaseam/version/table"
 )
@@ -24,16 +23,16 @@
 
 // read takes a caller's request in: who asks, what for, by when.
 func (g *Gateway) read(w http.ResponseWriter, r *http.Request, id string) (*call, error) {
-	if headerBytes(r.Header) > g.limits.HeaderBytes {
+	if headers.Size(r) > g.limits.HeaderBytes {
 		return nil, failure.New(failure.TooLarge, failure.NotRun, "the headers are too large")
 	}
 	snapshot := g.tables.Current()
 	if snapshot == nil {
 		return nil, failure.New(failure.NotReady, failure.NotRun, "this entry has no configuration yet").WithRetryAfter(time.Second)
 	}
-	organisation, err := Authenticate(snapshot, r)
-	if err != nil {
-		return nil, err
+	organisation, refused := intake.Organisation(snapshot, intake.KeyOf(r.Header.Get("Authorization"), "Bearer "))
+	if refused != nil {
+		return nil, refused
 	}
 	c := &call{
 		id: id, organisation: organisation, snapshot: snapshot,
@@ -43,8 +42,8 @@
 	if len(c.key) > maxKeyBytes {
 		return nil, failure.New(failure.BadRequest, failure.NotRun, "the idempotency key is too long")
 	}
-	if c.body, err = g.readBody(w, r); err != nil {
-		return nil, err
+	if c.body, refused = intake.ReadBody(w, r, g.limits.BodyBytes, time.Now().Add(g.limits.BodyTimeout)); refused != nil {
+		return nil, refused
 	}
 	if err := c.parse(r); err != nil {
 		return nil, err
@@ -56,27 +55,6 @@
 	return c, c.setDeadline(r)
 }
 
-func headerBytes(header http.Header) int64 {
-	total := 0
-	for name, values := range header {
-		for _, value := range values {
-			total += len(name) + len(value)
-		}
-	}
-	return int64(total)
-}
-
-// Authenticate finds the organisation of a request's bearer key.
-func Authenticate(snapshot *table.Snapshot, r *http.Request) (*table.Organisation, error) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if ok {
-		if organisation, found := snapshot.OrganisationByKey(key); found {
-			return organisation, nil
-		}
-	}
-	return nil, failure.New(failure.Unauthorized, failure.NotRun, "the key is missing or wrong")
-}
-
 // requestID takes the caller's id for the request or makes one.
 func requestID(r *http.Request) string {
 	id := r.Header.Get(HeaderRequestID)
@@ -86,21 +64,6 @@
 	return id
 }
 
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(g.limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.limits.BodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, failure.New(failure.TooLarge, failure.NotRun, "the body is too large")
-	}
-	if err != nil {
-		return nil, failure.New(failure.BadRequest, failure.NotRun, "the body did not arrive whole in time").WithCause(err)
-	}
-	return body, nil
-}
-
 // parse reads the prompt of a model's request.
 func (c *call) parse(r *http.Request) error {
 	if r.URL.Path != PathChat && r.URL.Path != PathCompletions {
--- a/request/retry/policy.go
+++ b/request/retry/policy.go
@@ -16,6 +16,8 @@
 type Policy struct {
 	// MaxAttempts bounds all attempts; 1 means neither retry nor hedge.
 	MaxAttempts int
+	// Once tells that a request which may have run is not sent again.
+	Once bool
 	// Deadline is when the request's caller stops waiting.
 	Deadline time.Time
 	// Backoff spaces the retries.
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -45,6 +45,8 @@
 		{desc: "attempts used up", failures: []*failure.Error{errFull, errFull, errFull}, want: Decision{Reason: GiveUpAttempts}, outcome: failure.NotRun, advice: true},
 		{desc: "refusal after a crash is not 'not run'", failures: []*failure.Error{errCrashed, errFull, errFull}, want: Decision{Reason: GiveUpAttempts}, outcome: failure.Unknown, advice: true},
 		{desc: "caller's fault", failures: []*failure.Error{errBad}, want: Decision{Reason: GiveUpFinal}, outcome: failure.NotRun},
+		{desc: "may have run and may run once only", change: func(p *Policy) { p.Once = true }, failures: []*failure.Error{errFull, errCrashed}, want: Decision{Reason: GiveUpFinal}, outcome: failure.Unknown, advice: true},
+		{desc: "did not run and may run once only", change: func(p *Policy) { p.Once = true }, failures: []*failure.Error{errFull}, want: Decision{Retry: true, Delay: 5 * time.Millisecond}, outcome: failure.NotRun, advice: true},
 		{desc: "no time for another attempt", failures: []*failure.Error{errFull}, after: 999 * time.Millisecond, want: Decision{Reason: GiveUpDeadline}, outcome: failure.NotRun, advice: true},
 		{desc: "budget empty", change: func(p *Policy) { p.Budget = NewBudget(DefaultShare, 0) }, failures: []*failure.Error{errFull}, want: Decision{Reason: GiveUpBudget}, outcome: failure.NotRun, advice: true},
 	}
--- a/request/retry/session.go
+++ b/request/retry/session.go
@@ -76,7 +76,7 @@
 	if err.Outcome != failure.NotRun {
 		s.unsure = true
 	}
-	if !Retriable(err.Kind) {
+	if !Retriable(err.Kind) || s.policy.Once && err.Outcome != failure.NotRun {
 		return Decision{Reason: GiveUpFinal}
 	}
 	if s.running > 0 {
@@ -96,11 +96,20 @@
 	return Decision{Retry: true, Delay: delay}
 }
 
+// Outcome is what is known of the attempts so far: NotRun only if each that was
+// started has ended with that word.
+func (s *Session) Outcome() failure.Outcome {
+	if s.unsure || s.running > 0 {
+		return failure.Unknown
+	}
+	return failure.NotRun
+}
+
 // Failure is the final failure for the caller. Its outcome is NotRun only if
 // every attempt that was started has ended with that word.
 func (s *Session) Failure(reason GiveUp) *failure.Error {
 	final := s.last
-	unsure := s.unsure || s.running > 0
+	unsure := s.Outcome() != failure.NotRun
 	if final == nil || reason == GiveUpDeadline && unsure {
 		final = failure.New(failure.DeadlineExceeded, failure.NotRun, "the request's time ran out")
 		if s.last != nil {
--- a/request/stream/messages.go
+++ b/request/stream/messages.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/order"
 )
 
@@ -145,20 +146,17 @@
 	return err
 }
 
-// hopByHop are the header fields that end at each hop; authorization ends here
-// too, for targets never see callers' keys.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true,
-	"Proxy-Authorization": true, "Te": true, "Trailer": true,
-	"Transfer-Encoding": true, "Upgrade": true, "Authorization": true,
-	"Content-Length": true, "Host": true,
+// travels tells whether a header goes on to the other end of a link. Targets
+// never see callers' keys, and the host is that of the caller's connection.
+func travels(name string) bool {
+	return !headers.IsHopByHop(name) && name != "Authorization" && name != "Host"
 }
 
 // FieldsOf returns the header fields that travel on.
 func FieldsOf(header http.Header) []Field {
 	fields := make([]Field, 0, len(header))
-	for name, values := range header {
-		if hopByHop[name] {
+	for name, values := range headers.EndToEnd(header) {
+		if !travels(name) {
 			continue
 		}
 		for _, value := range values {
@@ -171,7 +169,7 @@
 // CopyFields adds the fields that may travel to a header.
 func CopyFields(into http.Header, fields []Field) {
 	for _, field := range fields {
-		if !hopByHop[http.CanonicalHeaderKey(field.Name)] {
+		if travels(http.CanonicalHeaderKey(field.Name)) {
 			into.Add(field.Name, field.Value)
 		}
 	}
