Search for maps over rows of demands

Loads now lie in rows with a column a demand, a change is one pass over the few ranks it touches, and the root is taken only of changes that beat the best so far.

--- a/version/placement/evenlayer.go
+++ b/version/placement/evenlayer.go
@@ -5,11 +5,17 @@
 	"slices"
 )
 
-// evenLayer is one layer while it is being decided.
+// evenLayer is one layer while it is being decided. What depends on a demand lies
+// in rows, one an expert or rank, with a column a demand.
 type evenLayer struct {
-	demands []evenDemand
-	// weights is the sum of the demands' weights.
-	weights float64
+	// weights are those of the demands, weight their sum.
+	weights []float64
+	weight  float64
+	// loads holds the experts' rows, load those of the ranks: the time that each
+	// takes for its part. Both are over that of an even spread by speed.
+	loads, load []float64
+	// powers holds what each load of a rank adds to the layer's unevenness.
+	powers []float64
 	// paces are those of the ranks.
 	paces []float64
 	// held lists the experts on each rank, hosts the ranks of each expert.
@@ -23,13 +29,10 @@
 	stuck bool
 }
 
-// evenDemand is one demand for a layer's experts, with the ranks' loads under it.
-type evenDemand struct {
-	// loads holds the experts' loads, load the time that each rank takes for its
-	// part, both over that of an even spread by speed.
-	loads, load []float64
-	// weight is how much the demand counts.
-	weight float64
+// row returns the columns of an expert or rank.
+func (l *evenLayer) row(of []float64, at int) []float64 {
+	columns := len(l.weights)
+	return of[at*columns : (at+1)*columns]
 }
 
 func newEvenLayers(in EvenInput, experts [][][]int) ([]*evenLayer, error) {
@@ -72,9 +75,7 @@
 	if slices.ContainsFunc(l.hosts, func(hosts []int) bool { return len(hosts) == 0 }) {
 		return nil, false
 	}
-	for demand, loads := range in.Loads {
-		l.addDemand(loads[at], in.Ranks, in.weight(demand))
-	}
+	l.setDemands(in, at)
 	return l, true
 }
 
@@ -109,39 +110,68 @@
 	return in.Weights[demand]
 }
 
-// addDemand adds a demand that is not empty.
-func (l *evenLayer) addDemand(loads []float64, ranks int, weight float64) {
-	total, speed := 0.0, 0.0
-	for _, load := range loads {
-		total += load
+// setDemands takes over the demands for a layer that are not empty.
+func (l *evenLayer) setDemands(in EvenInput, at int) {
+	var demands [][]float64
+	for demand, loads := range in.Loads {
+		if sum(loads[at]) > 0 {
+			demands = append(demands, loads[at])
+			l.weights = append(l.weights, in.weight(demand))
+		}
 	}
+	l.weight = sum(l.weights)
+	speed := 0.0
 	for _, pace := range l.paces {
 		speed += 1 / pace
 	}
-	if total <= 0 {
-		return
-	}
-	d := evenDemand{loads: make([]float64, len(loads)), load: make([]float64, ranks), weight: weight}
-	l.weights += weight
-	for expert, load := range loads {
-		d.loads[expert] = load / total * speed
-		for _, rank := range l.hosts[expert] {
-			d.load[rank] += l.paces[rank] * d.loads[expert] / float64(len(l.hosts[expert]))
+	columns := len(demands)
+	l.loads = make([]float64, len(l.hosts)*columns)
+	l.load = make([]float64, in.Ranks*columns)
+	l.powers = make([]float64, in.Ranks*columns)
+	for column, loads := range demands {
+		total := sum(loads)
+		for expert, load := range loads {
+			l.loads[expert*columns+column] = load / total * speed
+			for _, rank := range l.hosts[expert] {
+				l.load[rank*columns+column] += l.paces[rank] * load / total * speed / float64(len(l.hosts[expert]))
+			}
 		}
 	}
-	l.demands = append(l.demands, d)
+	for rank := range in.Ranks {
+		l.setPowers(rank)
+	}
+}
+
+// setPowers follows a change of a rank's loads.
+func (l *evenLayer) setPowers(rank int) {
+	powers := l.row(l.powers, rank)
+	for column, load := range l.row(l.load, rank) {
+		powers[column] = l.weights[column] * power(load)
+	}
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+	return total
 }
 
 // skew is the mean over the demands of the most loaded rank's load.
 func (l *evenLayer) skew() float64 {
-	if len(l.demands) == 0 {
+	if len(l.weights) == 0 {
 		return 1
 	}
-	sum := 0.0
-	for _, d := range l.demands {
-		sum += d.weight * slices.Max(d.load)
+	total := 0.0
+	for column, weight := range l.weights {
+		most := 0.0
+		for rank := range l.held {
+			most = max(most, l.load[rank*len(l.weights)+column])
+		}
+		total += weight * most
 	}
-	return sum / l.weights
+	return total / l.weight
 }
 
 // steepness is the power by which a rank's load counts; with it, progress shows
@@ -157,5 +187,10 @@
 
 // unevenness grows with the loads of the most loaded ranks.
 func (l *evenLayer) unevenness(powers float64) float64 {
-	return math.Pow(max(powers, 0)/l.weights, 1.0/steepness)
+	return math.Pow(max(powers, 0)/l.weight, 1.0/steepness)
+}
+
+// powersAt is the sum of powers at which a layer has an unevenness.
+func (l *evenLayer) powersAt(unevenness float64) float64 {
+	return power(max(unevenness, 0)) * l.weight
 }
--- a/version/placement/evensearch.go
+++ b/version/placement/evensearch.go
@@ -28,7 +28,7 @@
 	for range s.settings.MaxSteps {
 		var worst *evenLayer
 		for _, layer := range layers {
-			if !layer.stuck && len(layer.demands) > 0 && (worst == nil || layer.skew() > worst.skew()) {
+			if !layer.stuck && len(layer.weights) > 0 && (worst == nil || layer.skew() > worst.skew()) {
 				worst = layer
 			}
 		}
@@ -55,12 +55,7 @@
 // copies, if one pays.
 func (s *evenSearch) best(l *evenLayer) (evenChange, bool) {
 	order := l.byLoad()
-	total := 0.0
-	for _, d := range l.demands {
-		for _, load := range d.load {
-			total += d.weight * power(load)
-		}
-	}
+	total := sum(l.powers)
 	now := l.unevenness(total)
 	var best evenChange
 	bestGain := 0.0
@@ -69,8 +64,12 @@
 		if !allowed {
 			return
 		}
-		gain := now - l.unevenness(total+l.effect(change)) - s.settings.CopyCost*float64(copies)
-		if gain > bestGain {
+		price := s.settings.CopyCost * float64(copies)
+		after := total + l.effect(change)
+		if after >= l.powersAt(now-price-bestGain) {
+			return
+		}
+		if gain := now - l.unevenness(after) - price; gain > bestGain {
 			best, bestGain = change, gain
 		}
 	}
@@ -92,9 +91,7 @@
 	order := make([]int, len(l.held))
 	for rank := range order {
 		order[rank] = rank
-		for _, d := range l.demands {
-			weights[rank] += d.weight * power(d.load[rank])
-		}
+		weights[rank] = sum(l.row(l.powers, rank))
 	}
 	slices.SortFunc(order, func(a, b int) int { return compare(weights[b], weights[a]) })
 	return order
@@ -155,48 +152,49 @@
 	return copies, true
 }
 
-// effect is by how much a change alters the sum of the ranks' weights.
-func (l *evenLayer) effect(c evenChange) float64 {
-	sum := 0.0
-	for at := range l.demands {
-		sum += l.demands[at].weight * l.effectOn(&l.demands[at], c)
-	}
-	return sum
-}
-
 // mostTouched bounds the ranks whose loads one change alters.
 const mostTouched = 64
 
-func (l *evenLayer) effectOn(d *evenDemand, c evenChange) float64 {
-	var ranks [mostTouched]int
-	var deltas [mostTouched]float64
-	count := 0
-	add := func(rank int, delta float64) {
-		for at := range count {
-			if ranks[at] == rank {
-				deltas[at] += delta
-				return
-			}
-		}
-		if count < mostTouched {
-			ranks[count], deltas[count] = rank, delta
-			count++
+// touched tells how the ranks' loads change with a change: rank n's by expert[n]
+// of the load of the change's expert and displaced[n] of the displaced one's.
+type touched struct {
+	ranks               [mostTouched]int
+	expert, displaced   [mostTouched]float64
+	count               int
+	loads, displacedRow []float64
+}
+
+// at returns the place of a rank, false if there is none left.
+func (t *touched) at(rank int) (int, bool) {
+	for at := range t.count {
+		if t.ranks[at] == rank {
+			return at, true
 		}
 	}
-	l.shiftAll(d, c, add)
-	sum := 0.0
-	for at := range count {
-		load := d.load[ranks[at]]
-		sum += power(max(load+deltas[at], 0)) - power(load)
+	if t.count == mostTouched {
+		return 0, false
+	}
+	t.ranks[t.count] = rank
+	t.expert[t.count], t.displaced[t.count] = 0, 0
+	t.count++
+	return t.count - 1, true
+}
+
+func (t *touched) add(by *[mostTouched]float64, rank int, part float64) {
+	if at, ok := t.at(rank); ok {
+		by[at] += part
 	}
-	return sum
 }
 
-// shiftAll tells how the ranks' loads change with a change.
-func (l *evenLayer) shiftAll(d *evenDemand, c evenChange, add func(rank int, delta float64)) {
-	l.shift(d, c.expert, c.from, c.to, add)
+// touch fills in how the ranks' loads change with a change.
+func (l *evenLayer) touch(t *touched, c evenChange) {
+	t.count = 0
+	t.loads = l.row(l.loads, c.expert)
+	t.displacedRow = t.loads
+	l.shift(t, &t.expert, c.expert, c.from, c.to)
 	if c.displaced != none {
-		l.shift(d, c.displaced, c.to, c.displacedTo(), add)
+		t.displacedRow = l.row(l.loads, c.displaced)
+		l.shift(t, &t.displaced, c.displaced, c.to, c.displacedTo())
 	}
 }
 
@@ -208,9 +206,9 @@
 	return none
 }
 
-// shift tells how the ranks' loads change as an expert leaves one rank and comes
-// to another.
-func (l *evenLayer) shift(d *evenDemand, expert, from, to int, add func(rank int, delta float64)) {
+// shift notes which part of an expert's load each rank gains or loses as it leaves
+// one rank and comes to another.
+func (l *evenLayer) shift(t *touched, by *[mostTouched]float64, expert, from, to int) {
 	hosts := l.hosts[expert]
 	after := len(hosts)
 	if from != none {
@@ -219,25 +217,45 @@
 	if to != none {
 		after++
 	}
-	old := d.loads[expert] / float64(len(hosts))
-	next := d.loads[expert] / float64(after)
+	old, next := 1/float64(len(hosts)), 1/float64(after)
 	for _, rank := range hosts {
 		if rank == from {
-			add(rank, -old*l.paces[rank])
+			t.add(by, rank, -old*l.paces[rank])
 			continue
 		}
-		add(rank, (next-old)*l.paces[rank])
+		t.add(by, rank, (next-old)*l.paces[rank])
 	}
 	if to != none {
-		add(to, next*l.paces[to])
+		t.add(by, to, next*l.paces[to])
+	}
+}
+
+// effect is by how much a change alters the sum of the ranks' powers.
+func (l *evenLayer) effect(c evenChange) float64 {
+	var t touched
+	l.touch(&t, c)
+	total := 0.0
+	for at := range t.count {
+		load, powers := l.row(l.load, t.ranks[at]), l.row(l.powers, t.ranks[at])
+		expert, displaced := t.expert[at], t.displaced[at]
+		for column, weight := range l.weights {
+			next := load[column] + expert*t.loads[column] + displaced*t.displacedRow[column]
+			total += weight*power(max(next, 0)) - powers[column]
+		}
 	}
+	return total
 }
 
 // apply makes a change.
 func (s *evenSearch) apply(l *evenLayer, c evenChange) {
-	for at := range l.demands {
-		d := &l.demands[at]
-		l.shiftAll(d, c, func(rank int, delta float64) { d.load[rank] += delta })
+	var t touched
+	l.touch(&t, c)
+	for at := range t.count {
+		load := l.row(l.load, t.ranks[at])
+		for column := range load {
+			load[column] += t.expert[at]*t.loads[column] + t.displaced[at]*t.displacedRow[column]
+		}
+		l.setPowers(t.ranks[at])
 	}
 	s.place(l, c.expert, c.from, c.to)
 	if c.displaced != none {
