Send status with counts, and directive with change, in one datagram

The planner took 2 datagrams an agent and 100 ms, and encoded the same message for each of 11 agents.

--- a/daemon/rank/datagrams.go
+++ b/daemon/rank/datagrams.go
@@ -33,9 +33,21 @@
 const datagramLimit = 64 << 10
 
 func (a *Agent) send(to netip.AddrPort, envelope rebalance.Envelope) {
+	a.write(to, a.encode(envelope))
+}
+
+// encode returns a datagram, nil if there is none.
+func (a *Agent) encode(envelope rebalance.Envelope) []byte {
 	message, err := rebalance.Encode(envelope)
 	if err != nil {
 		a.log.WithError(err).Error("message cannot be encoded")
+		return nil
+	}
+	return message
+}
+
+func (a *Agent) write(to netip.AddrPort, message []byte) {
+	if message == nil {
 		return
 	}
 	if _, err := a.socket.WriteToUDPAddrPort(message, to); err != nil {
@@ -46,25 +58,24 @@
 // take takes a datagram in.
 func (a *Agent) take(received datagram) {
 	now := a.clock.Now()
-	switch envelope := received.envelope; {
-	case envelope.Status != nil:
-		if a.planner != nil {
-			a.planner.Hear(*envelope.Status, received.from.Addr(), now)
-		}
-	case envelope.Counts != nil:
-		if a.planner != nil {
-			a.planner.HearCounts(*envelope.Counts, now)
-		}
-	case envelope.Directive != nil:
+	envelope := received.envelope
+	if envelope.Status != nil && a.planner != nil {
+		a.planner.Hear(*envelope.Status, received.from.Addr(), now)
+	}
+	if envelope.Counts != nil && a.planner != nil {
+		a.planner.HearCounts(*envelope.Counts, now)
+	}
+	if envelope.Directive != nil {
 		a.follow(*envelope.Directive, received.from, now)
-	case envelope.Part != nil:
+	}
+	if envelope.Part != nil {
 		a.assembly.Add(*envelope.Part)
-	case envelope.Delta != nil:
+	}
+	if envelope.Delta != nil {
 		a.assembly.AddDelta(*envelope.Delta)
-	case envelope.Vote != nil:
-		if a.driver != nil {
-			a.driver.Receive(now, *envelope.Vote)
-		}
+	}
+	if envelope.Vote != nil && a.driver != nil {
+		a.driver.Receive(now, *envelope.Vote)
 	}
 }
 
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -254,30 +254,60 @@
 			prepared[host] = a.planner.Prepared(rank)
 		}
 	}
-	delta, small := a.planner.Delta()
-	var parts []rebalance.Part
-	if next := a.planner.Next(); next != nil {
-		parts = next.Parts()
-	}
+	round := a.round(directive)
 	sent, wholes := 0, 0
 	for sent < min(agentsAtOnce, len(a.outbox)) && wholes < wholesAtOnce {
 		one := a.outbox[sent]
 		sent++
-		a.send(one.to, rebalance.Envelope{Directive: &directive})
 		switch {
-		case prepared[one.to.Addr()] || len(parts) == 0:
-		case one.first && small:
-			a.send(one.to, rebalance.Envelope{Delta: &delta})
+		case prepared[one.to.Addr()] || len(round.whole) == 0:
+			a.write(one.to, round.directive)
+		case one.first && len(round.change) > 0:
+			a.writeAll(one.to, round.change)
 		default:
 			wholes++
-			for _, part := range parts {
-				a.send(one.to, rebalance.Envelope{Part: &part})
-			}
+			a.write(one.to, round.directive)
+			a.writeAll(one.to, round.whole)
 		}
 	}
 	a.outbox = append(a.outbox[:0], a.outbox[sent:]...)
 }
 
+// round is what goes to agents that need the same, encoded once.
+type round struct {
+	// directive goes to those that need no map, and before whole, the map under way.
+	directive []byte
+	whole     [][]byte
+	// change is the directive with the map as a change of the one in use; empty if
+	// it does not fit.
+	change [][]byte
+}
+
+func (a *Agent) round(directive rebalance.Directive) round {
+	made := round{directive: a.encode(rebalance.Envelope{Directive: &directive})}
+	next := a.planner.Next()
+	if next == nil {
+		return made
+	}
+	for _, part := range next.Parts() {
+		made.whole = append(made.whole, a.encode(rebalance.Envelope{Part: &part}))
+	}
+	delta, small := a.planner.Delta()
+	switch {
+	case small && delta.WithDirective(&directive):
+		made.change = [][]byte{a.encode(rebalance.Envelope{Directive: &directive, Delta: &delta})}
+	case small:
+		made.change = [][]byte{made.directive, a.encode(rebalance.Envelope{Delta: &delta})}
+	}
+	return made
+}
+
+func (a *Agent) writeAll(to netip.AddrPort, messages [][]byte) {
+	for _, message := range messages {
+		a.write(to, message)
+	}
+}
+
 // askMissing reads the targets anew while members are missing.
 func (a *Agent) askMissing(now time.Time) {
 	if now.Sub(a.since) > askEvery {
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -42,7 +42,12 @@
 		}
 		return
 	}
-	a.send(a.plannerAddress, rebalance.Envelope{Status: &status})
+	first := rebalance.Envelope{Status: &status}
+	if len(counts) > 0 && counts[0].WithStatus(&status) {
+		first.Counts = &counts[0]
+		counts = counts[1:]
+	}
+	a.send(a.plannerAddress, first)
 	for _, some := range counts {
 		a.send(a.plannerAddress, rebalance.Envelope{Counts: &some})
 	}
--- a/version/rebalance/delta.go
+++ b/version/rebalance/delta.go
@@ -27,6 +27,9 @@
 	Sum uint64 `cbor:"7,keyasint"`
 }
 
+// size is the most bytes that the delta's changes take.
+func (d *Delta) size() int { return expertBytes * len(d.Changes) }
+
 const (
 	// changeNumbers is how many numbers a change takes in a Delta.
 	changeNumbers = 4
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -95,7 +95,8 @@
 	Experts [][][]int `cbor:"4,keyasint"`
 }
 
-// Envelope is one datagram; one of its fields is set.
+// Envelope is one datagram. One of its fields is set, but that counts come with a
+// status, and a delta with a directive, where both fit.
 type Envelope struct {
 	Status    *Status            `cbor:"1,keyasint,omitempty"`
 	Directive *Directive         `cbor:"2,keyasint,omitempty"`
@@ -114,6 +115,16 @@
 // Unwrap returns the codec's error.
 func (e *DecodeError) Unwrap() error { return e.Cause }
 
+// WithStatus tells whether counts fit a datagram with the status.
+func (c *Counts) WithStatus(status *Status) bool {
+	return status.Held == nil && 2*partHead+len(c.Levels) <= datagramSize
+}
+
+// WithDirective tells whether a delta fits a datagram with the directive.
+func (d *Delta) WithDirective(directive *Directive) bool {
+	return 2*partHead+len(directive.Hosts)+d.size() <= datagramSize
+}
+
 // Encode writes an envelope as CBOR; it fails with the codec's error.
 func Encode(envelope Envelope) ([]byte, error) { return cbor.Marshal(envelope) }
 
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -175,7 +175,7 @@
 		return Delta{}, false
 	}
 	delta := DeltaOf(p.current, p.next, p.experts.PerSet)
-	return delta, partHead+expertBytes*len(delta.Changes) <= datagramSize
+	return delta, partHead+delta.size() <= datagramSize
 }
 
 // Prepared tells whether a rank has copied the map under way.
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -306,6 +307,25 @@
 	data, err := Encode(Envelope{Directive: &directive})
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(data), datagramSize)
+	for changes := range datagramSize {
+		delta := Delta{Number: 1 << 40, Base: 1 << 40, Layers: layers, Experts: 252, Ranks: ranks, Changes: slices.Repeat([]int{300}, changes), Sum: 1 << 60}
+		if !delta.WithDirective(&directive) {
+			break
+		}
+		data, err = Encode(Envelope{Directive: &directive, Delta: &delta})
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), datagramSize)
+	}
+	status := Status{Group: "a group's name", Incarnation: 1 << 60, Agent: 1 << 60, Sent: 1 << 30, Running: 1 << 40, Prepared: 1 << 40, Armed: 1 << 40}
+	for levels := range datagramSize {
+		counts := Counts{Group: status.Group, Incarnation: status.Incarnation, Rank: 63, Levels: make([]byte, levels)}
+		if !counts.WithStatus(&status) {
+			break
+		}
+		data, err = Encode(Envelope{Status: &status, Counts: &counts})
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), datagramSize)
+	}
 	host, known := directive.Host(63)
 	require.True(t, known)
 	require.Equal(t, hostOf(7), host)
