Refuse requests that crash targets, over all entries

The rule that a request which crashes each target that runs it reaches targets at most three times more was open on the platform: no agent reports crashes there, and the request comes again at any entry. poison.Finder infers a crash: a target that broke requests off, has answered nothing since, and refuses connections or has another incarnation. From three crashes on, with the same request in flight in all and no completion between, it is refused with 503 (true: that attempt did not run); entries tell each other with their heartbeats, for 2 s with each and then with each 20th.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -16,6 +16,7 @@
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/forward"
+	"verbenaseam.example/verbenaseam/request/poison"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -26,6 +27,12 @@
 	// silence is how long a live peer may be silent; the bound of the directory is
 	// the bounds' Contact and 3 s.
 	silence = time.Second
+	// convictingCrashes is from how many crashes on a request is refused that was in
+	// flight in all of them and never completed between.
+	convictingCrashes = 3
+	// firstHold is how long such a request is held after its first crash: not at all,
+	// since most of what is in flight in a crash is innocent.
+	firstHold = time.Nanosecond
 )
 
 // Config is what an Entry is made of.
@@ -54,6 +61,7 @@
 	dispatcher *dispatch.Dispatcher
 	targets    *targets
 	budgets    *budgets
+	poison     *poison.Tracker
 	handler    *forward.Handler
 	metrics    *metrics.Metrics
 
@@ -89,9 +97,10 @@
 	e.targets = newTargets(e.dispatcher, e.clock, logs.Part(cfg.Logger, "targets"))
 	e.budgets = newBudgets(s.Bounds)
 	e.metrics = metrics.New("direct", metrics.DefaultOrganisations)
+	e.poison = poison.NewTracker(poison.Config{Convicting: convictingCrashes, Spread: firstHold}, e.clock)
 	e.handler = forward.NewHandler(forward.Config{
 		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
-		Connections: e.targets.connections, Budget: e.budgets.of, Metrics: e.metrics, Clock: e.clock,
+		Connections: e.targets.connections, Budget: e.budgets.of, Poison: e.poison, Crashes: poison.NewFinder(e.poison, e.clock), Metrics: e.metrics, Clock: e.clock,
 		Log: logs.Part(cfg.Logger, "forward"),
 	})
 	return e
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -11,6 +11,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/presence"
+	"verbenaseam.example/verbenaseam/request/poison"
 )
 
 // datagramLimit is the longest datagram that is read.
@@ -108,13 +109,45 @@
 	log    *logrus.Entry
 }
 
+// heartbeat is a datagram between entries.
+type heartbeat struct {
+	presence.Heartbeat
+	// Evidence is of crashes; nil for none.
+	Evidence *poison.Evidence `cbor:"6,keyasint,omitempty"`
+}
+
+const (
+	// evidenceMost is how many crashes a heartbeat tells of, the newest.
+	evidenceMost = 3
+	// evidenceSpan is how long each heartbeat tells of a crash. Each rareBeat-th
+	// tells of older ones too, for entries that have started since.
+	evidenceSpan = 2 * time.Second
+	rareBeat     = 20
+)
+
+// evidence is what a heartbeat tells of crashes.
+func (h *heartbeats) evidence() *poison.Evidence {
+	span := evidenceSpan
+	if h.sent%rareBeat == 0 {
+		span = poison.DefaultRefuseFor
+	}
+	recent := h.entry.poison.Recent(evidenceMost, span)
+	if len(recent.Crashes) == 0 && len(recent.Clearances) == 0 {
+		return nil
+	}
+	return &recent
+}
+
 // send sends one heartbeat to each peer. A datagram that is lost is made up for
 // by the next.
 func (h *heartbeats) send() {
 	e := h.entry
 	h.sent++
-	message, err := cbor.Marshal(presence.Heartbeat{
-		Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sent: h.sent,
+	message, err := cbor.Marshal(heartbeat{
+		Heartbeat: presence.Heartbeat{
+			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sent: h.sent,
+		},
+		Evidence: h.evidence(),
 	})
 	if err != nil {
 		h.log.WithError(err).Error("heartbeat cannot be encoded")
@@ -145,13 +178,16 @@
 		if err != nil {
 			return
 		}
-		var beat presence.Heartbeat
+		var beat heartbeat
 		if err := cbor.Unmarshal(buffer[:n], &beat); err != nil {
 			h.log.WithError(err).Warn("heartbeat cannot be read")
 			continue
 		}
 		now := h.entry.clock.Now()
-		if h.entry.peers.Heard(beat, now) {
+		if beat.Evidence != nil && h.entry.poison.Merge(*beat.Evidence) {
+			h.log.WithField("peer", beat.Peer.Name).Info("crashes heard of")
+		}
+		if h.entry.peers.Heard(beat.Heartbeat, now) {
 			h.entry.dispatcher.SetOthers(beat.Peer.Name, beat.Load, now)
 		}
 	}
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -116,7 +117,10 @@
 		delete(pool.targets, registration.ID)
 	}
 	pool := d.pool(registration.Service)
-	added := &Target{service: pool.service, others: map[string]int{}}
+	added := &Target{
+		service: pool.service, others: map[string]int{},
+		incarnation: strconv.FormatInt(registration.Born.UnixMilli(), 10),
+	}
 	added.setRegistration(registration, now)
 	pool.targets[registration.ID] = added
 	d.serve(pool, now)
--- a/request/dispatch/state.go
+++ b/request/dispatch/state.go
@@ -12,6 +12,8 @@
 // Dispatcher stays valid for the requests that are under way on it.
 type Target struct {
 	registration target.Registration
+	// incarnation tells apart targets with the same ID; it never changes.
+	incarnation string
 	service      *config.Service
 	// running is this process's requests at the target, others what the other
 	// processes say they have there.
@@ -32,6 +34,9 @@
 // ID names the incarnation.
 func (t *Target) ID() string { return t.registration.ID }
 
+// Incarnation tells the target from others that had its ID.
+func (t *Target) Incarnation() string { return t.incarnation }
+
 // Address is the target's IP:port.
 func (t *Target) Address() string { return t.registration.Address }
 
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -13,6 +13,7 @@
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/intake"
+	"verbenaseam.example/verbenaseam/request/prompt"
 	"verbenaseam.example/verbenaseam/request/retry"
 	"verbenaseam.example/verbenaseam/version/config"
 	"verbenaseam.example/verbenaseam/version/table"
@@ -35,6 +36,8 @@
 	deadline time.Time
 	byRoute  bool
 	work     dispatch.Work
+	// fingerprint is that of all requests like this one.
+	fingerprint uint64
 	// attempts decides whether the call is sent again.
 	attempts *retry.Session
 	// lastEvent is the id of the last event that the caller has.
@@ -61,6 +64,10 @@
 	if err := c.readBody(w); err != nil {
 		return c, err
 	}
+	c.fingerprint = prompt.Fingerprint(c.organisationName(), c.request.Host+c.request.RequestURI, c.body)
+	if refused := h.poison.Verdict(c.fingerprint).Failure(h.clock.Now()); refused != nil {
+		return c, refused
+	}
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEvent = r.Header.Get(h.headers.LastEvent)
 	c.work = dispatch.Work{Service: c.service, Urgency: c.urgency(), Arrived: c.started, GiveUp: c.giveUp()}
@@ -134,7 +141,10 @@
 
 // succeeded ends an attempt whose answer is whole. The answer goes to the caller
 // also when its time has passed.
-func (c *call) succeeded(now time.Time) { c.attempts.Succeeded(now) }
+func (h *Handler) succeeded(c *call) {
+	c.attempts.Succeeded(h.clock.Now())
+	h.poison.Completed(c.fingerprint)
+}
 
 // class names the kind of a request for metrics.
 func (c *call) class() string {
--- a/request/forward/decide.go
+++ b/request/forward/decide.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// brokeOff tells whether the target ended an attempt that may have run.
+func (v verdict) brokeOff() bool {
+	return v.result == dispatch.Failed && v.failure != nil && v.failure.Outcome != failure.NotRun
+}
+
 // abandoned is the verdict on an attempt that the caller, or the end of the
 // request's time, ended; it keeps whether the attempt may have run.
 func (v verdict) abandoned() verdict {
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
+	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -12,6 +14,7 @@
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/poison"
 	"verbenaseam.example/verbenaseam/request/retry"
 	"verbenaseam.example/verbenaseam/version/config"
 )
@@ -25,7 +28,10 @@
 	// Connections returns the connections to a target.
 	Connections func(*dispatch.Target) *direct.Pool
 	// Budget returns the retry budget of a service.
-	Budget  func(service string) *retry.Budget
+	Budget func(service string) *retry.Budget
+	// Poison knows requests that crash targets, Crashes finds the crashes.
+	Poison  *poison.Tracker
+	Crashes *poison.Finder
 	Metrics *metrics.Metrics
 	Clock   clockwork.Clock
 	Log     *logrus.Entry
@@ -38,6 +44,8 @@
 	dispatcher  *dispatch.Dispatcher
 	connections func(*dispatch.Target) *direct.Pool
 	budget      func(service string) *retry.Budget
+	poison      *poison.Tracker
+	crashes     *poison.Finder
 	metrics     *metrics.Metrics
 	clock       clockwork.Clock
 	log         *logrus.Entry
@@ -47,7 +55,7 @@
 func NewHandler(cfg Config) *Handler {
 	return &Handler{
 		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
-		connections: cfg.Connections, budget: cfg.Budget, metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
+		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes, metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
 
@@ -165,9 +173,27 @@
 func (h *Handler) ask(ctx, tryCtx context.Context, c *call, t *dispatch.Target) (*direct.Answer, verdict) {
 	answer, err := h.connections(t).Do(tryCtx, c.outgoing(&h.headers, t, h.clock.Now()), false)
 	if err != nil {
-		return nil, attemptResult(tryCtx, judgeError(err, ctx.Err() != nil))
+		found := attemptResult(tryCtx, judgeError(err, ctx.Err() != nil))
+		h.noteEnd(c, t, err, found)
+		return nil, found
+	}
+	found := judgeAnswer(&h.headers, answer.Status, answer.Header, t.ID())
+	h.noteEnd(c, t, nil, found)
+	return answer, found
+}
+
+// noteEnd tells what an exchange, or its failure, says of a crash of the target.
+func (h *Handler) noteEnd(c *call, t *dispatch.Target, err error, found verdict) {
+	switch {
+	case found.result == dispatch.Gone || errors.Is(err, syscall.ECONNREFUSED):
+		if h.crashes.Ended(t.ID(), t.Incarnation()) {
+			h.log.WithFields(logrus.Fields{"request": c.id, "target": t.ID()}).Warn("target crashed")
+		}
+	case err == nil:
+		h.crashes.Answered(t.ID(), t.Incarnation())
+	case found.brokeOff():
+		h.crashes.Broke(t.ID(), t.Incarnation(), c.fingerprint)
 	}
-	return answer, judgeAnswer(&h.headers, answer.Status, answer.Header, t.ID())
 }
 
 // begin notes that a call is sent to a target.
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -25,13 +25,14 @@
 		torn := broken(tryCtx)
 		// An attempt that failed before has been ended already.
 		again = found.success() && h.sendAgain(ctx, c, torn)
+		h.noteEnd(c, t, err, torn)
 		h.dispatcher.Done(t, torn.result, h.clock.Now())
 		return again, h.failed(c, torn)
 	}
 	h.dispatcher.Progress(t, h.clock.Now())
 	h.dispatcher.Done(t, found.result, h.clock.Now())
 	if found.success() {
-		c.succeeded(h.clock.Now())
+		h.succeeded(c)
 	}
 	h.metrics.FirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 	writeHead(w, answer)
@@ -82,7 +83,7 @@
 		if err == nil {
 			from.watch.stop()
 			h.dispatcher.Done(from.target, dispatch.Served, h.clock.Now())
-			c.succeeded(h.clock.Now())
+			h.succeeded(c)
 			out.finish(from.answer)
 			return false, nil
 		}
@@ -91,6 +92,7 @@
 			found = found.abandoned()
 		}
 		from.watch.stop()
+		h.noteEnd(c, from.target, err, found)
 		h.dispatcher.Done(from.target, found.result, h.clock.Now())
 		again := h.sendAgain(ctx, c, found)
 		if !out.started {
--- a/request/poison/config.go
+++ b/request/poison/config.go
@@ -9,6 +9,7 @@
 	DefaultMassTargets     = 3
 	DefaultSettle          = 1500 * time.Millisecond
 	DefaultSpread          = 150 * time.Millisecond
+	DefaultConvicting      = 2
 	DefaultMaxCrashes      = 64
 	DefaultMaxFingerprints = 1024
 	DefaultMaxClearances   = 4096
@@ -30,6 +31,9 @@
 	// Spread is how long a suspect is held after its first crash, so that all
 	// entries know of it before it runs again.
 	Spread time.Duration
+	// Convicting is the number of crashes after which a fingerprint that alone
+	// explains them is refused; from 3 on, also one that does not.
+	Convicting int
 	// MaxCrashes, MaxFingerprints (of one crash) and MaxClearances bound memory;
 	// the oldest evidence goes first.
 	MaxCrashes, MaxFingerprints, MaxClearances int
@@ -41,6 +45,7 @@
 	setDefault(&c.MassTargets, DefaultMassTargets)
 	setDefault(&c.Settle, DefaultSettle)
 	setDefault(&c.Spread, DefaultSpread)
+	setDefault(&c.Convicting, DefaultConvicting)
 	setDefault(&c.MaxCrashes, DefaultMaxCrashes)
 	setDefault(&c.MaxFingerprints, DefaultMaxFingerprints)
 	setDefault(&c.MaxClearances, DefaultMaxClearances)
--- /dev/null
+++ b/request/poison/finder_test.go
@@ -0,0 +1,84 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+// three refuses from the third crash on.
+var three = Config{Convicting: 3}
+
+func newFinder() (*Finder, *Tracker, *clockwork.FakeClock) {
+	clock := clockwork.NewFakeClock()
+	tracker := NewTracker(three, clock)
+	return NewFinder(tracker, clock), tracker, clock
+}
+
+func TestATargetThatBreaksOffAndIsGoneHasCrashed(t *testing.T) {
+	finder, tracker, clock := newFinder()
+	for n, target := range []string{"a", "b", "c"} {
+		require.NotEqual(t, Refused, tracker.Verdict(1).Level, "before crash %d", n+1)
+		finder.Broke(target, "1", 1)
+		clock.Advance(20 * time.Millisecond)
+		require.True(t, finder.Ended(target, "1"))
+		require.False(t, finder.Ended(target, "1"), "one crash counts once")
+		clock.Advance(5 * time.Second)
+	}
+	require.Equal(t, Refused, tracker.Verdict(1).Level)
+	require.Equal(t, Clear, tracker.Verdict(2).Level)
+}
+
+func TestATargetThatAnswersAgainHasNotCrashed(t *testing.T) {
+	finder, _, _ := newFinder()
+	finder.Broke("a", "1", 1)
+	finder.Answered("a", "1")
+	require.False(t, finder.Ended("a", "1"))
+}
+
+func TestWhatBrokeOffLongBeforeIsNotOfTheCrash(t *testing.T) {
+	finder, _, clock := newFinder()
+	finder.Broke("a", "1", 1)
+	clock.Advance(brokenKept + time.Second)
+	require.False(t, finder.Ended("a", "1"))
+	require.False(t, finder.Ended("b", "1"), "a target of which nothing broke off")
+}
+
+func TestOneTargetsBrokenRequestsAreBounded(t *testing.T) {
+	finder, _, _ := newFinder()
+	for fingerprint := range uint64(3 * brokenMost) {
+		finder.Broke("a", "1", fingerprint)
+	}
+	require.Len(t, finder.broken[crashID{"a", "1"}], brokenMost)
+}
+
+func TestARequestThatCompletesBetweenCrashesIsNotRefused(t *testing.T) {
+	finder, tracker, clock := newFinder()
+	for n, target := range []string{"a", "b", "c", "d"} {
+		finder.Broke(target, "1", 1)
+		require.True(t, finder.Ended(target, "1"))
+		clock.Advance(3 * time.Second)
+		if n == 1 {
+			require.True(t, tracker.Completed(1))
+			clock.Advance(time.Second)
+		}
+	}
+	require.NotEqual(t, Refused, tracker.Verdict(1).Level)
+}
+
+// TestSomeEvidenceIsNewestFirst bounds what is told at once.
+func TestSomeEvidenceIsNewestFirst(t *testing.T) {
+	finder, tracker, clock := newFinder()
+	for _, target := range []string{"a", "b", "c"} {
+		finder.Broke(target, "1", 1)
+		require.True(t, finder.Ended(target, "1"))
+		clock.Advance(time.Minute)
+	}
+	some := tracker.Recent(2, 10*time.Minute)
+	require.Len(t, some.Crashes, 2)
+	require.Equal(t, "c", some.Crashes[0].Target)
+	require.Equal(t, "b", some.Crashes[1].Target)
+	require.Empty(t, tracker.Recent(2, time.Second).Crashes)
+}
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -112,30 +112,30 @@
 				suspect = &suspicion{}
 				suspects[fingerprint] = suspect
 			}
-			suspect.take(lost, fingerprint)
+			suspect.take(lost, fingerprint, l.config)
 		}
 	}
-	convict(suspects)
+	convict(suspects, l.config)
 	l.suspects = suspects
 }
 
-func (s *suspicion) take(lost *loss, fingerprint uint64) {
+func (s *suspicion) take(lost *loss, fingerprint uint64, config Config) {
 	s.last, s.lastMass = lost.at, lost.mass
 	s.crashed = append(s.crashed, lost.targets...)
 	s.explained = append(s.explained, lost)
 	s.count++
 	if _, onTrial := slices.BinarySearch(lost.onTrial, fingerprint); onTrial {
 		s.trials++
-		s.count = max(s.count, convictingCrashes)
+		s.count = max(s.count, config.Convicting)
 	}
 }
 
 // convict marks the suspects that explain their losses better than any other
 // does.
-func convict(suspects map[uint64]*suspicion) {
+func convict(suspects map[uint64]*suspicion, config Config) {
 	var grave []*suspicion
 	for _, suspect := range suspects {
-		if suspect.count >= convictingCrashes {
+		if suspect.count >= config.Convicting {
 			grave = append(grave, suspect)
 		}
 	}
@@ -143,7 +143,7 @@
 		rivalled := slices.ContainsFunc(grave, func(other *suspicion) bool {
 			return other != suspect && other.explains(suspect.explained) && !suspect.outweighs(other)
 		})
-		suspect.convicted = !rivalled || suspect.count >= ambiguousCrashes
+		suspect.convicted = !rivalled || suspect.count >= config.ambiguous()
 	}
 }
 
--- a/request/poison/share.go
+++ b/request/poison/share.go
@@ -51,6 +51,25 @@
 	return evidence
 }
 
+// Recent returns the newest crashes, at most so many and none older than span,
+// with the clearances of the same time.
+func (l *Ledger) Recent(most int, span time.Duration, now time.Time) Evidence {
+	all := l.Share(now)
+	slices.Reverse(all.Crashes)
+	var some Evidence
+	for _, crash := range all.Crashes[:min(most, len(all.Crashes))] {
+		if age(crash.AgeMillis) <= span {
+			some.Crashes = append(some.Crashes, crash)
+		}
+	}
+	for _, clearance := range all.Clearances {
+		if len(some.Clearances) < most && age(clearance.AgeMillis) <= span {
+			some.Clearances = append(some.Clearances, clearance)
+		}
+	}
+	return some
+}
+
 // Merge takes a peer's evidence; it tells whether it brought anything new. The
 // time under way makes evidence look younger than it is; the oldest telling of a
 // crash stands.
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -85,6 +85,18 @@
 	return t.ledger.Share(now)
 }
 
+// Recent returns the newest evidence, for a peer: at most so many crashes, and
+// none older than span.
+func (t *Tracker) Recent(most int, span time.Duration) Evidence {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.ledger.crashes) == 0 {
+		return Evidence{}
+	}
+	return t.ledger.Recent(most, span, now)
+}
+
 // Refused returns the fingerprints that are refused now, for operators.
 func (t *Tracker) Refused() []uint64 {
 	now := t.clock.Now()
--- a/request/poison/verdict.go
+++ b/request/poison/verdict.go
@@ -63,14 +63,12 @@
 	count int
 }
 
-const (
-	// convictingCrashes is the number of crashes after which a fingerprint that
-	// alone explains them is refused.
-	convictingCrashes = 2
-	// ambiguousCrashes is the number after which it is refused even if another
-	// explains them too.
-	ambiguousCrashes = 3
-)
+// leastAmbiguous is the least number of crashes after which a fingerprint is
+// refused even if another explains them too.
+const leastAmbiguous = 3
+
+// ambiguous is the number of crashes after which that is so.
+func (c Config) ambiguous() int { return max(c.Convicting, leastAmbiguous) }
 
 // verdict needs the bounds for the times only.
 func (s *suspicion) verdict(config Config, now time.Time) Verdict {
@@ -79,7 +77,7 @@
 		return Verdict{}
 	}
 	wait := config.Spread
-	if s.count >= convictingCrashes || s.lastMass {
+	if s.count >= config.Convicting || s.lastMass {
 		wait = config.Settle
 	}
 	v := Verdict{Level: Alone, Crashed: s.crashed}
