--- a/request/dispatch/state.go
+++ b/request/dispatch/state.go
@@ -14,7 +14,7 @@
 	registration target.Registration
 	// incarnation tells apart targets with the same ID; it never changes.
 	incarnation string
-	service      *config.Service
+	service     *config.Service
 	// running is this process's requests at the target, others what the other
 	// processes say they have there.
 	running int
