Look at all slices also at the grown size

A decision looked at 2 slices of 100 ms where a group has 2,016 experts, since more took an agent too long. Ranks of so large a group tell their counts in 4 turns, so that 2 slices hold only half of the ranks.

--- a/version/placement/even_test.go
+++ b/version/placement/even_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -155,21 +156,27 @@
 	}
 }
 
+// BenchmarkImproveEven measures one decision for groups of the two sizes in use.
 func BenchmarkImproveEven(b *testing.B) {
 	random := rand.New(rand.NewPCG(5, 6))
 	for _, size := range []struct {
 		name                          string
 		layers, experts, ranks, slots int
 	}{{"12ranks", 4, 72, 12, 8}, {"63ranks", 8, 252, 63, 5}} {
-		in := EvenInput{Loads: [][][]float64{skewedLoads(random, size.layers, size.experts)}, Ranks: size.ranks, Slots: size.slots, NewPerLayer: 3}
-		before := inTurn(size.layers, size.experts, size.ranks)
-		b.Run(size.name, func(b *testing.B) {
-			for b.Loop() {
-				plan, err := ImproveEven(in, before, EvenSettings{CopyCost: 0.004, NewPerRank: 4, MaxSteps: 300})
-				require.NoError(b, err)
-				b.ReportMetric(plan.After, "skew")
-				b.ReportMetric(float64(plan.Copies), "copies")
+		for _, demands := range []int{1, 8} {
+			in := EvenInput{Ranks: size.ranks, Slots: size.slots, NewPerLayer: 3}
+			for range demands {
+				in.Loads = append(in.Loads, skewedLoads(random, size.layers, size.experts))
 			}
-		})
+			before := inTurn(size.layers, size.experts, size.ranks)
+			b.Run(fmt.Sprintf("%s/%ddemands", size.name, demands), func(b *testing.B) {
+				for b.Loop() {
+					plan, err := ImproveEven(in, before, EvenSettings{CopyCost: 0.004, NewPerRank: 1, MaxSteps: 400})
+					require.NoError(b, err)
+					b.ReportMetric(plan.After, "skew")
+					b.ReportMetric(float64(plan.Copies), "copies")
+				}
+			})
+		}
 	}
 }
--- a/version/rebalance/demand.go
+++ b/version/rebalance/demand.go
@@ -98,7 +98,7 @@
 const (
 	// searchSize is the number of experts of all layers, times slices, that a
 	// decision looks at; more take an agent too long.
-	searchSize = 2400
+	searchSize = 19200
 	// slicesLeast is the least number of slices.
 	slicesLeast = 2
 )
