Read the store less often where that costs nothing

Causes: each registration of a target ended the waits of all entries, and while the store failed each of three tables tried every 0.5 s. Changes of targets now gather for 250 ms and those of entries, which are heard of by heartbeats before, for 1 s; while the store fails the operator's table tries as often as before, the others every 1.5 s (half of the bounds' contact, at most 2 s) and at once when a table is back.

--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -56,14 +56,22 @@
 	operator := &operator{entry: e, log: logs.Part(e.logger, "operator"), out: map[string]bool{}}
 	entries := &registrations{entry: e, log: logs.Part(e.logger, "peers")}
 	alarm := follow.NewAlarm()
-	read := func(table string, observer follow.Observer, wait time.Duration) {
-		follow.Table(ctx, follow.Config{
-			Reader: e.store, Table: table, Observer: observer, Log: log, Wait: wait, Alarm: alarm,
-		})
+	read := func(cfg follow.Config) {
+		cfg.Reader, cfg.Log, cfg.Alarm = e.store, log, alarm
+		group.Go(func() { follow.Table(ctx, cfg) })
 	}
-	group.Go(func() { read(platform.TableOperator, operator, e.operatorWait()) })
-	group.Go(func() { read(platform.TableTargets, known, follow.LongWait) })
-	group.Go(func() { read(platform.TableEntries, entries, follow.LongWait) })
+	read(follow.Config{
+		Table: platform.TableOperator, Observer: operator,
+		Wait: e.operatorWait(), Settle: operatorSettle, Pause: follow.ShortPause,
+	})
+	read(follow.Config{
+		Table: platform.TableTargets, Observer: known,
+		Wait: follow.LongWait, Settle: targetsSettle, Pause: e.longPause(),
+	})
+	read(follow.Config{
+		Table: platform.TableEntries, Observer: entries,
+		Wait: follow.LongWait, Settle: entriesSettle, Pause: e.longPause(),
+	})
 	group.Go(func() { e.register(ctx) })
 	group.Go(func() { every(ctx, e.clock, heartbeatEvery, beats.send) })
 	started := e.clock.Now()
@@ -77,12 +85,23 @@
 }
 
 const (
+	// operatorSettle, targetsSettle and entriesSettle are the pauses after changes of
+	// each table. Entries are heard of by their heartbeats before.
+	operatorSettle = 100 * time.Millisecond
+	targetsSettle  = 250 * time.Millisecond
+	entriesSettle  = time.Second
 	// applyShare is the part of the time in which a configuration must be in force
 	// that one call waits for it, leastOperatorWait its least.
 	applyShare        = 0.75
 	leastOperatorWait = 500 * time.Millisecond
 )
 
+// longPause is how long the tables of targets and entries may pause after a failure:
+// they must be read well before the store counts as stable again.
+func (e *Entry) longPause() time.Duration {
+	return max(min(follow.LongPause, e.bounds.Load().Contact/2), follow.ShortPause)
+}
+
 // operatorWait is how long one call waits for a change by the operator: a store that
 // went dark and came back may have lost the call.
 func (e *Entry) operatorWait() time.Duration {
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -22,17 +22,20 @@
 	// probeWait is the wait after a call that failed: a call that a dark store took is
 	// never answered.
 	probeWait = 250 * time.Millisecond
-	// settle is the pause after changes: those that come together, as when many
-	// targets start, then take one call.
-	settle = 100 * time.Millisecond
 	// readFirst bounds the first attempt to read a table whole, readMost later
 	// ones: a store that was dark answers a new call as soon as it is back, never an
 	// old one, and a slow store needs more time.
 	readFirst = 600 * time.Millisecond
 	readMost  = 4 * time.Second
-	// pauseFirst and pauseMost bound the pause after a call that failed.
+	// pauseFirst is the pause after a first call that failed.
 	pauseFirst = 100 * time.Millisecond
-	pauseMost  = 500 * time.Millisecond
+)
+
+// ShortPause and LongPause bound the pause after calls that failed: with one table
+// that is tried often, the others are tried as soon as that is back.
+const (
+	ShortPause = 500 * time.Millisecond
+	LongPause  = 2 * time.Second
 )
 
 // Reader reads tables; platform.Store is one.
@@ -61,22 +64,27 @@
 	// Wait is how long one call waits for a change. A call that was under way as the
 	// store went dark is given up only after that, unless another table's is before.
 	Wait time.Duration
+	// Settle is the pause after changes: those that come together, as when many
+	// targets start, then take one call.
+	Settle time.Duration
+	// Pause bounds the pause after calls that failed.
+	Pause time.Duration
 	// Alarm is shared by all tables of a process.
 	Alarm *Alarm
 }
 
 // Alarm tells all followers of a store that a call of one of them has failed, so
-// that they give up long waits which the store may have lost too. It is safe for
-// concurrent use.
+// that they give up long waits which the store may have lost too, and that one is
+// back, so that they try again at once. It is safe for concurrent use.
 type Alarm struct {
-	// mu guards raised; it is a leaf.
+	// mu guards all below; it is a leaf.
 	mu sync.Mutex
-	// raised is closed by the next alarm.
-	raised chan struct{}
+	// raised is closed by the next alarm, over by the next table that is back.
+	raised, over chan struct{}
 }
 
 // NewAlarm returns an Alarm.
-func NewAlarm() *Alarm { return &Alarm{raised: make(chan struct{})} }
+func NewAlarm() *Alarm { return &Alarm{raised: make(chan struct{}), over: make(chan struct{})} }
 
 // next returns what is closed by the next alarm.
 func (a *Alarm) next() <-chan struct{} {
@@ -92,6 +100,20 @@
 	a.raised = make(chan struct{})
 }
 
+// nextOver returns what is closed by the next table that is back.
+func (a *Alarm) nextOver() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.over
+}
+
+func (a *Alarm) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.over)
+	a.over = make(chan struct{})
+}
+
 // ErrAlarm means that a wait was given up since another call to the store failed.
 var ErrAlarm = errors.New("another call to the store has failed")
 
@@ -146,7 +168,7 @@
 	f.version = max(f.version, version)
 	if len(rows) > 0 {
 		f.Observer.Changed(rows)
-		f.sleep(ctx, settle)
+		f.sleep(ctx, f.Settle)
 	}
 	return nil
 }
@@ -185,6 +207,7 @@
 	case err == nil && f.failures > 0:
 		f.log.WithField("failures", f.failures).Info("store regained")
 		f.Observer.Regained()
+		f.Alarm.end()
 	}
 	if err == nil {
 		f.failures = 0
@@ -194,8 +217,12 @@
 }
 
 func (f *follower) pause(ctx context.Context) {
-	longest := min(pauseFirst<<min(f.failures, 8), pauseMost)
-	f.sleep(ctx, longest/2+time.Duration(rand.Float64()*float64(longest/2)))
+	longest := min(pauseFirst<<min(f.failures, 8), f.Pause)
+	select {
+	case <-ctx.Done():
+	case <-f.Alarm.nextOver():
+	case <-time.After(longest/2 + rand.N(longest/2)):
+	}
 }
 
 func (f *follower) sleep(ctx context.Context, d time.Duration) {
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,16 +24,18 @@
 	version uint64
 	// compacted makes the next feed fail with a lost history.
 	compacted bool
-	// refuses makes the next feed fail at once.
-	refuses bool
-	reads   int
+	// refuses makes the next feed fail at once, down all of them.
+	refuses, down bool
+	reads         int
+	// feeds counts the calls that wait for changes.
+	feeds int
 }
 
 // refusing tells once that a feed is to fail.
 func (s *fakeStore) refusing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	refuses := s.refuses
+	refuses := s.refuses || s.down
 	s.refuses = false
 	return refuses
 }
@@ -61,6 +64,7 @@
 	if s.isDark() {
 		return s.swallow(ctx, wait+feedSlack)
 	}
+	s.set(func(s *fakeStore) { s.feeds++ })
 	if s.refusing() {
 		return nil, 0, &platform.StatusError{Call: "feed", Status: 503}
 	}
@@ -140,7 +144,7 @@
 }
 
 func configOf(store Reader, table string, observer Observer) Config {
-	return Config{Reader: store, Table: table, Observer: observer, Log: quiet(), Wait: LongWait, Alarm: NewAlarm()}
+	return Config{Reader: store, Table: table, Observer: observer, Log: quiet(), Wait: LongWait, Pause: ShortPause, Alarm: NewAlarm()}
 }
 
 // TestAWaitThatADarkStoreTookIsGivenUpWithAShorterOne replays a day on which the
@@ -253,3 +257,70 @@
 		require.Equal(t, 1, changed, "the change is seen within 2 s of the store's return")
 	})
 }
+
+// TestChangesThatComeTogetherTakeOneCall replays the start of a day, when targets
+// register one after the other.
+func TestChangesThatComeTogetherTakeOneCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 1}
+		observer := &seen{}
+		cfg := configOf(store, "t", observer)
+		cfg.Settle = 250 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			Table(ctx, cfg)
+			close(done)
+		}()
+		const targets = 60
+		for n := range targets {
+			time.Sleep(20 * time.Millisecond)
+			store.set(func(s *fakeStore) {
+				s.version++
+				s.rows = append(s.rows, platform.Row{Key: strconv.Itoa(n), Version: s.version})
+			})
+		}
+		time.Sleep(time.Second)
+		cancel()
+		<-done
+		require.Len(t, observer.changed, targets)
+		require.LessOrEqual(t, store.feeds, 8, "60 changes within 1.2 s")
+	})
+}
+
+// TestOneTableTriesForAll replays a store that refuses all calls for 8 s: only one
+// table is tried often, and the other is back with it.
+func TestOneTableTriesForAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		often, seldom := &fakeStore{version: 1}, &fakeStore{version: 1}
+		alarm := NewAlarm()
+		observer := &seen{}
+		ctx, cancel := context.WithCancel(t.Context())
+		var group sync.WaitGroup
+		for store, pause := range map[*fakeStore]time.Duration{often: ShortPause, seldom: LongPause} {
+			cfg := configOf(store, "t", &seen{})
+			cfg.Pause, cfg.Alarm = pause, alarm
+			if store == seldom {
+				cfg.Observer = observer
+			}
+			group.Go(func() { Table(ctx, cfg) })
+		}
+		both := func(change func(*fakeStore)) {
+			often.set(change)
+			seldom.set(change)
+		}
+		time.Sleep(time.Second)
+		both(func(s *fakeStore) { s.down, s.refuses, s.feeds = true, true, 0 })
+		alarm.raise()
+		time.Sleep(8 * time.Second)
+		require.LessOrEqual(t, seldom.feeds, 9)
+		require.Greater(t, often.feeds, 12)
+		both(func(s *fakeStore) { s.down, s.refuses = false, false })
+		time.Sleep(ShortPause + probeWait + 50*time.Millisecond)
+		observer.mu.Lock()
+		require.Equal(t, 1, observer.regained)
+		observer.mu.Unlock()
+		cancel()
+		group.Wait()
+	})
+}
