Send fewer requests to a slow rank, and take away what it has

Cause: targets in lock step wait for the slowest. Its agent knows (the report beside it is free): while the pace is 1.2 or more it tells the entries twice a second by datagram; who they are it reads from the store then. An entry gives the target as many requests as it works off in the time that others take, and lets resumable streams leave one after the other, each 100 ms over all entries, before others that wait. Where most are slow, all are used.

--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -109,9 +109,9 @@
 	log    *logrus.Entry
 }
 
-// heartbeat is a datagram between entries.
-type heartbeat struct {
-	presence.Heartbeat
+// message is a datagram that entries take.
+type message struct {
+	presence.Datagram
 	// Evidence is of crashes; nil for none.
 	Evidence *poison.Evidence `cbor:"6,keyasint,omitempty"`
 }
@@ -143,10 +143,10 @@
 func (h *heartbeats) send() {
 	e := h.entry
 	h.sent++
-	message, err := cbor.Marshal(heartbeat{
-		Heartbeat: presence.Heartbeat{
+	datagram, err := cbor.Marshal(message{
+		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sent: h.sent,
-		},
+		}},
 		Evidence: h.evidence(),
 	})
 	if err != nil {
@@ -159,7 +159,7 @@
 			h.log.WithError(err).WithField("peer", address).Debug("address cannot be read")
 			continue
 		}
-		if _, err := h.socket.WriteToUDPAddrPort(message, to); err != nil {
+		if _, err := h.socket.WriteToUDPAddrPort(datagram, to); err != nil {
 			h.log.WithError(err).WithField("peer", address).Debug("heartbeat not sent")
 		}
 	}
@@ -178,12 +178,16 @@
 		if err != nil {
 			return
 		}
-		var beat heartbeat
+		var beat message
 		if err := cbor.Unmarshal(buffer[:n], &beat); err != nil {
 			h.log.WithError(err).Warn("heartbeat cannot be read")
 			continue
 		}
 		now := h.entry.clock.Now()
+		if beat.Slow != nil {
+			h.slow(*beat.Slow, now)
+			continue
+		}
 		if beat.Evidence != nil && h.entry.poison.Merge(*beat.Evidence) {
 			h.log.WithField("peer", beat.Peer.Name).Info("crashes heard of")
 		}
@@ -192,3 +196,10 @@
 		}
 	}
 }
+
+// slow takes in what an agent tells of the target beside it.
+func (h *heartbeats) slow(slow presence.Slow, now time.Time) {
+	if h.entry.dispatcher.SetPace(slow.Address, slow.Pace, now) {
+		h.log.WithFields(logrus.Fields{"address": slow.Address, "pace": slow.Pace}).Info("target's pace changed")
+	}
+}
--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -81,7 +81,8 @@
 	reported time.Time
 	failing  bool
 	// pace is the target's pace as it was last told of.
-	pace float64
+	pace     float64
+	slowness slowness
 	// stray is since when the engine holds for no proposal.
 	stray time.Time
 
@@ -137,7 +138,8 @@
 		registry: registry, metrics: placement.NewMetrics(registry),
 		settings: cfg.Settings, file: cfg.File, store: cfg.Store, clock: cfg.Clock, log: logs.Part(cfg.Logger, "rank"),
 		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxSize),
-		facts: make(chan storeFacts, 1), remotes: map[string]*platform.Rank{}, engine: expertmap.NewOrderEngine(orders{target}), since: now,
+		slowness: slowness{found: make(chan []netip.AddrPort, 1)},
+		facts:    make(chan storeFacts, 1), remotes: map[string]*platform.Rank{}, engine: expertmap.NewOrderEngine(orders{target}), since: now,
 	}
 }
 
@@ -219,6 +221,7 @@
 	if now.Sub(a.reported) >= a.reportInterval() {
 		a.refresh(now)
 	}
+	a.tellEntries(ctx, now)
 	if a.driver == nil {
 		return
 	}
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -34,6 +34,21 @@
 	Sent uint64 `cbor:"5,keyasint"`
 }
 
+// Slow is what the agent beside a target tells entries while the target is slow, and
+// once it is not.
+type Slow struct {
+	// Address is the target's.
+	Address string `cbor:"1,keyasint"`
+	// Pace is how much longer than usual the target takes; 1 is as usual.
+	Pace float64 `cbor:"2,keyasint"`
+}
+
+// Datagram is what entries take: a heartbeat, or what an agent tells.
+type Datagram struct {
+	Heartbeat
+	Slow *Slow `cbor:"7,keyasint,omitempty"`
+}
+
 // known is what is known of one peer.
 type known struct {
 	peer  Peer
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -11,7 +11,7 @@
 func (d *Dispatcher) choose(pool *pool, work *Work, now time.Time) *Target {
 	var best *Target
 	var least float64
-	spared := d.ejected(pool, now)
+	spared, slowSpared := d.ejected(pool, now), d.sparesSlow(pool, now)
 	for _, t := range pool.targets {
 		if !t.usable(d.out) || work.tried(t) || now.Before(t.full) {
 			continue
@@ -19,10 +19,11 @@
 		if spared && t.health.out(now) {
 			continue
 		}
-		if t.load() >= pool.limit(t) || t.coldFull(d.warmup, d.processes, now) {
+		limit := t.limit(slowSpared, now)
+		if t.load() >= limit || t.coldFull(d.warmup, d.processes, now) {
 			continue
 		}
-		score := d.score(t)
+		score := d.score(t, limit)
 		if best == nil || score < least {
 			best, least = t, score
 		}
@@ -31,8 +32,8 @@
 }
 
 // score is the target's relative load; lower is better.
-func (d *Dispatcher) score(t *Target) float64 {
-	score := float64(t.load()) / float64(t.registration.Capacity)
+func (d *Dispatcher) score(t *Target, limit int) float64 {
+	score := float64(t.load()) / float64(limit)
 	if t.registration.FailureDomain != d.domain {
 		score += remotePenalty
 	}
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -16,11 +16,8 @@
 	waiting waiters
 	// progress is when one of the targets last made progress.
 	progress time.Time
-}
-
-// limit is how many requests of all processes a target may hold.
-func (p *pool) limit(t *Target) int {
-	return t.registration.Capacity
+	// leaveAfter is when the next request may be taken away from a slow target.
+	leaveAfter time.Time
 }
 
 // Config is what a Dispatcher is made of.
@@ -216,6 +213,8 @@
 	Silent
 	// Abandoned means that the caller left; it says nothing of the target.
 	Abandoned
+	// Left means that another target is to go on, since this one is slow.
+	Left
 )
 
 // fullPause is how long a target that had no room gets nothing new.
--- a/request/dispatch/state.go
+++ b/request/dispatch/state.go
@@ -29,6 +29,9 @@
 	// progress is when this process last saw it answer or go on with a stream.
 	progress time.Time
 	gone     bool
+	// pace is how much longer than usual it takes, believed until paceUntil.
+	pace      float64
+	paceUntil time.Time
 }
 
 // ID names the incarnation.
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -105,10 +105,19 @@
 	}
 }
 
+const (
+	// resumeUrgency lets a stream that goes on wait before all that have not begun.
+	resumeUrgency = -1
+	// resumeLatencies is for how many times the route's latency it may wait: callers
+	// leave a silent stream after four.
+	resumeLatencies = 3
+)
+
 // resume gets another target to go on with a stream; it cuts the stream off if
 // there is none.
 func (h *Handler) resume(ctx context.Context, c *call) *source {
-	c.work.GiveUp = h.clock.Now().Add(c.route.Direct.Latency)
+	c.work.GiveUp = h.clock.Now().Add(resumeLatencies * c.route.Direct.Latency)
+	c.work.Urgency = resumeUrgency
 	for {
 		t, refused := h.wait(ctx, c)
 		if refused != nil {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -25,6 +25,8 @@
 	errEventTooLong = streamError("an event is too long")
 	// errSilent means that the target was silent while others went on.
 	errSilent = streamError("the target is silent while others go on")
+	// errSlow means that the target is slow and others have room.
+	errSlow = streamError("the target is slow while others have room")
 )
 
 const (
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -11,7 +11,7 @@
 )
 
 // watch ends an attempt whose target is silent for too long while others of its
-// service go on.
+// service go on, or slow while others have room.
 type watch struct {
 	handler  *Handler
 	target   *dispatch.Target
@@ -31,12 +31,13 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watch{handler: h, target: t, patience: c.patience(), cancel: cancel, last: h.clock.Now()}
 	if w.patience > 0 {
-		w.timer = time.AfterFunc(w.patience, w.look)
+		w.timer = time.AfterFunc(min(w.patience, lookMost), w.look)
 	}
 	return ctx, w
 }
 
-// look ends the attempt if its target is silent, and looks again later if not.
+// look ends the attempt if its target is silent or slow, and looks again later if
+// not.
 func (w *watch) look() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -49,9 +50,22 @@
 		w.cancel(errSilent)
 		return
 	}
-	w.timer.Reset(max(w.patience-quiet, lookAgain))
+	if w.handler.dispatcher.LeaveSlow(w.target, now) {
+		w.cancel(errSlow)
+		return
+	}
+	w.timer.Reset(w.next(quiet))
+}
+
+// next is when the target is looked at again after it was quiet for some time.
+func (w *watch) next(quiet time.Duration) time.Duration {
+	return min(max(w.patience-quiet, lookAgain), lookMost)
 }
 
+// lookMost is the longest time between two looks, so that a target that turns slow
+// is left soon.
+const lookMost = 250 * time.Millisecond
+
 // lookAgain is the time until the next look at a target that is silent together
 // with all others.
 const lookAgain = 100 * time.Millisecond
@@ -84,5 +98,8 @@
 		}
 		return noAnswer(dispatch.Silent, errSilent.Error())
 	}
+	if errors.Is(context.Cause(ctx), errSlow) {
+		return noAnswer(dispatch.Left, errSlow.Error())
+	}
 	return found
 }
