--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/version/expertmap"
 	"verbenaseam.example/verbenaseam/version/rebalance"
 )
@@ -39,14 +40,11 @@
 	}
 }
 
-// slowPace is the pace from which on a target counts as slow.
-const slowPace = 1.2
-
 // notePace tells when the target turns slow and when it is back.
 func (a *Agent) notePace(pace float64) {
 	before := a.pace
 	a.pace = pace
-	if (before >= slowPace) == (pace >= slowPace) {
+	if (before >= presence.SlowPace) == (pace >= presence.SlowPace) {
 		return
 	}
 	a.log.WithFields(logrus.Fields{"pace": pace, "before": before}).Info("target's pace changed")
--- a/daemon/rank/slow.go
+++ b/daemon/rank/slow.go
@@ -35,7 +35,7 @@
 // requests, and of one that is slow no more.
 func (a *Agent) tellEntries(ctx context.Context, now time.Time) {
 	s := &a.slowness
-	if a.pace >= slowPace {
+	if a.pace >= presence.SlowPace {
 		s.left = tellUsual
 	}
 	if s.left == 0 || now.Sub(s.told) < tellSlowEvery {
@@ -53,7 +53,7 @@
 		return
 	}
 	s.told = now
-	if a.pace < slowPace {
+	if a.pace < presence.SlowPace {
 		s.left--
 	}
 	message, err := cbor.Marshal(presence.Datagram{Slow: &presence.Slow{Address: a.settings.TargetAddress, Pace: a.pace}})
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -34,6 +34,9 @@
 	Sent uint64 `cbor:"5,keyasint"`
 }
 
+// SlowPace is the pace from which on a target counts as slow.
+const SlowPace = 1.2
+
 // Slow is what the agent beside a target tells entries while the target is slow, and
 // once it is not.
 type Slow struct {
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -1,12 +1,14 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"verbenaseam.example/verbenaseam/process/presence"
+)
 
 const (
-	// slowPace is the pace from which on a target counts as slow, slowest the largest
-	// that is believed.
-	slowPace = 1.2
-	slowest  = 100
+	// slowest is the largest pace that is believed.
+	slowest = 100
 	// paceSpan is how long a pace holds without being told again.
 	paceSpan = 2 * time.Second
 	// slowShare is the part of a service's targets that may get less for being slow:
@@ -22,7 +24,8 @@
 // a slow one gets fewer requests: as many as it works off in the time that the
 // others take.
 func (d *Dispatcher) SetPace(address string, pace float64, now time.Time) bool {
-	if !(pace > 0 && pace < slowest) {
+	believed := pace > 0 && pace < slowest
+	if !believed {
 		return false
 	}
 	d.mu.Lock()
@@ -31,7 +34,7 @@
 	for _, pool := range d.pools {
 		for _, t := range pool.targets {
 			if t.registration.Address == address {
-				news = news || t.paceAt(now) != pace && (pace >= slowPace || t.slow(now))
+				news = news || t.paceAt(now) != pace && (pace >= presence.SlowPace || t.slow(now))
 				t.pace, t.paceUntil = pace, now.Add(paceSpan)
 			}
 		}
@@ -48,7 +51,7 @@
 }
 
 // slow tells whether the target is slow.
-func (t *Target) slow(now time.Time) bool { return t.paceAt(now) >= slowPace }
+func (t *Target) slow(now time.Time) bool { return t.paceAt(now) >= presence.SlowPace }
 
 // limit is how many requests of all processes a target may hold; spared tells
 // whether slow ones get fewer.
--- a/request/forward/watch.go
+++ b/request/forward/watch.go
@@ -50,13 +50,19 @@
 		w.cancel(errSilent)
 		return
 	}
-	if w.handler.dispatcher.LeaveSlow(w.target, now) {
+	if w.mayLeave() && w.handler.dispatcher.LeaveSlow(w.target, now) {
 		w.cancel(errSlow)
 		return
 	}
 	w.timer.Reset(w.next(quiet))
 }
 
+// mayLeave tells whether another attempt could be paid for: a stream that leaves a
+// slow target without one would be cut off.
+func (w *watch) mayLeave() bool {
+	return w.handler.budget(w.target.Service()).Tokens() >= 1
+}
+
 // next is when the target is looked at again after it was quiet for some time.
 func (w *watch) next(quiet time.Duration) time.Duration {
 	return min(max(w.patience-quiet, lookAgain), lookMost)
