--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -77,41 +77,35 @@
 // that they give up long waits which the store may have lost too, and that one is
 // back, so that they try again at once. It is safe for concurrent use.
 type Alarm struct {
-	// mu guards all below; it is a leaf.
-	mu sync.Mutex
-	// raised is closed by the next alarm, over by the next table that is back.
-	raised, over chan struct{}
+	// raised is given with each alarm, over with each table that is back.
+	raised, over *signal
 }
 
 // NewAlarm returns an Alarm.
-func NewAlarm() *Alarm { return &Alarm{raised: make(chan struct{}), over: make(chan struct{})} }
+func NewAlarm() *Alarm { return &Alarm{raised: newSignal(), over: newSignal()} }
 
-// next returns what is closed by the next alarm.
-func (a *Alarm) next() <-chan struct{} {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.raised
+// signal is given again and again to all that wait for it.
+type signal struct {
+	// mu guards given; it is a leaf.
+	mu sync.Mutex
+	// given is closed by the next signal.
+	given chan struct{}
 }
 
-func (a *Alarm) raise() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	close(a.raised)
-	a.raised = make(chan struct{})
-}
+func newSignal() *signal { return &signal{given: make(chan struct{})} }
 
-// nextOver returns what is closed by the next table that is back.
-func (a *Alarm) nextOver() <-chan struct{} {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.over
+// next returns what is closed by the next signal.
+func (s *signal) next() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.given
 }
 
-func (a *Alarm) end() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	close(a.over)
-	a.over = make(chan struct{})
+func (s *signal) give() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.given)
+	s.given = make(chan struct{})
 }
 
 // ErrAlarm means that a wait was given up since another call to the store failed.
@@ -180,7 +174,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	alarm := f.Alarm.next()
+	alarm := f.Alarm.raised.next()
 	go func() {
 		select {
 		case <-alarm:
@@ -202,12 +196,12 @@
 		f.log.WithError(err).Warn("store lost")
 		f.Observer.Lost()
 		if !errors.Is(err, ErrAlarm) {
-			f.Alarm.raise()
+			f.Alarm.raised.give()
 		}
 	case err == nil && f.failures > 0:
 		f.log.WithField("failures", f.failures).Info("store regained")
 		f.Observer.Regained()
-		f.Alarm.end()
+		f.Alarm.over.give()
 	}
 	if err == nil {
 		f.failures = 0
@@ -220,7 +214,7 @@
 	longest := min(pauseFirst<<min(f.failures, 8), f.Pause)
 	select {
 	case <-ctx.Done():
-	case <-f.Alarm.nextOver():
+	case <-f.Alarm.over.next():
 	case <-time.After(longest/2 + rand.N(longest/2)):
 	}
 }
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -311,7 +311,7 @@
 		}
 		time.Sleep(time.Second)
 		both(func(s *fakeStore) { s.down, s.refuses, s.feeds = true, true, 0 })
-		alarm.raise()
+		alarm.raised.give()
 		time.Sleep(8 * time.Second)
 		require.LessOrEqual(t, seldom.feeds, 9)
 		require.Greater(t, often.feeds, 12)
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -51,15 +51,23 @@
 // ejected tells whether targets that fail are passed over; when too many fail at
 // once they are not.
 func (d *Dispatcher) ejected(pool *pool, now time.Time) bool {
-	out, usable := 0, 0
+	return d.share(pool, func(t *Target) bool { return t.health.out(now) }) <= ejectShare
+}
+
+// share is the part of the usable targets of a pool for which something holds.
+func (d *Dispatcher) share(pool *pool, holds func(*Target) bool) float64 {
+	count, usable := 0, 0
 	for _, t := range pool.targets {
 		if !t.usable(d.out) {
 			continue
 		}
 		usable++
-		if t.health.out(now) {
-			out++
+		if holds(t) {
+			count++
 		}
 	}
-	return float64(out) <= ejectShare*float64(usable)
+	if usable == 0 {
+		return 0
+	}
+	return float64(count) / float64(usable)
 }
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -89,15 +89,5 @@
 
 // sparesSlow tells whether slow targets get fewer requests.
 func (d *Dispatcher) sparesSlow(pool *pool, now time.Time) bool {
-	slow, usable := 0, 0
-	for _, t := range pool.targets {
-		if !t.usable(d.out) {
-			continue
-		}
-		usable++
-		if t.slow(now) {
-			slow++
-		}
-	}
-	return slow > 0 && float64(slow) <= slowShare*float64(usable)
+	return d.share(pool, func(t *Target) bool { return t.slow(now) }) <= slowShare
 }
