--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -115,6 +115,9 @@
 	Skew []float64
 	// Copies counts the copied experts, Maps the maps.
 	Copies, Maps int
+	// First is the time from the start, on the map that a group starts with, until the
+	// first other map was used; 0 for never.
+	First time.Duration
 }
 
 // Mean is the mean skew.
@@ -160,7 +163,11 @@
 		if at >= len(recording.Slices) {
 			return outcome, nil
 		}
+		before := g.running
 		g.advance(now, skew)
+		if g.running != before && outcome.First == 0 {
+			outcome.First = now.Sub(start)
+		}
 		sent++
 		var chosen []uint64
 		if now.Sub(start)%sliceTime == 0 && at > 0 {
--- a/internal/measure/rebalance/replay_test.go
+++ b/internal/measure/rebalance/replay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -48,6 +49,23 @@
 	require.Less(t, skew, 1.05*singleSkew)
 }
 
+// TestTheFirstMapOfANewGroupComesSoon holds the time from the opening of a group to
+// its first map to the goal of 1.5 s, and wants that map to help.
+func TestTheFirstMapOfANewGroupComesSoon(t *testing.T) {
+	const goal = 1500 * time.Millisecond
+	for _, name := range []string{"calm", "busy", "busy-2"} {
+		recording := shortened(t, name)
+		outcome, err := Replay(recording, rebalance.DefaultPolicy())
+		require.NoError(t, err)
+		require.NotZero(t, outcome.First, name)
+		require.LessOrEqual(t, outcome.First, goal, name)
+		at := int(outcome.First/sliceTime) + 1
+		start, err := skewOf(recording.Slices[at], inTurn())
+		require.NoError(t, err)
+		require.Less(t, outcome.Skew[at], 0.8*start, name)
+	}
+}
+
 func TestUnreadableRecordingsAreRefused(t *testing.T) {
 	_, err := Load("none")
 	var bad *FormatError
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -231,8 +231,12 @@
 	}
 }
 
+// enter begins a phase and returns how long the one before took, 0 for the first.
 func (p *Planner) enter(next phase, now time.Time) time.Duration {
-	took := now.Sub(p.since)
+	took := time.Duration(0)
+	if !p.since.IsZero() {
+		took = now.Sub(p.since)
+	}
 	p.phase, p.since = next, now
 	return took
 }
