--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -40,6 +40,13 @@
 	return refuses
 }
 
+// fed returns how many calls have waited for changes.
+func (s *fakeStore) fed() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.feeds
+}
+
 func (s *fakeStore) isDark() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -284,7 +291,7 @@
 		cancel()
 		<-done
 		require.Len(t, observer.changed, targets)
-		require.LessOrEqual(t, store.feeds, 8, "60 changes within 1.2 s")
+		require.LessOrEqual(t, store.fed(), 8, "60 changes within 1.2 s")
 	})
 }
 
@@ -313,8 +320,8 @@
 		both(func(s *fakeStore) { s.down, s.refuses, s.feeds = true, true, 0 })
 		alarm.raised.give()
 		time.Sleep(8 * time.Second)
-		require.LessOrEqual(t, seldom.feeds, 9)
-		require.Greater(t, often.feeds, 12)
+		require.LessOrEqual(t, seldom.fed(), 9)
+		require.Greater(t, often.fed(), 12)
 		both(func(s *fakeStore) { s.down, s.refuses = false, false })
 		time.Sleep(ShortPause + probeWait + 50*time.Millisecond)
 		observer.mu.Lock()
