--- a/connection/engine/rank.go
+++ b/connection/engine/rank.go
@@ -76,7 +76,7 @@
 
 // Hold implements expertmap.Engine.
 func (r *RankClient) Hold(proposal expertmap.Proposal) (bool, error) {
-	if proposal.Group != groupHash(r.groupIncarnation) {
+	if proposal.Group != groupID(r.groupIncarnation) {
 		return false, nil
 	}
 	hold, err := r.newHold(proposal)
@@ -170,7 +170,7 @@
 	}
 	state := RankState{Agent: uint64(step.Agent.Or(0))}
 	state.State = expertmap.EngineState{
-		Group: groupHash(step.GroupIncarnation), Rank: step.Rank, Size: size,
+		Group: groupID(step.GroupIncarnation), Rank: step.Rank, Size: size,
 		Step: uint64(step.Step), Running: decodeMapID(step.Version),
 		Held: held, Pending: pending,
 	}
@@ -211,8 +211,11 @@
 	return failure.Response.Type
 }
 
-// groupHash returns the hash that identifies a group incarnation in proposals.
-func groupHash(incarnation string) uint64 { return xxhash.Sum64String(incarnation) }
+// groupID returns the identifier of a group incarnation in proposals. The engine's
+// incarnation is a text that is unique over all groups, so that its hash needs no name.
+func groupID(incarnation string) expertmap.GroupID {
+	return expertmap.GroupID{Incarnation: xxhash.Sum64String(incarnation)}
+}
 
 // epochShift is the position of the epoch in the engine's map number; the version is
 // in the bits below it.
--- a/daemon/agent/group_member.go
+++ b/daemon/agent/group_member.go
@@ -249,7 +249,7 @@
 	engineState, agent := g.state.State, g.driver.Agent()
 	report := &group.Report{
 		Pool: g.pool, Target: g.target, Rank: engineState.Rank, Size: engineState.Size,
-		AgentIncarnation: g.incarnation, GroupIncarnation: engineState.Group, Step: engineState.Step,
+		AgentIncarnation: g.incarnation, Group: engineState.Group, Step: engineState.Step,
 		Running: engineState.Running, Current: agent.Current(), Undecided: agent.Undecided() != nil,
 		Loaded: g.state.Loaded, Ended: g.lastOutcome.ID, Decision: g.lastOutcome.Decision,
 	}
--- a/daemon/group/coordinator.go
+++ b/daemon/group/coordinator.go
@@ -108,7 +108,7 @@
 	}
 	state := &c.ranks[report.Rank]
 	steps := report.Step - state.report.Step
-	if report.GroupIncarnation == state.report.GroupIncarnation && report.Step > state.report.Step {
+	if report.Group == state.report.Group && report.Step > state.report.Step {
 		state.stepTime = now.Sub(state.receivedAt) / time.Duration(steps)
 	}
 	state.report, state.receivedAt = report, now
@@ -177,7 +177,7 @@
 	first := c.ranks[0].report
 	for _, state := range c.ranks {
 		fresh := !state.receivedAt.IsZero() && now.Sub(state.receivedAt) <= reportTTL
-		same := state.report.GroupIncarnation == first.GroupIncarnation && state.report.Current == first.Current
+		same := state.report.Group == first.Group && state.report.Current == first.Current
 		if !fresh || !same || state.report.Undecided {
 			return false
 		}
@@ -225,7 +225,7 @@
 	c.sequence++
 	proposal := &expertmap.Proposal{
 		ID:    expertmap.ProposalID{Epoch: c.epoch, Sequence: c.sequence},
-		Group: c.ranks[0].report.GroupIncarnation,
+		Group: c.ranks[0].report.Group,
 		From:  c.currentID, To: c.inProgress.to, Step: c.switchStep(now),
 	}
 	for _, state := range c.ranks {
@@ -261,7 +261,7 @@
 			switched++
 		}
 		rankAborted := state.report.Ended == proposal.ID && state.report.Decision == expertmap.Abort
-		aborted = aborted || rankAborted || state.report.GroupIncarnation != proposal.Group
+		aborted = aborted || rankAborted || state.report.Group != proposal.Group
 	}
 	switch {
 	case switched == len(c.ranks):
--- a/daemon/group/coordinator_test.go
+++ b/daemon/group/coordinator_test.go
@@ -21,7 +21,7 @@
 		epoch := uint64(1)
 		ranks := make([]Report, size)
 		for rank := range ranks {
-			ranks[rank] = Report{Pool: "p", Rank: rank, Size: size, AgentIncarnation: uint64(10 + rank), GroupIncarnation: 1, Current: expertmap.MapID{Version: 1}}
+			ranks[rank] = Report{Pool: "p", Rank: rank, Size: size, AgentIncarnation: uint64(10 + rank), Group: expertmap.GroupID{Incarnation: 1}, Current: expertmap.MapID{Version: 1}}
 		}
 		c := NewCoordinator("p", size)
 		var last expertmap.ProposalID
@@ -33,7 +33,7 @@
 				epoch++
 			case 1:
 				for at := range ranks {
-					ranks[at].GroupIncarnation++
+					ranks[at].Group.Incarnation++
 					ranks[at].Loaded = nil
 				}
 			case 2:
@@ -75,7 +75,7 @@
 	require.Len(t, proposal.Agents, len(ranks))
 	for rank, state := range ranks {
 		require.LessOrEqual(t, now.Sub(state.receivedAt), reportTTL)
-		require.Equal(t, proposal.Group, state.report.GroupIncarnation)
+		require.Equal(t, proposal.Group, state.report.Group)
 		require.Equal(t, proposal.From, state.report.Current)
 		require.Equal(t, proposal.Agents[rank], state.report.AgentIncarnation)
 		require.False(t, state.report.Undecided)
@@ -95,7 +95,7 @@
 	}{
 		{"all switch", func(r *Report, p expertmap.Proposal) { r.Current = p.To }, 0, expertmap.Commit},
 		{"one refuses", func(r *Report, p expertmap.Proposal) { r.Ended, r.Decision = p.ID, expertmap.Abort }, 0, expertmap.Abort},
-		{"the group is re-formed", func(r *Report, _ expertmap.Proposal) { r.GroupIncarnation++ }, 0, expertmap.Abort},
+		{"the group is re-formed", func(r *Report, _ expertmap.Proposal) { r.Group.Incarnation++ }, 0, expertmap.Abort},
 		{"no report of the outcome", func(*Report, expertmap.Proposal) {}, 2 * proposalTimeout, expertmap.Undecided},
 	}
 	for _, tc := range cases {
@@ -103,7 +103,7 @@
 			now := time.Unix(1000, 0)
 			to := expertmap.MapID{Epoch: 4, Version: 1}
 			c := NewCoordinator("p", 1)
-			report := Report{Size: 1, GroupIncarnation: 1, Current: expertmap.MapID{Version: 1}, Loaded: []expertmap.MapID{to}}
+			report := Report{Size: 1, Group: expertmap.GroupID{Incarnation: 1}, Current: expertmap.MapID{Version: 1}, Loaded: []expertmap.MapID{to}}
 			c.HandleReport(now, report)
 			c.SetMapContent(report.Current, &placement.Map{})
 			require.Empty(t, c.Step(now, 4).Orders)
@@ -127,7 +127,7 @@
 // not block the change, and with it the budget, forever.
 func TestCoordinatorAbortsWhenLoadTimesOut(t *testing.T) {
 	now := time.Unix(1000, 0)
-	report := Report{Size: 1, GroupIncarnation: 1, Current: expertmap.MapID{Version: 1}}
+	report := Report{Size: 1, Group: expertmap.GroupID{Incarnation: 1}, Current: expertmap.MapID{Version: 1}}
 	c := NewCoordinator("p", 1)
 	c.HandleReport(now, report)
 	c.SetMapContent(report.Current, &placement.Map{})
--- a/daemon/group/messages.go
+++ b/daemon/group/messages.go
@@ -30,8 +30,8 @@
 	Size int `cbor:"4,keyasint"`
 	// AgentIncarnation is the incarnation that the agent uses in calls to its engine.
 	AgentIncarnation uint64 `cbor:"5,keyasint"`
-	// GroupIncarnation is the incarnation of the group.
-	GroupIncarnation uint64 `cbor:"6,keyasint"`
+	// Group identifies the incarnation of the group.
+	Group expertmap.GroupID `cbor:"6,keyasint"`
 	// Step is the last step that the engine started.
 	Step uint64 `cbor:"7,keyasint"`
 	// Running is the map in use. Current is the map that a decided switch will bring
--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -77,6 +77,7 @@
 	incarnation uint64
 	socket      *net.UDPConn
 	inbox       chan datagram
+	dropped     *droppedDatagrams
 	// storeReads receives the results of readStore.
 	storeReads chan storeData
 
@@ -149,7 +150,7 @@
 	return &Agent{
 		registry: registry, metrics: placement.NewMetrics(registry),
 		settings: cfg.Settings, file: cfg.File, store: cfg.Store, clock: cfg.Clock, log: logs.Component(cfg.Logger, "rank"),
-		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxCapacity),
+		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxCapacity), dropped: newDroppedDatagrams(registry, logs.Component(cfg.Logger, "rank")),
 		slowdownReporter: slowdownReporter{entryReads: make(chan []netip.AddrPort, 1)},
 		storeReads:       make(chan storeData, 1), remoteTargets: map[string]*platform.RankClient{}, engine: expertmap.NewCommandEngine(engineCommands{target}), formedAt: now,
 	}
@@ -268,7 +269,7 @@
 // ProposalEnded implements expertmap.Observer.
 func (a *Agent) ProposalEnded(ended expertmap.Outcome) {
 	to, step := ended.ID.MapAndStep()
-	a.log.WithFields(logrus.Fields{"map": to.Number(), "step": step, "decision": ended.Decision.String()}).Info("proposal ended")
+	a.log.WithFields(logrus.Fields{"group": a.identity.group.String(), "map": to.Number(), "step": step, "decision": ended.Decision.String()}).Info("proposal ended")
 	if a.planner != nil {
 		a.logDecision(a.planner.HandleOutcome(ended, a.clock.Now()))
 	}
--- a/daemon/rank/datagrams.go
+++ b/daemon/rank/datagrams.go
@@ -18,13 +18,13 @@
 		}
 		envelope, err := rebalance.Decode(buffer[:n])
 		if err != nil {
-			a.log.WithError(err).WithField("from", from.String()).Warn("datagram cannot be decoded; dropped")
+			a.dropped.record(dropReasonOf(err), from, err, a.clock.Now())
 			continue
 		}
 		select {
 		case a.inbox <- datagram{from, envelope}:
 		default:
-			a.log.Warn("receive queue full; datagram dropped")
+			a.dropped.record(dropQueueFull, from, nil, a.clock.Now())
 		}
 	}
 }
@@ -36,8 +36,9 @@
 	a.write(to, a.encode(envelope))
 }
 
-// encode returns an encoded datagram, or nil if the encoding failed.
+// encode returns an encoded datagram of this agent's group, or nil if the encoding failed.
 func (a *Agent) encode(envelope rebalance.Envelope) []byte {
+	envelope.Group = a.identity.group
 	message, err := rebalance.Encode(envelope)
 	if err != nil {
 		a.log.WithError(err).Error("message cannot be encoded")
@@ -55,11 +56,16 @@
 	}
 }
 
+// handleDatagram processes a datagram of this agent's group and drops all others.
 func (a *Agent) handleDatagram(received datagram) {
 	now := a.clock.Now()
 	envelope := received.envelope
+	if envelope.Group != a.identity.group {
+		a.dropped.record(dropOtherGroup, received.from, nil, now)
+		return
+	}
 	if envelope.Status != nil && a.planner != nil {
-		a.planner.HandleStatus(*envelope.Status, received.from.Addr(), now)
+		a.handleStatus(*envelope.Status, received.from, now)
 	}
 	if envelope.Counts != nil && a.planner != nil {
 		a.planner.HandleCounts(*envelope.Counts, now)
@@ -68,21 +74,33 @@
 		a.handleDirective(*envelope.Directive, received.from, now)
 	}
 	if envelope.Part != nil {
-		a.assembly.AddPart(*envelope.Part)
+		a.recordInvalid(a.assembly.AddPart(*envelope.Part), received.from, now)
 	}
 	if envelope.Delta != nil {
-		a.assembly.AddDelta(*envelope.Delta)
+		a.recordInvalid(a.assembly.AddDelta(*envelope.Delta), received.from, now)
 	}
 	if envelope.ExpertMapMessage != nil && a.driver != nil {
 		a.driver.Receive(now, *envelope.ExpertMapMessage)
 	}
 }
 
-// handleDirective processes a directive of another agent. While several agents plan,
+// handleStatus passes the status of a rank of the group, possibly this one, to the planner.
+func (a *Agent) handleStatus(status rebalance.Status, from netip.AddrPort, now time.Time) {
+	a.recordInvalid(a.planner.HandleStatus(status, from.Addr(), now), from, now)
+}
+
+// recordInvalid records the error of a datagram's contents, if there is one.
+func (a *Agent) recordInvalid(err error, from netip.AddrPort, now time.Time) {
+	if err != nil {
+		a.dropped.record(dropInvalid, from, err, now)
+	}
+}
+
+// handleDirective processes a directive of another agent of the group. While several agents plan,
 // the directives of the lowest rank take precedence.
 func (a *Agent) handleDirective(directive rebalance.Directive, from netip.AddrPort, now time.Time) {
 	last := a.engine.LastReport()
-	if directive.Group != last.Group || directive.Incarnation != last.Incarnation || directive.AgentIncarnation == a.incarnation {
+	if directive.AgentIncarnation == a.incarnation {
 		return
 	}
 	if a.planner != nil && directive.Planner > last.Rank {
--- a/daemon/rank/engine_commands_test.go
+++ b/daemon/rank/engine_commands_test.go
@@ -35,7 +35,7 @@
 	engine := expertmap.NewCommandEngine(engineCommands{target})
 	_, err = engine.Refresh()
 	require.NoError(t, err)
-	proposal := expertmap.Proposal{ID: expertmap.NewProposalID(to, 5), Group: 1, To: to, Step: 5, GroupHeld: true}
+	proposal := expertmap.Proposal{ID: expertmap.NewProposalID(to, 5), Group: groupOf(t, target), To: to, Step: 5, GroupHeld: true}
 	held, err := expertmap.HoldGroup(engineCommands{target}, proposal)
 	require.NoError(t, err)
 	require.True(t, held)
@@ -74,12 +74,20 @@
 		Clock:    clockwork.NewRealClock(), Logger: logs.Discard(),
 	})
 	agent.refresh(time.Now())
-	incarnation, _, _ := agent.driver.Agent().Group()
-	require.Equal(t, uint64(1), incarnation)
+	group1, _, _ := agent.driver.Agent().Group()
+	require.Equal(t, uint64(1), group1.Incarnation)
 	group.Reset()
 	_, err := agent.engine.Refresh()
 	require.NoError(t, err)
 	agent.refresh(time.Now())
-	incarnation, _, _ = agent.driver.Agent().Group()
-	require.Equal(t, uint64(2), incarnation)
+	group2, _, _ := agent.driver.Agent().Group()
+	require.Equal(t, expertmap.GroupID{Name: group1.Name, Incarnation: 2}, group2)
+}
+
+// groupOf returns the group that a target reports.
+func groupOf(t *testing.T, target *platform.RankClient) expertmap.GroupID {
+	t.Helper()
+	report, err := target.Report(t.Context())
+	require.NoError(t, err)
+	return report.Group
 }
--- /dev/null
+++ b/daemon/rank/groups_test.go
@@ -0,0 +1,153 @@
+package rank
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/platform/standin"
+	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/settings"
+	"verbenaseam.example/verbenaseam/version/expertmap"
+	"verbenaseam.example/verbenaseam/version/rebalance"
+)
+
+// groupRanks is the number of ranks of each group in the tests below.
+const groupRanks = 3
+
+// serviceWithGroups is a service whose targets form several groups, each with an agent
+// per rank, on hosts 127.0.0.x.
+type serviceWithGroups struct {
+	t            *testing.T
+	storeAddress string
+	store        *standin.Store
+	peerPort     string
+	groups       []*standin.Group
+	agents       []*Agent
+	running      sync.WaitGroup
+}
+
+func startServiceWithGroups(t *testing.T, names ...string) *serviceWithGroups {
+	t.Helper()
+	s := &serviceWithGroups{t: t, store: standin.NewStore()}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
+	s.store.Put(platform.TableOperator, platform.KeyConfiguration, standin.Configuration(1, "/look/"))
+	_, port, err := net.SplitHostPort(listenLoopback(t).LocalAddr().String())
+	require.NoError(t, err)
+	s.peerPort = port
+	for _, name := range names {
+		s.addGroup(name)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	for _, agent := range s.agents {
+		s.running.Go(func() {
+			if err := agent.Run(ctx, ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		s.running.Wait()
+	})
+	return s
+}
+
+func (s *serviceWithGroups) addGroup(name string) {
+	s.t.Helper()
+	var ranks []*standin.Target
+	for range groupRanks {
+		host := fmt.Sprintf("127.0.0.%d", 31+len(s.agents))
+		rank := &standin.Target{ID: host, Service: "model", FailureDomain: "z1"}
+		listener, err := net.Listen("tcp", host+":0")
+		require.NoError(s.t, err)
+		server := &http.Server{Handler: rank}
+		go func() { _ = server.Serve(listener) }()
+		s.t.Cleanup(func() { _ = server.Close() })
+		address := listener.Addr().String()
+		s.store.Put(platform.TableTargets, rank.ID, rank.RegistrationValue(address, "ready"))
+		ranks = append(ranks, rank)
+		s.agents = append(s.agents, New(Config{
+			Settings: settings.Rank{Name: host, TargetAddress: address, Service: "model", PeerAddress: net.JoinHostPort(host, s.peerPort)},
+			Store:    platform.NewStore(s.storeAddress), Clock: clockwork.NewRealClock(), Logger: logs.Discard(),
+		}))
+	}
+	s.groups = append(s.groups, standin.NewNamedGroup(name, 1, 6, ranks...))
+}
+
+// TestGroupsOfOneServiceSwitchMapsIndependently guards against a rank that copies the map
+// of another group: all groups of the service are in incarnation 1 and number their maps
+// alike, but different experts are in demand in each, so that their maps differ.
+func TestGroupsOfOneServiceSwitchMapsIndependently(t *testing.T) {
+	s := startServiceWithGroups(t, "first", "second")
+	demand := [][]uint64{{100, 1, 1, 90, 1, 1}, {1, 100, 1, 1, 90, 1}}
+	switchedInBoth := func() bool {
+		for at, group := range s.groups {
+			group.Step(demand[at])
+		}
+		for _, group := range s.groups {
+			if _, running, _ := group.State(); running == 0 {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, switchedInBoth, 20*time.Second, 10*time.Millisecond)
+	for range 100 {
+		switchedInBoth()
+		time.Sleep(10 * time.Millisecond)
+	}
+	for at, group := range s.groups {
+		_, _, mixed := group.State()
+		require.Zero(t, mixed, "group %d: steps ran on different maps", at)
+	}
+}
+
+// TestDatagramsOfOtherGroupsAreDropped guards against messages of another group, or of
+// another incarnation of the own one, that change an agent's state.
+func TestDatagramsOfOtherGroupsAreDropped(t *testing.T) {
+	target := &standin.Target{ID: "a", Service: "s"}
+	server := httptest.NewServer(target)
+	t.Cleanup(server.Close)
+	standin.NewGroup(1, 4, target, &standin.Target{ID: "b", Service: "s"})
+	agent := New(Config{
+		Settings: settings.Rank{Name: "a", TargetAddress: strings.TrimPrefix(server.URL, "http://"), Service: "s"},
+		Clock:    clockwork.NewRealClock(), Logger: logs.Discard(),
+	})
+	agent.refresh(time.Now())
+	own := agent.identity.group
+	require.Equal(t, expertmap.GroupID{Name: "g", Incarnation: 1}, own)
+	envelope := rebalance.Envelope{
+		Directive: &rebalance.Directive{Planner: 1, AgentIncarnation: 7, Prepare: 2},
+		Part:      &rebalance.MapPart{Number: 2, Layers: 1, Experts: [][][]int{{{0, 2}, {1, 3}}}},
+	}
+	for _, other := range []expertmap.GroupID{{Name: "h", Incarnation: 1}, {Name: "g", Incarnation: 2}} {
+		envelope.Group = other
+		agent.handleDatagram(datagram{envelope: envelope})
+	}
+	require.Nil(t, agent.directive)
+	require.Nil(t, agent.mapToPrepare())
+	require.InDelta(t, 2, testutil.ToFloat64(agent.dropped.counter.WithLabelValues(string(dropOtherGroup))), 0)
+
+	envelope.Group = own
+	agent.handleDatagram(datagram{envelope: envelope})
+	require.NotNil(t, agent.directive)
+	require.NotNil(t, agent.mapToPrepare())
+
+	envelope = rebalance.Envelope{Group: own, Part: &rebalance.MapPart{Number: 4, Layers: 1, Experts: [][][]int{{{0}, {1}, {2, 3}}}}}
+	agent.handleDatagram(datagram{envelope: envelope})
+	require.InDelta(t, 1, testutil.ToFloat64(agent.dropped.counter.WithLabelValues(string(dropInvalid))), 0)
+}
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -58,8 +58,8 @@
 		return
 	}
 	a.directive = nil
-	a.planner = rebalance.NewPlanner(*a.experts, a.streamGap, a.statusOf(report), rebalance.DefaultPolicy())
-	a.log.WithField("rank", report.Rank).Info("planning")
+	a.planner = rebalance.NewPlanner(report.Group, *a.experts, a.streamGap, a.statusOf(report), rebalance.DefaultPolicy())
+	a.log.WithFields(logrus.Fields{"group": report.Group.String(), "rank": report.Rank}).Info("planning")
 }
 
 // startStoreRead starts a read of the store in a goroutine of its own, at most once per
@@ -234,20 +234,36 @@
 	maxFullMapsPerTick = 3
 )
 
-// queueDirectives queues a directive for each other agent, and reads the targets again
-// if the hosts of some ranks are not known. newMap is set if the directive is the first
-// one with its map.
+// queueDirectives queues a directive for the agents of the group's other ranks. newMap is
+// set if the directive is the first one with its map.
+//
+// While the hosts of some ranks are not known, it reads the targets again and queues the
+// directive for the agents on all of the service's hosts: the registrations do not tell
+// which target belongs to which group, and only agents of this group answer.
 func (a *Agent) queueDirectives(now time.Time, newMap bool) {
 	a.outbox = a.outbox[:0]
-	for _, address := range a.agentAddresses {
+	directive := a.planner.Directive()
+	size := a.engine.LastReport().Size
+	if directive.KnownHosts() < size {
+		a.readTargetsAgain(now)
+		a.queueDirective(a.agentAddresses, newMap)
+		return
+	}
+	ranks := make([]netip.AddrPort, 0, size)
+	for rank := range size {
+		if host, known := directive.Host(rank); known {
+			ranks = append(ranks, netip.AddrPortFrom(host, a.port))
+		}
+	}
+	a.queueDirective(ranks, newMap)
+}
+
+func (a *Agent) queueDirective(addresses []netip.AddrPort, newMap bool) {
+	for _, address := range addresses {
 		if address.Addr() != a.host {
 			a.outbox = append(a.outbox, pendingDirective{address, newMap})
 		}
 	}
-	directive := a.planner.Directive()
-	if directive.KnownHosts() < a.engine.LastReport().Size {
-		a.readTargetsAgain(now)
-	}
 }
 
 // sendOutbox sends queued directives up to the limits of one tick. The map is sent only
@@ -334,14 +350,14 @@
 		return
 	}
 	a.log.WithFields(logrus.Fields{
-		"map": decision.Map.Number(), "copies": decision.Plan.Copies, "most": decision.Plan.PeakCopiesPerRank,
+		"group": a.planner.Group().String(), "map": decision.Map.Number(), "copies": decision.Plan.Copies, "most": decision.Plan.PeakCopiesPerRank,
 		"before": decision.Plan.SkewBefore, "after": decision.Plan.SkewAfter, "took_ms": decision.Took.Milliseconds(),
 	}).Info("map: " + string(decision.Kind))
 	a.recordDecisionMetrics(decision)
 }
 
 func (a *Agent) recordDecisionMetrics(decision *rebalance.Decision) {
-	group := a.engine.LastReport().Group
+	group := a.planner.Group().Name
 	switch decision.Kind {
 	case rebalance.Prepare:
 		a.metrics.ObserveSkew(group, placement.Skew{Step: decision.Plan.SkewBefore, Barrier: decision.Plan.SkewBefore})
--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/platform"
@@ -51,8 +52,12 @@
 	a.log.WithFields(logrus.Fields{"pace": slowdown, "before": before}).Info("target's pace changed")
 }
 
+// ErrGroupUnnamed reports an engine whose group has no name. Its agent takes part in no
+// votes, since it could not tell the messages of its group from those of others.
+var ErrGroupUnnamed = eris.New("the engine's group has no name")
+
 // attach creates the driver from the engine's first report. It does nothing while the
-// engine belongs to no group.
+// engine belongs to no group, and fails with ErrGroupUnnamed or the engine's error.
 func (a *Agent) attach(now time.Time) error {
 	driver, err := expertmap.NewDriver(now, expertmap.Config{
 		Incarnation: a.incarnation, PollInterval: pollInterval, PollStagger: pollStagger,
@@ -60,11 +65,15 @@
 	if err != nil {
 		return err
 	}
-	if a.engine.LastReport().Size == 0 {
+	report := a.engine.LastReport()
+	if report.Size == 0 {
 		return nil
 	}
+	if report.Group.Name == "" {
+		return ErrGroupUnnamed
+	}
 	a.driver = driver
-	a.resetForGroup(a.engine.LastReport(), now)
+	a.resetForGroup(report, now)
 	return nil
 }
 
@@ -73,13 +82,13 @@
 // driver was last reset, not with that of the previous report: any call, not only
 // refresh, may have read the first report with a new identity.
 type engineIdentity struct {
-	incarnation uint64
+	group       expertmap.GroupID
 	rank        int
 	startedAtMS int64
 }
 
 func identityOf(report expertmap.RankReport) engineIdentity {
-	return engineIdentity{report.Incarnation, report.Rank, report.StartedAt.UnixMilli()}
+	return engineIdentity{report.Group, report.Rank, report.StartedAt.UnixMilli()}
 }
 
 // resetForGroup resets the agent's state for a new incarnation of the group or of the
@@ -89,10 +98,10 @@
 	a.driver.Formed(now, a.engine.State())
 	a.planner, a.directive, a.formedAt = nil, nil, now
 	a.lastCounts, a.countsSentAt = platform.ExpertCounts{}, time.Time{}
-	a.assembly = rebalance.MapAssembler{}
+	a.assembly = rebalance.NewMapAssembler(report.Size)
 	a.preparing = preparation{}
 	a.log.WithFields(logrus.Fields{
-		"group": report.Group, "incarnation": report.Incarnation, "rank": report.Rank, "size": report.Size, "running": report.Running,
+		"group": report.Group.String(), "rank": report.Rank, "size": report.Size, "running": report.Running,
 	}).Info("group formed")
 }
 
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"verbenaseam.example/verbenaseam/platform"
@@ -16,8 +17,7 @@
 		epoch = a.driver.Agent().Epoch()
 	}
 	return rebalance.Status{
-		Group: report.Group, Incarnation: report.Incarnation, Rank: report.Rank, Size: report.Size,
-		AgentIncarnation: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.Armed,
+		Rank: report.Rank, Size: report.Size, AgentIncarnation: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.Armed,
 		Refused: a.preparing.refusedMap, Slowdown: report.Slowdown, Epoch: epoch,
 	}
 }
@@ -37,7 +37,7 @@
 	}
 	counts := a.dueCounts(ctx, status, now)
 	if a.planner != nil {
-		a.planner.HandleStatus(status, a.host, now)
+		a.handleStatus(status, netip.AddrPortFrom(a.host, a.port), now)
 		for _, part := range counts {
 			a.planner.HandleCounts(part, now)
 		}
@@ -71,7 +71,7 @@
 		return nil
 	}
 	a.countsSentAt = now
-	return rebalance.SplitCounts(status, a.newCounts(ctx))
+	return rebalance.SplitCounts(status.Rank, a.newCounts(ctx))
 }
 
 // newCounts returns how often each expert was chosen since the previous call, or nil if
@@ -152,7 +152,7 @@
 	if a.preparing.accepted || a.preparing.refusedMap == number || report.Armed != 0 {
 		return
 	}
-	preconditions := platform.CommandPrecondition{CommandCount: report.CommandCount, Incarnation: report.Incarnation}
+	preconditions := platform.CommandPrecondition{CommandCount: report.CommandCount, Incarnation: report.Group.Incarnation}
 	ok, err := a.target.Prepare(ctx, preconditions, number, wanted.Experts)
 	if ok {
 		a.preparing.accepted = true
--- a/internal/measure/expertmap/cluster.go
+++ b/internal/measure/expertmap/cluster.go
@@ -115,7 +115,7 @@
 		decisions:     map[expertmap.ProposalID]expertmap.Decision{},
 	}
 	for rank := range options.Ranks {
-		state := expertmap.EngineState{Group: 1, Rank: rank, Size: options.Ranks}
+		state := expertmap.EngineState{Group: expertmap.GroupID{Incarnation: 1}, Rank: rank, Size: options.Ranks}
 		c.nodes = append(c.nodes, &node{engine: expertmap.NewRankEngine(state)})
 	}
 	for rank := range c.nodes {
@@ -243,10 +243,10 @@
 
 func (c *Cluster) joinGroup(rank int, group uint64, start expertmap.MapID) {
 	n := c.nodes[rank]
-	if n.engine.State().Group >= group {
+	if n.engine.State().Group.Incarnation >= group {
 		return
 	}
-	state := expertmap.EngineState{Group: group, Rank: rank, Size: c.options.Ranks, Running: start}
+	state := expertmap.EngineState{Group: expertmap.GroupID{Incarnation: group}, Rank: rank, Size: c.options.Ranks, Running: start}
 	n.engine.Reset(state)
 	n.permittedStep = 0
 	n.computing = false
--- a/internal/measure/expertmap/simulation.go
+++ b/internal/measure/expertmap/simulation.go
@@ -42,7 +42,7 @@
 func (c *Cluster) tryStep(rank int) {
 	n := c.nodes[rank]
 	state := n.engine.State()
-	previous := stepKey{state.Group, state.Step}
+	previous := stepKey{state.Group.Incarnation, state.Step}
 	if n.computing || (state.Step > 0 && c.finishedRanks[previous] < len(c.nodes)) {
 		return
 	}
@@ -59,7 +59,7 @@
 	running := n.engine.Start()
 	n.computing = true
 	c.extendPermission(n)
-	key := stepKey{state.Group, state.Step + 1}
+	key := stepKey{state.Group.Incarnation, state.Step + 1}
 	c.recordMap(key, running)
 	c.recordStall(key, n)
 	c.schedule(c.stepTime(), func() { c.finishStep(rank, key) })
@@ -96,7 +96,7 @@
 func (c *Cluster) finishStep(rank int, key stepKey) {
 	n := c.nodes[rank]
 	state := n.engine.State()
-	if state.Group != key.group || state.Step != key.step {
+	if state.Group.Incarnation != key.group || state.Step != key.step {
 		return
 	}
 	n.computing = false
--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -155,7 +155,7 @@
 	start := time.Unix(0, 0)
 	g := &group{running: &rebalance.Map{Experts: initialMap()}, steppedAt: start}
 	shape := config.Experts{Sets: layers, PerSet: experts, SlotsPerRank: slotsPerRank, MaxNewPerMap: maxNewPerMap, Megabytes: expertMegabytes}
-	planner := rebalance.NewPlanner(shape, 0, rebalance.Status{Group: "g", Size: ranks, AgentIncarnation: 1}, policy)
+	planner := rebalance.NewPlanner(expertmap.GroupID{Name: "g"}, shape, 0, rebalance.Status{Size: ranks, AgentIncarnation: 1}, policy)
 	sequence := uint64(0)
 	skew := 1.0
 	for now := start; ; now = now.Add(plannerInterval) {
@@ -206,14 +206,14 @@
 func (g *group) reportStatuses(planner *rebalance.Planner, sequence uint64, counts []uint64, now time.Time) {
 	for rank := range ranks {
 		status := rebalance.Status{
-			Group: "g", Size: ranks, Rank: rank, AgentIncarnation: 1, Sequence: sequence, Running: g.running.ID.Number(),
+			Size: ranks, Rank: rank, AgentIncarnation: 1, Sequence: sequence, Running: g.running.ID.Number(),
 			Held: make([][]int, layers),
 		}
 		for layer := range layers {
 			status.Held[layer] = g.running.Experts[layer][rank]
 		}
 		if rank == 0 {
-			for _, part := range rebalance.SplitCounts(status, counts) {
+			for _, part := range rebalance.SplitCounts(rank, counts) {
 				planner.HandleCounts(part, now)
 			}
 		}
--- a/version/expertmap/agent.go
+++ b/version/expertmap/agent.go
@@ -78,7 +78,7 @@
 type Agent struct {
 	config Config
 
-	group uint64
+	group GroupID
 	rank  int
 	size  int
 	// current is the map in use, or the next one once its switch is decided.
@@ -265,12 +265,12 @@
 // Epoch returns the highest lease epoch seen; proposals of lower epochs are refused.
 func (a *Agent) Epoch() uint64 { return a.epoch }
 
-// Group returns the group incarnation, the agent's rank and the group's size.
-func (a *Agent) Group() (incarnation uint64, rank, size int) {
+// Group returns the agent's group, its rank in it and the number of ranks.
+func (a *Agent) Group() (group GroupID, rank, size int) {
 	return a.group, a.rank, a.size
 }
 
-func (a *Agent) inGroup(group uint64) bool {
+func (a *Agent) inGroup(group GroupID) bool {
 	return group == a.group
 }
 
--- a/version/expertmap/command_engine.go
+++ b/version/expertmap/command_engine.go
@@ -81,7 +81,7 @@
 	if err != nil {
 		return e.lastReport, err
 	}
-	if report.Incarnation != e.lastReport.Incarnation {
+	if report.Group != e.lastReport.Group {
 		// Commands name the incarnation, so those for an earlier one are void.
 		e.unconfirmedMap, e.unconfirmedGo = 0, 0
 	}
@@ -133,7 +133,7 @@
 		e.unconfirmedMap = 0
 		return nil
 	}
-	_, err := e.commands.Copy(r.CommandCount, r.Incarnation, MapIDFromNumber(number).Invalidator().Number())
+	_, err := e.commands.Copy(r.CommandCount, r.Group.Incarnation, MapIDFromNumber(number).Invalidator().Number())
 	// The next report tells whether the engine has carried out the copy.
 	return errors.Join(ErrCommandUnconfirmed, err)
 }
@@ -142,7 +142,7 @@
 // have not arrived yet.
 func (e *CommandEngine) fence() error {
 	step := e.lastReport.Step + fenceDistance
-	ok, err := e.commands.Hold(e.lastReport.CommandCount, e.lastReport.Incarnation, step)
+	ok, err := e.commands.Hold(e.lastReport.CommandCount, e.lastReport.Group.Incarnation, step)
 	if err != nil || !ok {
 		return errors.Join(ErrCommandUnconfirmed, err)
 	}
@@ -154,13 +154,13 @@
 func (e *CommandEngine) State() EngineState {
 	r := e.lastReport
 	engineState := EngineState{
-		Group: r.Incarnation, Rank: r.Rank, Size: r.Size, Step: r.Step, Running: MapIDFromNumber(r.Running),
+		Group: r.Group, Rank: r.Rank, Size: r.Size, Step: r.Step, Running: MapIDFromNumber(r.Running),
 	}
 	if r.Armed == 0 {
 		return engineState
 	}
 	to := MapIDFromNumber(r.Armed)
-	armed := &Proposal{ID: NewProposalID(to, r.ArmedStep), Group: r.Incarnation, From: engineState.Running, To: to, Step: r.ArmedStep}
+	armed := &Proposal{ID: NewProposalID(to, r.ArmedStep), Group: r.Group, From: engineState.Running, To: to, Step: r.ArmedStep}
 	armed.GroupHeld, armed.Holder, armed.Proposer = true, unknownRank, unknownRank
 	if r.Holding && r.Held == r.ArmedStep {
 		armed.Holder = r.Rank
@@ -178,10 +178,10 @@
 	if err != nil {
 		return false, err
 	}
-	if report.Incarnation != proposal.Group || report.Rank != proposal.Holder || report.Step >= proposal.Step || report.Holding {
+	if report.Group != proposal.Group || report.Rank != proposal.Holder || report.Step >= proposal.Step || report.Holding {
 		return false, nil
 	}
-	return holder.Hold(report.CommandCount, report.Incarnation, proposal.Step)
+	return holder.Hold(report.CommandCount, report.Group.Incarnation, proposal.Step)
 }
 
 // Hold implements Engine by arming the switch. It refuses proposals without a holder, and
@@ -204,7 +204,7 @@
 	if !e.canPromise(proposal) || e.armAttempts > maxArmAttempts {
 		return false, e.Release(proposal.ID)
 	}
-	ok, err := e.commands.Arm(r.CommandCount, r.Incarnation, proposal.To.Number(), proposal.Step)
+	ok, err := e.commands.Arm(r.CommandCount, r.Group.Incarnation, proposal.To.Number(), proposal.Step)
 	if err != nil {
 		e.unconfirmedMap = max(e.unconfirmedMap, proposal.To.Number())
 	}
@@ -217,7 +217,7 @@
 // canPromise reports whether the engine can promise the proposal.
 func (e *CommandEngine) canPromise(proposal Proposal) bool {
 	r := e.lastReport
-	if r.Incarnation != proposal.Group || proposal.Step <= r.Step || proposal.Step > r.Step+maxSwitchDistance {
+	if r.Group != proposal.Group || proposal.Step <= r.Step || proposal.Step > r.Step+maxSwitchDistance {
 		return false
 	}
 	if proposal.Step <= e.unconfirmedGo {
@@ -237,7 +237,7 @@
 		return err
 	}
 	if r.Armed == to.Number() && r.ArmedStep == step {
-		ok, err := e.commands.Disarm(r.CommandCount, r.Incarnation, r.Armed)
+		ok, err := e.commands.Disarm(r.CommandCount, r.Group.Incarnation, r.Armed)
 		if err != nil {
 			e.unconfirmedMap = max(e.unconfirmedMap, r.Armed)
 		}
@@ -266,7 +266,7 @@
 	if err != nil {
 		return err
 	}
-	if r.Incarnation != proposal.Group || !r.Holding || r.Held != proposal.Step {
+	if r.Group != proposal.Group || !r.Holding || r.Held != proposal.Step {
 		return nil
 	}
 	if r.Armed != proposal.To.Number() || r.ArmedStep != proposal.Step {
@@ -286,7 +286,7 @@
 }
 
 func (e *CommandEngine) sendGo(step uint64) error {
-	ok, err := e.commands.Go(e.lastReport.CommandCount, e.lastReport.Incarnation, step)
+	ok, err := e.commands.Go(e.lastReport.CommandCount, e.lastReport.Group.Incarnation, step)
 	if err != nil || !ok {
 		return errors.Join(ErrCommandUnconfirmed, err)
 	}
--- a/version/expertmap/command_engine_sim_test.go
+++ b/version/expertmap/command_engine_sim_test.go
@@ -49,8 +49,12 @@
 
 // simGroup is a lock-step group whose commands get lost or arrive late.
 type simGroup struct {
+	id     GroupID
 	random *rand.Rand
 	fault  simFault
+	// others are the other groups on the network. Some messages of this group also reach
+	// the agents of their ranks.
+	others []*simGroup
 	// countsCommands selects engines that count their commands and refuse those with a
 	// different count.
 	countsCommands bool
@@ -92,9 +96,9 @@
 }
 
 func newSimGroup(seed uint64, size int, countsCommands bool, fault simFault) *simGroup {
-	g := &simGroup{random: rand.New(rand.NewPCG(seed, 7)), countsCommands: countsCommands, fault: fault, now: time.Unix(0, 0), lossRate: 0.3, killPercent: 1}
+	g := &simGroup{id: GroupID{Name: "g", Incarnation: 1}, random: rand.New(rand.NewPCG(seed, 7)), countsCommands: countsCommands, fault: fault, now: time.Unix(0, 0), lossRate: 0.3, killPercent: 1}
 	for rank := range size {
-		g.ranks = append(g.ranks, &simRank{report: RankReport{Group: "g", Incarnation: 1, Rank: rank, Size: size, Stepping: true}})
+		g.ranks = append(g.ranks, &simRank{report: RankReport{Group: g.id, Rank: rank, Size: size, Stepping: true}})
 		g.agents = append(g.agents, &simAgent{simCommands: simCommands{group: g, rank: rank}})
 	}
 	return g
@@ -314,7 +318,7 @@
 		}
 	}
 	proposal := Proposal{
-		ID: NewProposalID(to, at), Group: 1, From: MapIDFromNumber(g.ranks[proposer.rank].report.Running), To: to, Step: at, Agents: agents,
+		ID: NewProposalID(to, at), Group: g.id, From: MapIDFromNumber(g.ranks[proposer.rank].report.Running), To: to, Step: at, Agents: agents,
 		GroupHeld: true, Proposer: proposer.rank, Holder: (proposer.rank + 1 + g.random.IntN(len(g.agents)-1)) % len(g.agents),
 	}
 	if held, err := HoldGroup(&simCommands{group: g, rank: proposal.Holder}, proposal); err != nil || !held {
@@ -333,8 +337,11 @@
 		at := g.random.IntN(len(g.inFlight))
 		message := g.inFlight[at]
 		g.inFlight = append(g.inFlight[:at], g.inFlight[at+1:]...)
-		if to := g.agents[message.To]; to.driver != nil && !g.now.Before(to.frozenUntil) {
-			to.driver.Receive(g.now, message)
+		g.deliver(message)
+		for _, other := range g.others {
+			if g.random.IntN(2) == 0 {
+				other.deliver(message)
+			}
 		}
 	case choice < 60:
 		agent.tick()
@@ -353,6 +360,15 @@
 	return ""
 }
 
+// deliver passes a message to the agent of the rank that it is sent to, unless the agent
+// is down or suspended.
+func (g *simGroup) deliver(message Message) {
+	to := g.agents[message.To]
+	if to.driver != nil && !g.now.Before(to.frozenUntil) {
+		to.driver.Receive(g.now, message)
+	}
+}
+
 // runWithoutFaults ends all faults and reports a violation if the group makes no
 // progress.
 func (g *simGroup) runWithoutFaults() string {
--- a/version/expertmap/command_engine_test.go
+++ b/version/expertmap/command_engine_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/mutant"
 )
 
 // simulate runs a simulation with one seed and returns the violation found, if any.
@@ -40,6 +42,59 @@
 	}
 }
 
+// simulateGroups runs two groups with equal numbers on one network and returns the
+// violation found, if any.
+func simulateGroups(seed uint64) (violation string, switches int) {
+	a, b := newSimGroup(seed, 3, false, simNoFault), newSimGroup(seed+1<<32, 3, false, simNoFault)
+	a.id.Name, b.id.Name = "a", "b"
+	a.others, b.others = []*simGroup{b}, []*simGroup{a}
+	groups := []*simGroup{a, b}
+	for _, g := range groups {
+		for rank, agent := range g.agents {
+			g.ranks[rank].report.Group = g.id
+			agent.start()
+		}
+	}
+	for event := range 6000 {
+		for _, g := range groups {
+			if violation := g.randomEvent(uint64(event) + 1); violation != "" {
+				return violation, 0
+			}
+		}
+	}
+	for _, g := range groups {
+		if violation := g.runWithoutFaults(); violation != "" {
+			return violation, 0
+		}
+	}
+	return "", a.switches + b.switches
+}
+
+// groupSeeds is the number of seeds of TestGroupsWithEqualNumbersNeverMixMaps.
+const groupSeeds = 600
+
+// TestGroupsWithEqualNumbersNeverMixMaps guards against a rank that takes the votes of
+// another group for those of its own: groups of a service count incarnations, maps and
+// steps alike, and their messages reach each other's agents.
+func TestGroupsWithEqualNumbersNeverMixMaps(t *testing.T) {
+	switches := 0
+	for seed := range uint64(groupSeeds) {
+		violation, switched := simulateGroups(seed)
+		require.Empty(t, violation, "seed %d", seed)
+		switches += switched
+	}
+	require.Greater(t, switches, groupSeeds, "too few switches for the test to be significant")
+}
+
+func TestSimulationCatchesGroupsWithoutNames(t *testing.T) {
+	output, passed, err := mutant.Run(t.TempDir(), []mutant.Edit{
+		{File: "agent.go", Old: "return group == a.group", New: "return group.Incarnation == a.group.Incarnation"},
+	}, "TestGroupsWithEqualNumbersNeverMixMaps", "groups without names")
+	require.NoError(t, err)
+	require.False(t, passed, "the broken rule is not detected")
+	require.Contains(t, output, "seed ")
+}
+
 func TestSimulationCatchesBrokenCommandRules(t *testing.T) {
 	for name, fault := range map[string]simFault{
 		"the holder promises without a hold":             simFalseHold,
--- a/version/expertmap/gate.go
+++ b/version/expertmap/gate.go
@@ -13,9 +13,9 @@
 
 // PermitEngineState is the state that a PermitEngine retains.
 type PermitEngineState struct {
-	// Group is the incarnation of the engine's group, Rank the engine's rank in it and
-	// Size the number of ranks.
-	Group uint64
+	// Group is the engine's group, Rank the engine's rank in it and Size the number of
+	// ranks.
+	Group GroupID
 	Rank  int
 	Size  int
 	// Step is the last step the engine started, Limit the last permitted one.
--- a/version/expertmap/model_events_test.go
+++ b/version/expertmap/model_events_test.go
@@ -38,7 +38,7 @@
 	m := mod.message(int(e.bit), int(e.rank))
 	kind := [...]string{"", "poll", "promise", "outcome"}[m.Kind]
 	return fmt.Sprintf("deliver %s of proposal %d to rank %d (from %d, group %d, %v)",
-		kind, m.ID.Epoch, m.To, m.From, m.Group, m.Decision)
+		kind, m.ID.Epoch, m.To, m.From, m.Group.Incarnation, m.Decision)
 }
 
 // events returns the transitions that are possible next.
@@ -60,7 +60,7 @@
 		if mod.canStep(rank) {
 			all = append(all, event{kind: startStep, rank: uint8(rank)})
 		}
-		if mod.reforms && mod.ranks[rank].engineState.Group == 1 {
+		if mod.reforms && mod.ranks[rank].engineState.Group.Incarnation == 1 {
 			all = append(all, event{kind: reformRank, rank: uint8(rank)})
 		}
 	}
@@ -106,7 +106,7 @@
 	case deliverRecovery:
 		next.cloneAgent(rank)
 		from := int(e.bit)
-		query := Message{Kind: KindRecoveryQuery, Group: 1, From: from, To: rank, Agent: next.incarnations[from]}
+		query := Message{Kind: KindRecoveryQuery, Group: GroupID{Incarnation: 1}, From: from, To: rank, Agent: next.incarnations[from]}
 		next.driver(rank).Receive(farFuture, query)
 	}
 	return next
@@ -125,7 +125,7 @@
 	}
 	for round := range 24 {
 		for rank := range mod.ranks {
-			if mod.anyRankInGroup(2) && mod.ranks[rank].engineState.Group == 1 {
+			if mod.anyRankInGroup(2) && mod.ranks[rank].engineState.Group.Incarnation == 1 {
 				mod.reform(rank)
 			}
 			mod.cloneAgent(rank)
@@ -146,7 +146,7 @@
 }
 
 func (mod *model) anyRankInGroup(group uint64) bool {
-	return slices.ContainsFunc(mod.ranks[:], func(r RankEngine) bool { return r.engineState.Group == group })
+	return slices.ContainsFunc(mod.ranks[:], func(r RankEngine) bool { return r.engineState.Group.Incarnation == group })
 }
 
 // deliverAll delivers every queued message once, and the replies to them.
--- a/version/expertmap/model_test.go
+++ b/version/expertmap/model_test.go
@@ -75,7 +75,7 @@
 func newModel(c modelCase) *model {
 	mod := &model{fault: c.fault, crashes: c.crashes, reforms: c.reforms, losesHolds: c.losesHolds, singleProposer: c.singleProposer}
 	for rank := range mod.ranks {
-		mod.ranks[rank] = NewRankEngine(EngineState{Group: 1, Rank: rank, Size: modelRanks})
+		mod.ranks[rank] = NewRankEngine(EngineState{Group: GroupID{Incarnation: 1}, Rank: rank, Size: modelRanks})
 		mod.start(rank)
 	}
 	return mod
@@ -201,7 +201,7 @@
 	case m.Kind == KindOutcome:
 		bit = bitAbort
 	}
-	mod.sent |= 1 << (bit + bitsPerProposal*(int(m.ID.Epoch-1)+modelProposals*int(m.Group-1)))
+	mod.sent |= 1 << (bit + bitsPerProposal*(int(m.ID.Epoch-1)+modelProposals*int(m.Group.Incarnation-1)))
 }
 
 // message returns the message that a bit stands for, addressed to a rank.
@@ -210,7 +210,7 @@
 	bit /= bitsPerProposal
 	proposal := mod.proposals[bit%modelProposals]
 	m := Message{
-		Group: uint64(bit/modelProposals) + 1,
+		Group: GroupID{Incarnation: uint64(bit/modelProposals) + 1},
 		From:  (to + 1) % modelRanks,
 		To:    to,
 		ID:    proposal.ID,
@@ -271,7 +271,7 @@
 	before := mod.ranks[rank].engineState
 	used := mod.ranks[rank].Start()
 	engineState := mod.ranks[rank].engineState
-	slot := &mod.stepMap[engineState.Group-1][engineState.Step]
+	slot := &mod.stepMap[engineState.Group.Incarnation-1][engineState.Step]
 	first := true
 	for other := range mod.ranks {
 		peer := mod.ranks[other].engineState
@@ -283,7 +283,7 @@
 		*slot = used
 	}
 	if *slot != used {
-		mod.fail("group %d step %d runs on maps %v and %v", engineState.Group, engineState.Step, *slot, used)
+		mod.fail("group %d step %d runs on maps %v and %v", engineState.Group.Incarnation, engineState.Step, *slot, used)
 	}
 	if before.Pending != nil && engineState.Pending == nil && before.Pending.From != before.Running {
 		mod.fail("proposal %d replaced map %v, not the %v it names", engineState.Installed.Epoch, before.Running, before.Pending.From)
@@ -291,7 +291,7 @@
 }
 
 func (mod *model) reform(rank int) {
-	engineState := EngineState{Group: 2, Rank: rank, Size: modelRanks}
+	engineState := EngineState{Group: GroupID{Incarnation: 2}, Rank: rank, Size: modelRanks}
 	mod.ranks[rank] = RankEngine{engineState: engineState, attached: mod.ranks[rank].attached}
 	if mod.agents[rank] != nil {
 		mod.cloneAgent(rank)
@@ -317,7 +317,7 @@
 	for at, proposal := range mod.proposals {
 		put(flag(mod.decisions[at][Commit])<<1 | flag(mod.decisions[at][Abort]))
 		if proposal != nil {
-			put(proposal.Group, proposal.From.Epoch, proposal.Step)
+			put(proposal.Group.Incarnation, proposal.From.Epoch, proposal.Step)
 			put(proposal.Agents...)
 		}
 		put(255)
@@ -329,12 +329,12 @@
 	}
 	for rank, agent := range mod.agents {
 		engineState := mod.ranks[rank].engineState
-		put(engineState.Group, engineState.Step, engineState.Running.Epoch, engineState.Installed.Epoch, epochOf(engineState.Pending), epochOf(engineState.Held))
+		put(engineState.Group.Incarnation, engineState.Step, engineState.Running.Epoch, engineState.Installed.Epoch, epochOf(engineState.Pending), epochOf(engineState.Held))
 		put(mod.incarnations[rank], flag(agent != nil), flag(mod.blocked[rank]))
 		if agent == nil {
 			continue
 		}
-		put(agent.group, agent.current.Epoch, agent.installed.Epoch, agent.epoch)
+		put(agent.group.Incarnation, agent.current.Epoch, agent.installed.Epoch, agent.epoch)
 		for _, rec := range agent.records {
 			put(rec.proposal.ID.Epoch, uint64(rec.state), flag(rec.applied))
 			if rec.decision() != Undecided {
--- a/version/expertmap/rank_report.go
+++ b/version/expertmap/rank_report.go
@@ -4,12 +4,10 @@
 
 // RankReport is the status that the engine of one rank reports.
 type RankReport struct {
-	// Group is the group's name, Incarnation the group's incarnation. Stepping tells
-	// that the group executes steps.
-	Group       string
-	Incarnation uint64
-	Rank, Size  int
-	Stepping    bool
+	// Group is the rank's group. Stepping tells that the group executes steps.
+	Group      GroupID
+	Rank, Size int
+	Stepping   bool
 	// CommandCount is the number of commands since the engine's start that had an effect.
 	CommandCount uint64
 	// Step is the last step that was started.
--- a/version/expertmap/types.go
+++ b/version/expertmap/types.go
@@ -32,9 +32,9 @@
 // Proposal asks a group to use another map from a step on. It is immutable once sent.
 type Proposal struct {
 	ID ProposalID
-	// Group is the incarnation of the group that is asked; the proposal is void in any
-	// other.
-	Group uint64
+	// Group is the group that is asked; the proposal is void in any other, and in any
+	// other incarnation of it.
+	Group GroupID
 	// From is the map that the proposal replaces, To the one it introduces.
 	From, To MapID
 	// Step is the first step that runs on To.
@@ -117,8 +117,8 @@
 // Message is a message between agents of a group.
 type Message struct {
 	Kind Kind `cbor:"1,keyasint"`
-	// Group is the group incarnation of the sender.
-	Group uint64 `cbor:"2,keyasint"`
+	// Group is the sender's group.
+	Group GroupID `cbor:"2,keyasint"`
 	// From and To are ranks.
 	From int `cbor:"3,keyasint"`
 	To   int `cbor:"4,keyasint"`
@@ -178,9 +178,9 @@
 
 // EngineState is the state that an engine retains across restarts of its agent.
 type EngineState struct {
-	// Group is the incarnation of the engine's group, Rank the engine's rank in it and
-	// Size the number of ranks.
-	Group uint64
+	// Group is the engine's group, Rank the engine's rank in it and Size the number of
+	// ranks.
+	Group GroupID
 	Rank  int
 	Size  int
 	// Step is the last step the engine started.
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -1,10 +1,12 @@
 package rebalance
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 
 	"verbenaseam.example/verbenaseam/version/expertmap"
 )
@@ -30,11 +32,8 @@
 
 // Status is an agent's report to the planner on its rank.
 type Status struct {
-	// Group is the name of the group, Incarnation its incarnation.
-	Group       string `cbor:"1,keyasint"`
-	Incarnation uint64 `cbor:"2,keyasint"`
-	Rank        int    `cbor:"3,keyasint"`
-	Size        int    `cbor:"4,keyasint"`
+	Rank int `cbor:"3,keyasint"`
+	Size int `cbor:"4,keyasint"`
 	// AgentIncarnation is the incarnation of the agent.
 	AgentIncarnation uint64 `cbor:"5,keyasint"`
 	// Sequence increases with each status that an agent sends.
@@ -58,9 +57,7 @@
 // Counts is how often the requests of a rank have recently selected some of the
 // experts. Lost counts are not sent again.
 type Counts struct {
-	Group       string `cbor:"1,keyasint"`
-	Incarnation uint64 `cbor:"2,keyasint"`
-	Rank        int    `cbor:"3,keyasint"`
+	Rank int `cbor:"3,keyasint"`
 	// Offset is the index of the first of Levels among the experts of all layers,
 	// layer after layer.
 	Offset int `cbor:"4,keyasint"`
@@ -70,8 +67,6 @@
 
 // Directive is an instruction of the planner to the agents of its group.
 type Directive struct {
-	Group       string `cbor:"1,keyasint"`
-	Incarnation uint64 `cbor:"2,keyasint"`
 	// Planner is the rank of the planner, AgentIncarnation the incarnation of its agent.
 	Planner          int    `cbor:"3,keyasint"`
 	AgentIncarnation uint64 `cbor:"4,keyasint"`
@@ -96,9 +91,12 @@
 	Experts    [][][]int `cbor:"4,keyasint"`
 }
 
-// Envelope is the contents of one datagram. Exactly one field is set, except that
-// counts accompany a status, and a delta a directive, if both fit.
+// Envelope is the contents of one datagram. Exactly one field besides Group is set,
+// except that counts accompany a status, and a delta a directive, if both fit.
 type Envelope struct {
+	// Group is the sender's group. Agents of other groups ignore the datagram: maps,
+	// steps and ranks have the same numbers in all groups.
+	Group            expertmap.GroupID  `cbor:"7,keyasint"`
 	Status           *Status            `cbor:"1,keyasint,omitempty"`
 	Directive        *Directive         `cbor:"2,keyasint,omitempty"`
 	ExpertMapMessage *expertmap.Message `cbor:"3,keyasint,omitempty"`
@@ -116,6 +114,10 @@
 // Unwrap returns the codec's error.
 func (e *DecodeError) Unwrap() error { return e.Cause }
 
+// ErrNoGroup reports a datagram that does not name its sender's group; agents of releases
+// without group names send them.
+var ErrNoGroup = eris.New("datagram does not name a group")
+
 // FitsWithStatus reports whether the counts fit into one datagram with the status.
 func (c *Counts) FitsWithStatus(status *Status) bool {
 	return status.Held == nil && 2*reservedBytes+len(c.Levels) <= maxDatagramSize
@@ -129,12 +131,16 @@
 // Encode encodes an envelope as CBOR. It fails with the codec's error.
 func Encode(envelope Envelope) ([]byte, error) { return cbor.Marshal(envelope) }
 
-// Decode decodes an envelope. It fails with DecodeError.
+// Decode decodes an envelope. It fails with DecodeError, whose cause is the codec's error
+// or ErrNoGroup.
 func Decode(data []byte) (Envelope, error) {
 	var envelope Envelope
 	if err := cbor.Unmarshal(data, &envelope); err != nil {
 		return Envelope{}, &DecodeError{Cause: err}
 	}
+	if envelope.Group.Name == "" {
+		return Envelope{}, &DecodeError{Cause: ErrNoGroup}
+	}
 	return envelope, nil
 }
 
@@ -145,7 +151,8 @@
 	// in Delta.Changes; rankBytes is the overhead of the list of each rank.
 	expertBytes = 3
 	rankBytes   = 2
-	// reservedBytes is reserved for the remaining fields of a message in a datagram.
+	// reservedBytes is reserved for the group and the remaining fields of a message in a
+	// datagram.
 	reservedBytes = 100
 	// countsPerDatagram is the maximum number of counts in a datagram.
 	countsPerDatagram = 1000
@@ -202,8 +209,24 @@
 	return parts
 }
 
+// MapShapeError reports a part or a delta whose map has another number of ranks than the
+// group.
+type MapShapeError struct {
+	// Number is the number of the map, Ranks its number of ranks, GroupSize that of the
+	// group.
+	Number           uint64
+	Ranks, GroupSize int
+}
+
+// Error implements error.
+func (e *MapShapeError) Error() string {
+	return fmt.Sprintf("map %d has %d ranks, the group has %d", e.Number, e.Ranks, e.GroupSize)
+}
+
 // MapAssembler reconstructs a map from its parts or from a delta.
 type MapAssembler struct {
+	// size is the number of ranks of the group.
+	size    int
 	number  uint64
 	experts [][][]int
 	// missing is the number of layers that have not been received.
@@ -212,26 +235,39 @@
 	base *Map
 }
 
+// NewMapAssembler returns an assembler of the maps of a group with the given number of
+// ranks.
+func NewMapAssembler(size int) MapAssembler { return MapAssembler{size: size} }
+
 // AddDelta processes a delta. It ignores deltas whose base it does not have, and
-// those of older or already complete maps.
-func (a *MapAssembler) AddDelta(delta Delta) {
+// those of older or already complete maps. It fails with MapShapeError.
+func (a *MapAssembler) AddDelta(delta Delta) error {
+	if delta.Ranks != a.size {
+		return &MapShapeError{Number: delta.Number, Ranks: delta.Ranks, GroupSize: a.size}
+	}
 	if delta.Number < a.number || delta.Number == a.number && a.missing == 0 {
-		return
+		return nil
 	}
 	if next, ok := delta.Apply(a.base); ok {
 		a.number, a.experts, a.missing, a.base = delta.Number, next.Experts, 0, next
 	}
+	return nil
 }
 
 // AddPart processes a part. A part of a newer map, or one with another number of layers,
 // discards the parts received before. A part of an older map, or one that is out of
-// range, is ignored.
-func (a *MapAssembler) AddPart(part MapPart) {
+// range, is ignored. It fails with MapShapeError.
+func (a *MapAssembler) AddPart(part MapPart) error {
+	for _, ranks := range part.Experts {
+		if len(ranks) != a.size {
+			return &MapShapeError{Number: part.Number, Ranks: len(ranks), GroupSize: a.size}
+		}
+	}
 	if part.Number < a.number || part.Layers <= 0 || part.Layers > maxLayers || part.FirstLayer < 0 || part.FirstLayer+len(part.Experts) > part.Layers {
-		return
+		return nil
 	}
 	if part.Number > a.number || len(a.experts) != part.Layers {
-		*a = MapAssembler{number: part.Number, experts: make([][][]int, part.Layers), missing: part.Layers, base: a.base}
+		*a = MapAssembler{size: a.size, number: part.Number, experts: make([][][]int, part.Layers), missing: part.Layers, base: a.base}
 	}
 	for i, ranks := range part.Experts {
 		if a.experts[part.FirstLayer+i] == nil && ranks != nil {
@@ -242,6 +278,7 @@
 	if a.missing == 0 && (a.base == nil || a.base.ID.Number() < a.number) {
 		a.base = &Map{ID: expertmap.MapIDFromNumber(a.number), Experts: a.experts}
 	}
+	return nil
 }
 
 // maxLayers bounds the number of layers of a received map.
@@ -257,11 +294,11 @@
 
 // SplitCounts splits the expert selections of a rank into counts that each fit into a
 // datagram. selections holds the selections of each expert, layer after layer.
-func SplitCounts(status Status, selections []uint64) []Counts {
+func SplitCounts(rank int, selections []uint64) []Counts {
 	var all []Counts
 	for first := 0; first < len(selections); first += countsPerDatagram {
 		chunk := selections[first:min(first+countsPerDatagram, len(selections))]
-		counts := Counts{Group: status.Group, Incarnation: status.Incarnation, Rank: status.Rank, Offset: first, Levels: make([]byte, len(chunk))}
+		counts := Counts{Rank: rank, Offset: first, Levels: make([]byte, len(chunk))}
 		for i, count := range chunk {
 			counts.Levels[i] = levelOfCount(count)
 		}
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -1,6 +1,7 @@
 package rebalance
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -62,10 +63,9 @@
 type Planner struct {
 	policy  Policy
 	experts config.Experts
-	group   string
-	// incarnation is that of the group, rank that of the planner, and agentIncarnation
-	// that of the planner's agent.
-	incarnation      uint64
+	group   expertmap.GroupID
+	// rank is that of the planner, agentIncarnation the incarnation of the planner's
+	// agent.
 	rank, size       int
 	agentIncarnation uint64
 
@@ -98,28 +98,39 @@
 	plan placement.EqualSharePlan
 }
 
-// NewPlanner returns a planner. own is the status of the rank that the planner runs
-// on; it also identifies the group. maxGap is the longest allowed time between two
+// NewPlanner returns a planner of a group. own is the status of the rank that the planner
+// runs on. maxGap is the longest allowed time between two
 // events of a stream; 0 if not known.
-func NewPlanner(experts config.Experts, maxGap time.Duration, own Status, policy Policy) *Planner {
+func NewPlanner(group expertmap.GroupID, experts config.Experts, maxGap time.Duration, own Status, policy Policy) *Planner {
 	return &Planner{
 		stepTimer: stepTimer{maxGap: maxGap},
-		policy:    policy, experts: experts, group: own.Group, incarnation: own.Incarnation,
+		policy:    policy, experts: experts, group: group,
 		rank: own.Rank, size: own.Size, agentIncarnation: own.AgentIncarnation,
 		members: make([]*member, own.Size), demand: newDemand(experts.Sets, experts.PerSet, policy),
 		lead: policy.MinLead,
 	}
 }
 
-// HandleStatus processes a status that arrived from the given host. It ignores statuses of
-// other groups and outdated ones.
-func (p *Planner) HandleStatus(status Status, host netip.Addr, now time.Time) {
-	if status.Group != p.group || status.Incarnation != p.incarnation || status.Rank < 0 || status.Rank >= p.size {
-		return
+// StatusError reports a status whose rank or size does not fit the planner's group.
+type StatusError struct {
+	// Rank and Size are those of the status, GroupSize is the size of the group.
+	Rank, Size, GroupSize int
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("status of rank %d of %d does not fit a group of %d ranks", e.Rank, e.Size, e.GroupSize)
+}
+
+// HandleStatus processes a status of a rank of the group, which arrived from the given
+// host. It ignores outdated ones, and fails with StatusError.
+func (p *Planner) HandleStatus(status Status, host netip.Addr, now time.Time) error {
+	if status.Size != p.size || status.Rank < 0 || status.Rank >= p.size {
+		return &StatusError{Rank: status.Rank, Size: status.Size, GroupSize: p.size}
 	}
 	old := p.members[status.Rank]
 	if old != nil && old.status.AgentIncarnation == status.AgentIncarnation && status.Sequence <= old.status.Sequence {
-		return
+		return nil
 	}
 	next := &member{status: status, host: host, receivedAt: now, held: status.Held}
 	if next.held == nil && old != nil && old.status.Running == status.Running {
@@ -128,15 +139,17 @@
 	p.members[status.Rank] = next
 	lowestOfEpoch := expertmap.MapID{Epoch: status.Epoch}
 	p.highestNumber = max(p.highestNumber, status.Running, status.Prepared, status.Armed, lowestOfEpoch.Number())
+	return nil
 }
 
-// HandleCounts processes the expert selections counted at a rank.
+// HandleCounts processes the expert selections counted at a rank of the group.
 func (p *Planner) HandleCounts(counts Counts, now time.Time) {
-	if counts.Group == p.group && counts.Incarnation == p.incarnation {
-		p.demand.add(counts.Offset, counts.Levels, now)
-	}
+	p.demand.add(counts.Offset, counts.Levels, now)
 }
 
+// Group returns the planner's group.
+func (p *Planner) Group() expertmap.GroupID { return p.group }
+
 // allStatusesRecent reports whether the status of every rank is at most memberTimeout
 // old.
 func (p *Planner) allStatusesRecent(now time.Time) bool {
@@ -162,7 +175,7 @@
 // Directive returns the current instruction to the agents.
 func (p *Planner) Directive() Directive {
 	directive := Directive{
-		Group: p.group, Incarnation: p.incarnation, Planner: p.rank, AgentIncarnation: p.agentIncarnation,
+		Planner: p.rank, AgentIncarnation: p.agentIncarnation,
 		Hosts: make([]byte, p.size*hostBytes), RequestHeld: p.current == nil,
 	}
 	for rank, m := range p.members {
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -14,6 +14,8 @@
 
 const testRanks = 4
 
+var testGroup = expertmap.GroupID{Name: "g", Incarnation: 3}
+
 // harness drives a planner with the statuses of simulated ranks.
 type harness struct {
 	t       *testing.T
@@ -30,7 +32,7 @@
 func newHarness(t *testing.T) *harness {
 	h := &harness{t: t, now: time.Unix(100, 0), silent: map[int]bool{}}
 	for rank := range h.status {
-		h.status[rank] = Status{Group: "g", Incarnation: 3, Rank: rank, Size: testRanks, AgentIncarnation: uint64(10 + rank), Held: [][]int{{rank, rank + testRanks}}}
+		h.status[rank] = Status{Rank: rank, Size: testRanks, AgentIncarnation: uint64(10 + rank), Held: [][]int{{rank, rank + testRanks}}}
 	}
 	h.startPlanner()
 	return h
@@ -41,7 +43,7 @@
 	shape := config.Experts{Sets: 1, PerSet: 2 * testRanks, SlotsPerRank: 3, MaxNewPerMap: 2}
 	policy := DefaultPolicy()
 	policy.MaxNewPerRank = 2
-	h.planner = NewPlanner(shape, 0, h.status[0], policy)
+	h.planner = NewPlanner(testGroup, shape, 0, h.status[0], policy)
 }
 
 func hostOf(rank int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(rank + 1)}) }
@@ -57,11 +59,11 @@
 		}
 		status.Sequence = h.sequence
 		if rank == 1 {
-			for _, counts := range SplitCounts(status, []uint64{500, 10, 10, 10, 400, 10, 10, 10}) {
+			for _, counts := range SplitCounts(rank, []uint64{500, 10, 10, 10, 400, 10, 10, 10}) {
 				h.planner.HandleCounts(counts, h.now)
 			}
 		}
-		h.planner.HandleStatus(status, hostOf(rank), h.now)
+		require.NoError(h.t, h.planner.HandleStatus(status, hostOf(rank), h.now))
 	}
 	return h.planner.Step(h.step, h.now)
 }
@@ -104,7 +106,7 @@
 	_, proposal := h.tickUntil(Propose)
 	require.Equal(t, number, proposal.To.Number())
 	require.Equal(t, expertmap.MapID{}, proposal.From)
-	require.Equal(t, uint64(3), proposal.Group)
+	require.Equal(t, testGroup, proposal.Group)
 	require.Equal(t, []uint64{10, 11, 12, 13}, proposal.Agents)
 	require.Equal(t, h.step+DefaultPolicy().MinLead, proposal.Step)
 	require.Equal(t, expertmap.NewProposalID(proposal.To, proposal.Step), proposal.ID)
@@ -262,7 +264,7 @@
 }
 
 func TestEnvelopeEncodeDecodeRoundTrip(t *testing.T) {
-	envelope := Envelope{Status: &Status{Group: "g", Rank: 3, Held: [][]int{{1}}}}
+	envelope := Envelope{Group: testGroup, Status: &Status{Rank: 3, Held: [][]int{{1}}}}
 	data, err := Encode(envelope)
 	require.NoError(t, err)
 	got, err := Decode(data)
@@ -275,6 +277,7 @@
 
 func TestDatagramsOfLargeGroupsStayWithinSizeLimit(t *testing.T) {
 	const ranks, layers, slots = 64, 8, 5
+	group := expertmap.GroupID{Name: "a group's name", Incarnation: 1 << 60}
 	large := Map{ID: expertmap.MapID{Epoch: 1 << 20, Version: 9}}
 	for layer := range layers {
 		var held [][]int
@@ -284,31 +287,31 @@
 		large.Experts = append(large.Experts, held)
 	}
 	require.Len(t, large.Experts[0][0], slots)
-	var assembler MapAssembler
+	assembler := NewMapAssembler(ranks)
 	parts := large.Parts()
 	for i := len(parts) - 1; i >= 0; i-- {
 		_, complete := assembler.Map(large.ID.Number())
 		require.False(t, complete)
-		data, err := Encode(Envelope{Part: &parts[i]})
+		data, err := Encode(Envelope{Group: group, Part: &parts[i]})
 		require.NoError(t, err)
 		require.LessOrEqual(t, len(data), maxDatagramSize)
 		got, err := Decode(data)
 		require.NoError(t, err)
-		assembler.AddPart(*got.Part)
-		assembler.AddPart(*got.Part)
+		require.NoError(t, assembler.AddPart(*got.Part))
+		require.NoError(t, assembler.AddPart(*got.Part))
 	}
 	got, ok := assembler.Map(large.ID.Number())
 	require.True(t, ok)
 	require.Equal(t, large, *got)
 
-	for _, counts := range SplitCounts(Status{Group: "a group's name"}, make([]uint64, layers*252)) {
-		data, err := Encode(Envelope{Counts: &counts})
+	for _, counts := range SplitCounts(63, make([]uint64, layers*252)) {
+		data, err := Encode(Envelope{Group: group, Counts: &counts})
 		require.NoError(t, err)
 		require.LessOrEqual(t, len(data), maxDatagramSize)
 	}
-	directive := Directive{Group: "a group's name", Hosts: make([]byte, ranks*hostBytes)}
+	directive := Directive{Hosts: make([]byte, ranks*hostBytes)}
 	directive.SetHost(63, hostOf(7))
-	data, err := Encode(Envelope{Directive: &directive})
+	data, err := Encode(Envelope{Group: group, Directive: &directive})
 	require.NoError(t, err)
 	require.LessOrEqual(t, len(data), maxDatagramSize)
 	for changes := range maxDatagramSize {
@@ -316,17 +319,17 @@
 		if !delta.FitsWithDirective(&directive) {
 			break
 		}
-		data, err = Encode(Envelope{Directive: &directive, Delta: &delta})
+		data, err = Encode(Envelope{Group: group, Directive: &directive, Delta: &delta})
 		require.NoError(t, err)
 		require.LessOrEqual(t, len(data), maxDatagramSize)
 	}
-	status := Status{Group: "a group's name", Incarnation: 1 << 60, AgentIncarnation: 1 << 60, Sequence: 1 << 30, Running: 1 << 40, Prepared: 1 << 40, Armed: 1 << 40}
+	status := Status{AgentIncarnation: 1 << 60, Sequence: 1 << 30, Running: 1 << 40, Prepared: 1 << 40, Armed: 1 << 40}
 	for levels := range maxDatagramSize {
-		counts := Counts{Group: status.Group, Incarnation: status.Incarnation, Rank: 63, Levels: make([]byte, levels)}
+		counts := Counts{Rank: 63, Levels: make([]byte, levels)}
 		if !counts.FitsWithStatus(&status) {
 			break
 		}
-		data, err = Encode(Envelope{Status: &status, Counts: &counts})
+		data, err = Encode(Envelope{Group: group, Status: &status, Counts: &counts})
 		require.NoError(t, err)
 		require.LessOrEqual(t, len(data), maxDatagramSize)
 	}
@@ -343,8 +346,8 @@
 	delta := NewDelta(base, next, 8)
 	require.Equal(t, []int{1, 2, noExpert, 0}, delta.Changes)
 
-	var assembler MapAssembler
-	assembler.AddDelta(delta)
+	assembler := NewMapAssembler(4)
+	require.NoError(t, assembler.AddDelta(delta))
 	got, ok := assembler.Map(next.ID.Number())
 	require.True(t, ok, "a delta from the initial map needs no base")
 	require.Equal(t, next, got)
@@ -352,42 +355,75 @@
 	third := &Map{ID: expertmap.MapID{Epoch: 4096, Version: 2}, Experts: InitialMap(2, 8, 4).Experts}
 	third.Experts[0][0] = []int{0}
 	second := NewDelta(next, third, 8)
-	var other MapAssembler
-	other.AddDelta(second)
+	other := NewMapAssembler(4)
+	require.NoError(t, other.AddDelta(second))
 	_, ok = other.Map(third.ID.Number())
 	require.False(t, ok, "the base is missing")
 	wrongSum := second
 	wrongSum.Sum++
-	assembler.AddDelta(wrongSum)
+	require.NoError(t, assembler.AddDelta(wrongSum))
 	_, ok = assembler.Map(third.ID.Number())
 	require.False(t, ok, "the checksum does not match")
-	assembler.AddDelta(second)
+	require.NoError(t, assembler.AddDelta(second))
 	got, ok = assembler.Map(third.ID.Number())
 	require.True(t, ok)
 	require.Equal(t, third, got)
-	for _, bad := range []Delta{{Number: 1 << 40}, {Number: 1 << 40, Layers: 1 << 30, Experts: 1, Ranks: 1}, {Number: 1 << 40, Base: second.Number, Layers: 2, Changes: []int{7, 0, 0, 0}}} {
-		assembler.AddDelta(bad)
+	for _, bad := range []Delta{{Number: 1 << 40, Ranks: 4}, {Number: 1 << 40, Layers: 1 << 30, Experts: 1, Ranks: 4}, {Number: 1 << 40, Base: second.Number, Layers: 2, Ranks: 4, Changes: []int{7, 0, 0, 0}}} {
+		require.NoError(t, assembler.AddDelta(bad))
 		_, ok = assembler.Map(1 << 40)
 		require.False(t, ok)
 	}
 }
 
 func TestInvalidPartsRejected(t *testing.T) {
-	var assembler MapAssembler
+	assembler := NewMapAssembler(1)
 	for _, part := range []MapPart{
 		{Number: 5, Layers: 0}, {Number: 5, Layers: 1 << 30}, {Number: 5, Layers: 2, FirstLayer: -1},
 		{Number: 5, Layers: 2, FirstLayer: 1, Experts: [][][]int{{{1}}, {{1}}}},
 	} {
-		assembler.AddPart(part)
+		require.NoError(t, assembler.AddPart(part))
 	}
 	_, complete := assembler.Map(5)
 	require.False(t, complete)
-	assembler.AddPart(MapPart{Number: 5, Layers: 1, Experts: [][][]int{{{1}}}})
-	assembler.AddPart(MapPart{Number: 4, Layers: 1, Experts: [][][]int{{{2}}}})
+	require.NoError(t, assembler.AddPart(MapPart{Number: 5, Layers: 1, Experts: [][][]int{{{1}}}}))
+	require.NoError(t, assembler.AddPart(MapPart{Number: 4, Layers: 1, Experts: [][][]int{{{2}}}}))
 	_, complete = assembler.Map(5)
 	require.True(t, complete, "parts of an older map are ignored")
 }
 
+// TestMapsOfAnotherShapeRejected guards against a rank that copies the map of a group of
+// another size, which an agent with a stale or wrong view of its group could send.
+func TestMapsOfAnotherShapeRejected(t *testing.T) {
+	assembler := NewMapAssembler(2)
+	var shapeErr *MapShapeError
+	require.ErrorAs(t, assembler.AddPart(MapPart{Number: 5, Layers: 1, Experts: [][][]int{{{1}, {2}, {3}}}}), &shapeErr)
+	require.Equal(t, MapShapeError{Number: 5, Ranks: 3, GroupSize: 2}, *shapeErr)
+	require.ErrorAs(t, assembler.AddDelta(Delta{Number: 5, Layers: 1, Experts: 4, Ranks: 3}), &shapeErr)
+	_, complete := assembler.Map(5)
+	require.False(t, complete)
+}
+
+// TestStatusOfAnotherSizeRejected guards against ranks that disagree on the size of their
+// group: a map for one size leaves experts without a rank in the other.
+func TestStatusOfAnotherSizeRejected(t *testing.T) {
+	h := newHarness(t)
+	var statusErr *StatusError
+	require.ErrorAs(t, h.planner.HandleStatus(Status{Rank: 1, Size: testRanks + 1, Sequence: 1}, hostOf(1), h.now), &statusErr)
+	require.Equal(t, StatusError{Rank: 1, Size: testRanks + 1, GroupSize: testRanks}, *statusErr)
+	require.ErrorAs(t, h.planner.HandleStatus(Status{Rank: testRanks, Size: testRanks, Sequence: 1}, hostOf(1), h.now), &statusErr)
+	directive := h.planner.Directive()
+	require.Zero(t, directive.KnownHosts())
+}
+
+// TestDatagramWithoutGroupRejected guards against the messages of releases that name no
+// group: their numbers are those of any group of the service.
+func TestDatagramWithoutGroupRejected(t *testing.T) {
+	data, err := Encode(Envelope{Part: &MapPart{Number: 5, Layers: 1}})
+	require.NoError(t, err)
+	_, err = Decode(data)
+	require.ErrorIs(t, err, ErrNoGroup)
+}
+
 func TestCountLevelsAccurateToSixPercent(t *testing.T) {
 	for _, count := range []uint64{0, 1, 5, 80, 1000, 70000, 2000000} {
 		got := countAtLevel(levelOfCount(count))
@@ -397,7 +433,7 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	seed, err := Encode(Envelope{Directive: &Directive{Group: "g", Hosts: []byte{10, 0, 0, 1}}})
+	seed, err := Encode(Envelope{Group: testGroup, Directive: &Directive{Hosts: []byte{10, 0, 0, 1}}})
 	require.NoError(f, err)
 	f.Add(seed)
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/version/rebalance/switch.go
+++ b/version/rebalance/switch.go
@@ -51,7 +51,7 @@
 		agents[rank] = m.status.AgentIncarnation
 	}
 	return &expertmap.Proposal{
-		ID: expertmap.NewProposalID(p.next.ID, switchStep), Group: p.incarnation,
+		ID: expertmap.NewProposalID(p.next.ID, switchStep), Group: p.group,
 		From: p.current.ID, To: p.next.ID, Step: switchStep, Agents: agents,
 	}
 }
