Send maps of large groups as split deltas through relays, and counts in turn

Maps were given up after 3 s and rank 5, which heard no directive, planned as well. The counts of all ranks came in step and took up to 5 Mbit/s.

Change: deltas are split over datagrams, and layers of more ranks than fit too; groups of 32 ranks or more get them through one relay per block of ranks; agents keep the last four complete maps, so that a delta applies after a map was given up, and the planner sends the full map only where the map in use is not known; the outbox is paced by the bandwidth from the settings; ranks report their counts in turn, within 0.4 of the link; statuses of large groups come less often.

--- a/daemon/direct/retry_budgets.go
+++ b/daemon/direct/retry_budgets.go
@@ -35,7 +35,7 @@
 	defer b.mu.Unlock()
 	budget := b.byService[service]
 	if budget == nil {
-		reserve := max(float64(b.bounds.RetrySlack)/maxEntries, 1)
+		reserve := max(b.bounds.RetrySlack/maxEntries, 1)
 		budget = retry.NewBudget(b.bounds.RetryShare*retryShareFraction, reserve)
 		b.byService[service] = budget
 	}
--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -30,8 +30,6 @@
 	// idleReportInterval is the time between two reads of the engine's report while no
 	// switch is in progress.
 	idleReportInterval = 100 * time.Millisecond
-	// statusInterval is the time between two statuses sent to the planner.
-	statusInterval = 100 * time.Millisecond
 	// minDirectiveInterval is the time between two directives of the planner in groups of
 	// up to ranksPerRound ranks while no map is being copied. A directive with a new map
 	// is sent at once.
@@ -46,6 +44,9 @@
 	// before the agent polls the others. Each rank waits pollStagger longer than the one before it.
 	pollInterval = 120 * time.Millisecond
 	pollStagger  = 10 * time.Millisecond
+	// ranksPerRound is the number of ranks that receive a directive in one round. Larger
+	// groups take several rounds, because the bandwidth of links is low.
+	ranksPerRound = 16
 	// inboxCapacity is the number of received datagrams that are queued; further ones
 	// are dropped.
 	inboxCapacity = 256
@@ -121,9 +122,7 @@
 	host netip.Addr
 	port uint16
 
-	lastCounts platform.ExpertCounts
-	// countsSentAt is when the counts were last read and sent.
-	countsSentAt time.Time
+	counts countsReporter
 	// assembly collects the parts of the map that the planner wants copied.
 	assembly rebalance.MapAssembler
 	// sentReport is the report that the latest status was made from.
@@ -131,8 +130,8 @@
 	statusSequence  uint64
 	statusSentAt    time.Time
 	directiveSentAt time.Time
-	// outbox holds the directives that the planner has yet to send.
-	outbox    []pendingDirective
+	// outbox holds the planner's datagrams that wait for their turn on the link.
+	outbox    []outgoing
 	preparing preparation
 }
 
@@ -243,13 +242,21 @@
 	a.releaseStrayHold(now)
 	a.startPlanningIfNeeded(ctx, now)
 	a.prepareMap(ctx, now)
-	if now.Sub(a.statusSentAt) >= statusInterval || a.preparationChanged() {
+	a.readCountsBaseline(ctx, now)
+	interval := rebalance.StatusInterval(a.engine.LastReport().Size)
+	if now.Sub(a.statusSentAt) >= interval || a.preparationChanged() || a.countsDue(now) {
 		a.statusSentAt = now
 		a.sendStatus(ctx, now)
 	}
 	a.runPlanner(now)
 }
 
+// roundCount returns the number of rounds in which each rank of a group receives one
+// directive. It is a Duration so that intervals can be multiplied by it.
+func roundCount(size int) time.Duration {
+	return time.Duration(max((size+ranksPerRound-1)/ranksPerRound, 1))
+}
+
 // reportInterval returns the time between two reads of the engine's report. It is
 // shorter while a map is being copied, a switch is armed or a proposal is undecided.
 func (a *Agent) reportInterval() time.Duration {
--- a/daemon/rank/datagrams.go
+++ b/daemon/rank/datagrams.go
@@ -79,6 +79,9 @@
 	if envelope.Delta != nil {
 		a.recordInvalid(a.assembly.AddDelta(*envelope.Delta), received.from, now)
 	}
+	if envelope.Relay != nil {
+		a.handleRelay(*envelope.Relay, received.from)
+	}
 	if envelope.ExpertMapMessage != nil && a.driver != nil {
 		a.driver.Receive(now, *envelope.ExpertMapMessage)
 	}
@@ -115,6 +118,10 @@
 		a.planner = nil
 	}
 	a.directive, a.plannerAddress, a.directiveReceivedAt = &directive, from, now
+	if host, known := directive.Host(directive.Planner); known {
+		// The directive may have come through a relay.
+		a.plannerAddress = netip.AddrPortFrom(host, a.port)
+	}
 }
 
 // transport sends votes to the agents of other ranks.
--- a/daemon/rank/groups_test.go
+++ b/daemon/rank/groups_test.go
@@ -81,7 +81,7 @@
 		s.store.Put(platform.TableTargets, rank.ID, rank.RegistrationValue(address, "ready"))
 		ranks = append(ranks, rank)
 		s.agents = append(s.agents, New(Config{
-			Settings: settings.Rank{Name: host, TargetAddress: address, Service: "model", PeerAddress: net.JoinHostPort(host, s.peerPort)},
+			Settings: settings.Rank{Name: host, TargetAddress: address, Service: "model", PeerAddress: net.JoinHostPort(host, s.peerPort), Bandwidth: 100},
 			Store:    platform.NewStore(s.storeAddress), Clock: clockwork.NewRealClock(), Logger: logs.Discard(),
 		}))
 	}
@@ -132,7 +132,7 @@
 	require.Equal(t, expertmap.GroupID{Name: "g", Incarnation: 1}, own)
 	envelope := rebalance.Envelope{
 		Directive: &rebalance.Directive{Planner: 1, AgentIncarnation: 7, Prepare: 2},
-		Part:      &rebalance.MapPart{Number: 2, Layers: 1, Experts: [][][]int{{{0, 2}, {1, 3}}}},
+		Part:      &rebalance.MapPart{Number: 2, Layers: 1, Ranks: 2, Experts: [][][]int{{{0, 2}, {1, 3}}}},
 	}
 	for _, other := range []expertmap.GroupID{{Name: "h", Incarnation: 1}, {Name: "g", Incarnation: 2}} {
 		envelope.Group = other
@@ -147,7 +147,7 @@
 	require.NotNil(t, agent.directive)
 	require.NotNil(t, agent.mapToPrepare())
 
-	envelope = rebalance.Envelope{Group: own, Part: &rebalance.MapPart{Number: 4, Layers: 1, Experts: [][][]int{{{0}, {1}, {2, 3}}}}}
+	envelope = rebalance.Envelope{Group: own, Part: &rebalance.MapPart{Number: 4, Layers: 1, Ranks: 3, Experts: [][][]int{{{0}, {1}, {2, 3}}}}}
 	agent.handleDatagram(datagram{envelope: envelope})
 	require.InDelta(t, 1, testutil.ToFloat64(agent.dropped.counter.WithLabelValues(string(dropInvalid))), 0)
 }
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -155,6 +155,9 @@
 		a.propose(*proposal, now)
 	}
 	newMap := decision != nil && decision.Kind == rebalance.Prepare
+	if newMap {
+		a.assembly.Remember(a.planner.MapToCopy())
+	}
 	if newMap || now.Sub(a.directiveSentAt) >= a.directiveInterval() {
 		a.directiveSentAt = now
 		a.queueDirectives(now, newMap)
@@ -204,138 +207,6 @@
 	return a.remoteTargets[address]
 }
 
-// directiveInterval returns the time between two directives. While a map is being
-// copied it is at least fullMapDelay, so that ranks can finish the copy before the full
-// map is sent to them.
-func (a *Agent) directiveInterval() time.Duration {
-	interval := roundCount(a.engine.LastReport().Size) * minDirectiveInterval
-	if a.planner.MapToCopy() != nil {
-		interval = max(interval, fullMapDelay)
-	}
-	return interval
-}
-
-// fullMapDelay is the time after which the full map is sent to ranks that have not
-// copied it.
-const fullMapDelay = 300 * time.Millisecond
-
-// pendingDirective is an agent to which the planner has yet to send its directive.
-type pendingDirective struct {
-	to netip.AddrPort
-	// newMap is set if the directive is the first one with its map.
-	newMap bool
-}
-
-const (
-	// maxAgentsPerTick limits the number of agents to which directives are sent in one
-	// tick, maxFullMapsPerTick that of agents to which a full map is sent. Larger bursts
-	// would be lost on links of low bandwidth.
-	maxAgentsPerTick   = 16
-	maxFullMapsPerTick = 3
-)
-
-// queueDirectives queues a directive for the agents of the group's other ranks. newMap is
-// set if the directive is the first one with its map.
-//
-// While the hosts of some ranks are not known, it reads the targets again and queues the
-// directive for the agents on all of the service's hosts: the registrations do not tell
-// which target belongs to which group, and only agents of this group answer.
-func (a *Agent) queueDirectives(now time.Time, newMap bool) {
-	a.outbox = a.outbox[:0]
-	directive := a.planner.Directive()
-	size := a.engine.LastReport().Size
-	if directive.KnownHosts() < size {
-		a.readTargetsAgain(now)
-		a.queueDirective(a.agentAddresses, newMap)
-		return
-	}
-	ranks := make([]netip.AddrPort, 0, size)
-	for rank := range size {
-		if host, known := directive.Host(rank); known {
-			ranks = append(ranks, netip.AddrPortFrom(host, a.port))
-		}
-	}
-	a.queueDirective(ranks, newMap)
-}
-
-func (a *Agent) queueDirective(addresses []netip.AddrPort, newMap bool) {
-	for _, address := range addresses {
-		if address.Addr() != a.host {
-			a.outbox = append(a.outbox, pendingDirective{address, newMap})
-		}
-	}
-}
-
-// sendOutbox sends queued directives up to the limits of one tick. The map is sent only
-// to agents whose rank has not copied it: first as a delta from the map in use, later in
-// full to those for which the delta was not enough.
-func (a *Agent) sendOutbox() {
-	if len(a.outbox) == 0 {
-		return
-	}
-	directive := a.planner.Directive()
-	prepared := map[netip.Addr]bool{}
-	for rank := range a.engine.LastReport().Size {
-		if host, known := directive.Host(rank); known {
-			prepared[host] = a.planner.Prepared(rank)
-		}
-	}
-	messages := a.encodeDirective(directive)
-	sent, fullMaps := 0, 0
-	for sent < min(maxAgentsPerTick, len(a.outbox)) && fullMaps < maxFullMapsPerTick {
-		pending := a.outbox[sent]
-		sent++
-		switch {
-		case prepared[pending.to.Addr()] || len(messages.fullMap) == 0:
-			a.write(pending.to, messages.directive)
-		case pending.newMap && len(messages.delta) > 0:
-			a.writeAll(pending.to, messages.delta)
-		default:
-			fullMaps++
-			a.write(pending.to, messages.directive)
-			a.writeAll(pending.to, messages.fullMap)
-		}
-	}
-	a.outbox = append(a.outbox[:0], a.outbox[sent:]...)
-}
-
-// directiveMessages holds the encoded messages of a directive, shared by all agents that
-// they are sent to.
-type directiveMessages struct {
-	// directive is sent to agents that need no map, and ahead of fullMap, the parts of
-	// the map being copied.
-	directive []byte
-	fullMap   [][]byte
-	// delta is the directive with the map as a delta from the one in use; empty if the
-	// delta does not fit into a datagram.
-	delta [][]byte
-}
-
-func (a *Agent) encodeDirective(directive rebalance.Directive) directiveMessages {
-	messages := directiveMessages{directive: a.encode(rebalance.Envelope{Directive: &directive})}
-	next := a.planner.MapToCopy()
-	if next == nil {
-		return messages
-	}
-	for _, part := range next.Parts() {
-		messages.fullMap = append(messages.fullMap, a.encode(rebalance.Envelope{Part: &part}))
-	}
-	delta, fits := a.planner.Delta()
-	switch {
-	case fits && delta.FitsWithDirective(&directive):
-		messages.delta = [][]byte{a.encode(rebalance.Envelope{Directive: &directive, Delta: &delta})}
-	case fits:
-		messages.delta = [][]byte{messages.directive, a.encode(rebalance.Envelope{Delta: &delta})}
-	}
-	return messages
-}
-
-func (a *Agent) writeAll(to netip.AddrPort, messages [][]byte) {
-	for _, message := range messages {
-		a.write(to, message)
-	}
-}
-
 // readTargetsAgain reads the store again for ranks whose hosts are not known, once the
 // group has existed for storeReadInterval.
 func (a *Agent) readTargetsAgain(now time.Time) {
--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -6,7 +6,6 @@
 	"github.com/rotisserie/eris"
 	"github.com/sirupsen/logrus"
 
-	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/version/expertmap"
 	"verbenaseam.example/verbenaseam/version/rebalance"
@@ -97,7 +96,7 @@
 	a.identity = identityOf(report)
 	a.driver.Formed(now, a.engine.State())
 	a.planner, a.directive, a.formedAt = nil, nil, now
-	a.lastCounts, a.countsSentAt = platform.ExpertCounts{}, time.Time{}
+	a.resetCounts(report.Rank, report.Size, now)
 	a.assembly = rebalance.NewMapAssembler(report.Size)
 	a.preparing = preparation{}
 	a.log.WithFields(logrus.Fields{
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -18,7 +18,7 @@
 	}
 	return rebalance.Status{
 		Rank: report.Rank, Size: report.Size, AgentIncarnation: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.Armed,
-		Refused: a.preparing.refusedMap, Slowdown: report.Slowdown, Epoch: epoch,
+		RunningKnown: a.assembly.Knows(report.Running), Refused: a.preparing.refusedMap, Slowdown: report.Slowdown, Epoch: epoch,
 	}
 }
 
@@ -35,7 +35,7 @@
 	if a.planner != nil && a.planner.Directive().RequestHeld || a.directive != nil && a.directive.RequestHeld {
 		a.addHeldExperts(ctx, &status)
 	}
-	counts := a.dueCounts(ctx, status, now)
+	counts := a.dueCounts(ctx, now)
 	if a.planner != nil {
 		a.handleStatus(status, netip.AddrPortFrom(a.host, a.port), now)
 		for _, part := range counts {
@@ -54,48 +54,6 @@
 	}
 }
 
-// ranksPerRound is the number of ranks that receive a directive and send counts in one
-// round. Larger groups take several rounds, because the bandwidth of links is low.
-const ranksPerRound = 16
-
-// roundCount returns the number of rounds in which each rank of a group has one turn. It
-// is a Duration so that intervals can be multiplied by it.
-func roundCount(size int) time.Duration {
-	return time.Duration(max((size+ranksPerRound-1)/ranksPerRound, 1))
-}
-
-// dueCounts returns the counts since the previous ones, split into datagrams, if it is
-// this rank's turn to send them.
-func (a *Agent) dueCounts(ctx context.Context, status rebalance.Status, now time.Time) []rebalance.Counts {
-	if now.Sub(a.countsSentAt) < roundCount(status.Size)*statusInterval {
-		return nil
-	}
-	a.countsSentAt = now
-	return rebalance.SplitCounts(status.Rank, a.newCounts(ctx))
-}
-
-// newCounts returns how often each expert was chosen since the previous call, or nil if
-// the counts cannot be read or do not continue the previous ones.
-func (a *Agent) newCounts(ctx context.Context) []uint64 {
-	counts, err := a.target.ExpertCounts(ctx)
-	if err != nil {
-		a.log.WithError(err).Debug("reading the expert counts failed")
-		return nil
-	}
-	before := a.lastCounts
-	a.lastCounts = counts
-	if before.Incarnation != counts.Incarnation || len(before.Experts) != len(counts.Experts) || counts.Step < before.Step {
-		return nil
-	}
-	chosen := make([]uint64, len(counts.Experts))
-	for expert, count := range counts.Experts {
-		if count > before.Experts[expert] {
-			chosen[expert] = count - before.Experts[expert]
-		}
-	}
-	return chosen
-}
-
 // addHeldExperts adds the experts that the rank holds to the status, if they belong to
 // the map that the status gives as running.
 func (a *Agent) addHeldExperts(ctx context.Context, status *rebalance.Status) {
--- a/process/settings/direct.go
+++ b/process/settings/direct.go
@@ -28,12 +28,12 @@
 	// RetryShare and RetrySlack bound the retries to a service within RetryWindow,
 	// over all entries: RetryShare per request, plus RetrySlack.
 	RetryShare  float64
-	RetrySlack  int
+	RetrySlack  float64
 	RetryWindow time.Duration
 	// WarmupShare and WarmupSlack bound the requests per second to a cold target,
 	// over all entries: its own rate times WarmupShare, plus WarmupSlack.
 	WarmupShare float64
-	WarmupSlack int
+	WarmupSlack float64
 	// Stall is the maximum time for which work waits for a lost rank.
 	Stall time.Duration
 	// DirectoryTTL is the maximum time for which callers may cache a response of the
@@ -69,9 +69,11 @@
 	PeerAddress string
 	// MetricsAddress serves metrics; empty for none.
 	MetricsAddress string
-	StoreAddress   string
-	Bounds         Bounds
-	Log            Log
+	// Bandwidth is that of the host's network link, in Mbit/s.
+	Bandwidth    float64
+	StoreAddress string
+	Bounds       Bounds
+	Log          Log
 }
 
 // LoadDirect reads and validates the settings of verbenaseam-direct.
@@ -89,7 +91,9 @@
 	r.address("entry", "directory_address", &s.DirectoryAddress, required)
 	r.address("entry", "peer_address", &s.PeerAddress, required)
 	r.address("entry", "metrics_address", &s.MetricsAddress, optional)
-	r.integer("entry", "files", &s.MaxOpenFiles, 64, 1<<24)
+	files := float64(s.MaxOpenFiles)
+	r.number("entry", "files", &files, 64, 1<<24)
+	s.MaxOpenFiles = int(files)
 	r.address("store", "address", &s.StoreAddress, required)
 	readBounds(r, &s.Bounds)
 	readLog(r, &s.Log)
@@ -102,19 +106,27 @@
 	if err != nil {
 		return Rank{}, err
 	}
-	s := Rank{Log: defaultJSONLog()}
+	s := Rank{Log: defaultJSONLog(), Bandwidth: defaultBandwidth}
 	r.name("rank", "name", &s.Name, required)
 	r.name("rank", "failure_domain", &s.FailureDomain, required)
 	r.address("rank", "target_address", &s.TargetAddress, required)
 	r.text("rank", "service", &s.Service, required, "the name of a service")
 	r.address("rank", "peer_address", &s.PeerAddress, required)
 	r.address("rank", "metrics_address", &s.MetricsAddress, optional)
+	r.number("rank", "bandwidth", &s.Bandwidth, minBandwidth, maxBandwidth)
 	r.address("store", "address", &s.StoreAddress, required)
 	readBounds(r, &s.Bounds)
 	readLog(r, &s.Log)
 	return s, r.finish()
 }
 
+// Bandwidths of network links, in Mbit/s.
+const (
+	defaultBandwidth = 100
+	minBandwidth     = 0.1
+	maxBandwidth     = 1e6
+)
+
 func defaultJSONLog() Log { return Log{Format: "json", Level: "info"} }
 
 func readBounds(r *reader, dest *Bounds) {
@@ -133,7 +145,7 @@
 	duration("stall", &dest.Stall)
 	duration("directory_ttl", &dest.DirectoryTTL)
 	r.number("bounds", "retry_share", &dest.RetryShare, 0, 100)
-	r.integer("bounds", "retry_slack", &dest.RetrySlack, 0, 1<<30)
+	r.number("bounds", "retry_slack", &dest.RetrySlack, 0, 1<<30)
 	r.number("bounds", "warmup_share", &dest.WarmupShare, 0, 1000)
-	r.integer("bounds", "warmup_slack", &dest.WarmupSlack, 0, 1<<30)
+	r.number("bounds", "warmup_slack", &dest.WarmupSlack, 0, 1<<30)
 }
--- a/request/dispatch/warmup.go
+++ b/request/dispatch/warmup.go
@@ -9,13 +9,13 @@
 // target: the target's own warm-up rate times Share, plus Slack.
 type Warmup struct {
 	Share float64
-	Slack int
+	Slack float64
 }
 
 // allowance returns how many requests per second one of several processes may send
 // to a cold target without coordinating with the others.
 func (w Warmup) allowance(rate float64, processes int) int {
-	total := rate*w.Share + float64(w.Slack)
+	total := rate*w.Share + w.Slack
 	return max(int(total)/max(processes, 1), 1)
 }
 
--- a/version/rebalance/delta.go
+++ b/version/rebalance/delta.go
@@ -25,6 +25,30 @@
 	Changes []int `cbor:"6,keyasint"`
 	// Sum is the checksum of the contents of the map.
 	Sum uint64 `cbor:"7,keyasint"`
+	// Parts is the number of datagrams that the changes are split into, Part the index of
+	// this one; 0 parts mean that the delta is whole.
+	Part  int `cbor:"8,keyasint,omitempty"`
+	Parts int `cbor:"9,keyasint,omitempty"`
+}
+
+// maxChangesPerPart is the number of changes that fit into one datagram.
+const maxChangesPerPart = maxPartSize / (expertBytes * numbersPerChange)
+
+// Split returns the parts of a whole delta, each of which fits into a datagram.
+func (d *Delta) Split() []Delta {
+	const numbersPerPart = maxChangesPerPart * numbersPerChange
+	count := (len(d.Changes) + numbersPerPart - 1) / numbersPerPart
+	if count <= 1 {
+		return []Delta{*d}
+	}
+	parts := make([]Delta, count)
+	for at := range parts {
+		first := at * numbersPerPart
+		parts[at] = *d
+		parts[at].Part, parts[at].Parts = at, count
+		parts[at].Changes = d.Changes[first:min(first+numbersPerPart, len(d.Changes))]
+	}
+	return parts
 }
 
 // maxChangesSize returns the maximum encoded size of the delta's changes in bytes.
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -1,7 +1,6 @@
 package rebalance
 
 import (
-	"fmt"
 	"net/netip"
 	"slices"
 
@@ -44,6 +43,9 @@
 	Running  uint64 `cbor:"7,keyasint"`
 	Prepared uint64 `cbor:"8,keyasint"`
 	Armed    uint64 `cbor:"9,keyasint"`
+	// RunningKnown tells that the agent knows the contents of the map in use, so that it
+	// can apply a delta from it.
+	RunningKnown bool `cbor:"15,keyasint,omitempty"`
 	// Held holds the rank's experts by layer if the planner has asked for them.
 	Held [][]int `cbor:"11,keyasint"`
 	// Refused is the number of a map that the engine refuses to copy; 0 for none.
@@ -80,17 +82,6 @@
 	RequestHeld bool `cbor:"7,keyasint"`
 }
 
-// MapPart holds consecutive layers of a map.
-type MapPart struct {
-	// Number is the number of the map, Layers the number of its layers.
-	Number uint64 `cbor:"1,keyasint"`
-	Layers int    `cbor:"2,keyasint"`
-	// FirstLayer is the index of the first layer in Experts. Experts holds the experts
-	// by layer and rank.
-	FirstLayer int       `cbor:"3,keyasint"`
-	Experts    [][][]int `cbor:"4,keyasint"`
-}
-
 // Envelope is the contents of one datagram. Exactly one field besides Group is set,
 // except that counts accompany a status, and a delta a directive, if both fit.
 type Envelope struct {
@@ -103,6 +94,17 @@
 	Counts           *Counts            `cbor:"4,keyasint,omitempty"`
 	Part             *MapPart           `cbor:"5,keyasint,omitempty"`
 	Delta            *Delta             `cbor:"6,keyasint,omitempty"`
+	Relay            *Relay             `cbor:"8,keyasint,omitempty"`
+}
+
+// Relay asks the receiver to process a datagram and to forward it to the agents of the
+// ranks from First up to but excluding End. A planner of a large group sends through
+// relays because its own link would take too long.
+type Relay struct {
+	First int `cbor:"1,keyasint"`
+	End   int `cbor:"2,keyasint"`
+	// Datagram is an encoded Envelope that is not a Relay itself.
+	Datagram []byte `cbor:"3,keyasint"`
 }
 
 // DecodeError reports a datagram that is not a valid envelope.
@@ -123,9 +125,10 @@
 	return status.Held == nil && 2*reservedBytes+len(c.Levels) <= maxDatagramSize
 }
 
-// FitsWithDirective reports whether the delta fits into one datagram with the directive.
+// FitsWithDirective reports whether the delta is whole and fits into one datagram with the
+// directive.
 func (d *Delta) FitsWithDirective(directive *Directive) bool {
-	return 2*reservedBytes+len(directive.Hosts)+d.maxChangesSize() <= maxDatagramSize
+	return d.Parts <= 1 && 2*reservedBytes+len(directive.Hosts)+d.maxChangesSize() <= maxDatagramSize
 }
 
 // Encode encodes an envelope as CBOR. It fails with the codec's error.
@@ -147,10 +150,6 @@
 const (
 	// hostBytes is the size of an IPv4 address.
 	hostBytes = 4
-	// expertBytes is the maximum encoded size of an expert in a part, and of a number
-	// in Delta.Changes; rankBytes is the overhead of the list of each rank.
-	expertBytes = 3
-	rankBytes   = 2
 	// reservedBytes is reserved for the group and the remaining fields of a message in a
 	// datagram.
 	reservedBytes = 100
@@ -188,110 +187,6 @@
 	return known
 }
 
-// Parts splits a map into parts, each of which fits into a datagram unless a single
-// layer exceeds it.
-func (m *Map) Parts() []MapPart {
-	var parts []MapPart
-	size := maxDatagramSize // makes the first layer start a part
-	for layer, ranks := range m.Experts {
-		layerBytes := 0
-		for _, experts := range ranks {
-			layerBytes += rankBytes + expertBytes*len(experts)
-		}
-		if size+layerBytes > maxDatagramSize-reservedBytes {
-			parts = append(parts, MapPart{Number: m.ID.Number(), Layers: len(m.Experts), FirstLayer: layer})
-			size = 0
-		}
-		last := &parts[len(parts)-1]
-		last.Experts = append(last.Experts, ranks)
-		size += layerBytes
-	}
-	return parts
-}
-
-// MapShapeError reports a part or a delta whose map has another number of ranks than the
-// group.
-type MapShapeError struct {
-	// Number is the number of the map, Ranks its number of ranks, GroupSize that of the
-	// group.
-	Number           uint64
-	Ranks, GroupSize int
-}
-
-// Error implements error.
-func (e *MapShapeError) Error() string {
-	return fmt.Sprintf("map %d has %d ranks, the group has %d", e.Number, e.Ranks, e.GroupSize)
-}
-
-// MapAssembler reconstructs a map from its parts or from a delta.
-type MapAssembler struct {
-	// size is the number of ranks of the group.
-	size    int
-	number  uint64
-	experts [][][]int
-	// missing is the number of layers that have not been received.
-	missing int
-	// base is the latest complete map, to which deltas are applied.
-	base *Map
-}
-
-// NewMapAssembler returns an assembler of the maps of a group with the given number of
-// ranks.
-func NewMapAssembler(size int) MapAssembler { return MapAssembler{size: size} }
-
-// AddDelta processes a delta. It ignores deltas whose base it does not have, and
-// those of older or already complete maps. It fails with MapShapeError.
-func (a *MapAssembler) AddDelta(delta Delta) error {
-	if delta.Ranks != a.size {
-		return &MapShapeError{Number: delta.Number, Ranks: delta.Ranks, GroupSize: a.size}
-	}
-	if delta.Number < a.number || delta.Number == a.number && a.missing == 0 {
-		return nil
-	}
-	if next, ok := delta.Apply(a.base); ok {
-		a.number, a.experts, a.missing, a.base = delta.Number, next.Experts, 0, next
-	}
-	return nil
-}
-
-// AddPart processes a part. A part of a newer map, or one with another number of layers,
-// discards the parts received before. A part of an older map, or one that is out of
-// range, is ignored. It fails with MapShapeError.
-func (a *MapAssembler) AddPart(part MapPart) error {
-	for _, ranks := range part.Experts {
-		if len(ranks) != a.size {
-			return &MapShapeError{Number: part.Number, Ranks: len(ranks), GroupSize: a.size}
-		}
-	}
-	if part.Number < a.number || part.Layers <= 0 || part.Layers > maxLayers || part.FirstLayer < 0 || part.FirstLayer+len(part.Experts) > part.Layers {
-		return nil
-	}
-	if part.Number > a.number || len(a.experts) != part.Layers {
-		*a = MapAssembler{size: a.size, number: part.Number, experts: make([][][]int, part.Layers), missing: part.Layers, base: a.base}
-	}
-	for i, ranks := range part.Experts {
-		if a.experts[part.FirstLayer+i] == nil && ranks != nil {
-			a.experts[part.FirstLayer+i] = ranks
-			a.missing--
-		}
-	}
-	if a.missing == 0 && (a.base == nil || a.base.ID.Number() < a.number) {
-		a.base = &Map{ID: expertmap.MapIDFromNumber(a.number), Experts: a.experts}
-	}
-	return nil
-}
-
-// maxLayers bounds the number of layers of a received map.
-const maxLayers = 4096
-
-// Map returns the map with the given number once it is complete.
-func (a *MapAssembler) Map(number uint64) (*Map, bool) {
-	if number == 0 || a.number != number || a.missing > 0 {
-		return nil, false
-	}
-	return &Map{ID: expertmap.MapIDFromNumber(number), Experts: a.experts}, true
-}
-
 // SplitCounts splits the expert selections of a rank into counts that each fit into a
 // datagram. selections holds the selections of each expert, layer after layer.
 func SplitCounts(rank int, selections []uint64) []Counts {
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -12,9 +12,13 @@
 )
 
 const (
-	// memberTimeout is the maximum age of a rank's latest status. No map is planned
-	// and no switch is proposed while the status of any rank is older.
-	memberTimeout = 600 * time.Millisecond
+	// minStatusInterval is the time between two statuses of a rank, per ranksPerStatus
+	// ranks of the group.
+	minStatusInterval = 100 * time.Millisecond
+	ranksPerStatus    = 64
+	// memberTimeout is the maximum age of a rank's latest status in status intervals. No
+	// map is planned and no switch is proposed while the status of any rank is older.
+	memberTimeout = 6
 	// prepareTimeout is the maximum duration of the preparing phase, which includes the
 	// copies of the map and ends when the switch is proposed. A map that takes longer
 	// is given up. It also bounds how long the outcome of a proposal may stay unknown.
@@ -150,11 +154,18 @@
 // Group returns the planner's group.
 func (p *Planner) Group() expertmap.GroupID { return p.group }
 
+// StatusInterval returns the time between two statuses of a rank to its planner. It grows
+// with the group, since the planner's link receives the statuses of all ranks.
+func StatusInterval(size int) time.Duration {
+	return minStatusInterval * time.Duration(max((size+ranksPerStatus-1)/ranksPerStatus, 1))
+}
+
 // allStatusesRecent reports whether the status of every rank is at most memberTimeout
 // old.
 func (p *Planner) allStatusesRecent(now time.Time) bool {
+	timeout := memberTimeout * StatusInterval(p.size)
 	for _, m := range p.members {
-		if m == nil || now.Sub(m.receivedAt) > memberTimeout {
+		if m == nil || now.Sub(m.receivedAt) > timeout {
 			return false
 		}
 	}
@@ -197,15 +208,26 @@
 	return p.next
 }
 
-// Delta returns the map that the ranks are to copy as a delta from the map in use.
-// It returns false if there is no such map, or if the delta does not fit into a
-// datagram.
-func (p *Planner) Delta() (Delta, bool) {
+// Delta returns the map that the ranks are to copy as a delta from the map in use, in
+// parts that each fit into a datagram; nil if there is no such map, or if the map itself
+// takes fewer datagrams.
+func (p *Planner) Delta() []Delta {
 	if p.phase != preparing || p.current == nil || len(p.next.Experts) == 0 {
-		return Delta{}, false
+		return nil
 	}
 	delta := NewDelta(p.current, p.next, p.experts.PerSet)
-	return delta, reservedBytes+delta.maxChangesSize() <= maxDatagramSize
+	parts := delta.Split()
+	if len(parts) > 1 && len(parts) >= len(p.next.Parts()) {
+		return nil
+	}
+	return parts
+}
+
+// CanApplyDelta reports whether a rank's agent knows the contents of the map in use, to
+// which the delta applies.
+func (p *Planner) CanApplyDelta(rank int) bool {
+	m := p.members[rank]
+	return m != nil && p.current != nil && m.status.RunningKnown && m.status.Running == p.current.ID.Number()
 }
 
 // Prepared reports whether a rank has copied the next map; true if there is none.
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -378,25 +378,93 @@
 func TestInvalidPartsRejected(t *testing.T) {
 	assembler := NewMapAssembler(1)
 	for _, part := range []MapPart{
-		{Number: 5, Layers: 0}, {Number: 5, Layers: 1 << 30}, {Number: 5, Layers: 2, FirstLayer: -1},
-		{Number: 5, Layers: 2, FirstLayer: 1, Experts: [][][]int{{{1}}, {{1}}}},
+		{Number: 5, Ranks: 1, Layers: 0}, {Number: 5, Ranks: 1, Layers: 1 << 30}, {Number: 5, Ranks: 1, Layers: 2, FirstLayer: -1},
+		{Number: 5, Ranks: 1, Layers: 2, FirstLayer: 1, Experts: [][][]int{{{1}}, {{1}}}},
+		{Number: 5, Ranks: 1, Layers: 1, FirstRank: 1, Experts: [][][]int{{{1}}}}, {Number: 5, Ranks: 1, Layers: 1, FirstRank: -1, Experts: [][][]int{{{1}}}},
 	} {
 		require.NoError(t, assembler.AddPart(part))
 	}
 	_, complete := assembler.Map(5)
 	require.False(t, complete)
-	require.NoError(t, assembler.AddPart(MapPart{Number: 5, Layers: 1, Experts: [][][]int{{{1}}}}))
-	require.NoError(t, assembler.AddPart(MapPart{Number: 4, Layers: 1, Experts: [][][]int{{{2}}}}))
+	require.NoError(t, assembler.AddPart(MapPart{Number: 5, Ranks: 1, Layers: 1, Experts: [][][]int{{{1}}}}))
+	require.NoError(t, assembler.AddPart(MapPart{Number: 4, Ranks: 1, Layers: 1, Experts: [][][]int{{{2}}}}))
 	_, complete = assembler.Map(5)
 	require.True(t, complete, "parts of an older map are ignored")
 }
 
+// TestLargeMapsAndDeltasFitIntoDatagrams guards against a group whose ranks never get a map:
+// a layer of 129 ranks, and a delta with a change for each of them, exceed a datagram.
+func TestLargeMapsAndDeltasFitIntoDatagrams(t *testing.T) {
+	const ranks, layers, experts = 129, 16, 258
+	base := InitialMap(layers, experts, ranks)
+	next := &Map{ID: expertmap.MapID{Epoch: 4096, Version: 2}, Experts: InitialMap(layers, experts, ranks).Experts}
+	for rank := range ranks {
+		held := next.Experts[rank%layers][rank]
+		next.Experts[rank%layers][rank] = []int{held[0], held[1], (held[1] + 7) % experts}
+	}
+	next.sort()
+	requireFits := func(envelope Envelope) Envelope {
+		t.Helper()
+		envelope.Group = expertmap.GroupID{Name: "a group's name", Incarnation: 1 << 60}
+		data, err := Encode(envelope)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), maxDatagramSize)
+		data, err = Encode(Envelope{Group: envelope.Group, Relay: &Relay{First: 120, End: 129, Datagram: data}})
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), maxDatagramSize)
+		relayed, err := Decode(data)
+		require.NoError(t, err)
+		decoded, err := Decode(relayed.Relay.Datagram)
+		require.NoError(t, err)
+		return decoded
+	}
+	fromParts, fromDelta := NewMapAssembler(ranks), NewMapAssembler(ranks)
+	for _, part := range next.Parts() {
+		require.NoError(t, fromParts.AddPart(*requireFits(Envelope{Part: &part}).Part))
+	}
+	delta := NewDelta(base, next, experts)
+	parts := delta.Split()
+	require.Greater(t, len(parts), 1)
+	for at := range parts {
+		_, complete := fromDelta.Map(next.ID.Number())
+		require.False(t, complete)
+		part := requireFits(Envelope{Delta: &parts[len(parts)-1-at]}).Delta
+		require.NoError(t, fromDelta.AddDelta(*part))
+		require.NoError(t, fromDelta.AddDelta(*part))
+	}
+	for _, assembler := range []MapAssembler{fromParts, fromDelta} {
+		got, complete := assembler.Map(next.ID.Number())
+		require.True(t, complete)
+		require.Equal(t, next.Sum(), got.Sum())
+		require.True(t, assembler.Knows(next.ID.Number()))
+	}
+}
+
+// TestDeltaAppliesAfterAMapWasGivenUp guards against ranks that need the full map each time
+// a map was given up: they knew that one instead of the map in use.
+func TestDeltaAppliesAfterAMapWasGivenUp(t *testing.T) {
+	const ranks, experts = 4, 8
+	inUse, givenUp, next := InitialMap(1, experts, ranks), InitialMap(1, experts, ranks), InitialMap(1, experts, ranks)
+	inUse.ID, givenUp.ID, next.ID = expertmap.MapID{Epoch: 1, Version: 2}, expertmap.MapID{Epoch: 1, Version: 4}, expertmap.MapID{Epoch: 1, Version: 6}
+	inUse.Experts[0][0] = []int{0, 1, 4}
+	givenUp.Experts[0][0] = []int{0, 2, 4}
+	next.Experts[0][0] = []int{0, 1, 3, 4}
+	assembler := NewMapAssembler(ranks)
+	for _, part := range slices.Concat(inUse.Parts(), givenUp.Parts()) {
+		require.NoError(t, assembler.AddPart(part))
+	}
+	require.NoError(t, assembler.AddDelta(NewDelta(inUse, next, experts)))
+	got, complete := assembler.Map(next.ID.Number())
+	require.True(t, complete)
+	require.Equal(t, next.Sum(), got.Sum())
+}
+
 // TestMapsOfAnotherShapeRejected guards against a rank that copies the map of a group of
 // another size, which an agent with a stale or wrong view of its group could send.
 func TestMapsOfAnotherShapeRejected(t *testing.T) {
 	assembler := NewMapAssembler(2)
 	var shapeErr *MapShapeError
-	require.ErrorAs(t, assembler.AddPart(MapPart{Number: 5, Layers: 1, Experts: [][][]int{{{1}, {2}, {3}}}}), &shapeErr)
+	require.ErrorAs(t, assembler.AddPart(MapPart{Number: 5, Ranks: 3, Layers: 1, Experts: [][][]int{{{1}, {2}, {3}}}}), &shapeErr)
 	require.Equal(t, MapShapeError{Number: 5, Ranks: 3, GroupSize: 2}, *shapeErr)
 	require.ErrorAs(t, assembler.AddDelta(Delta{Number: 5, Layers: 1, Experts: 4, Ranks: 3}), &shapeErr)
 	_, complete := assembler.Map(5)
@@ -418,7 +486,7 @@
 // TestDatagramWithoutGroupRejected guards against the messages of releases that name no
 // group: their numbers are those of any group of the service.
 func TestDatagramWithoutGroupRejected(t *testing.T) {
-	data, err := Encode(Envelope{Part: &MapPart{Number: 5, Layers: 1}})
+	data, err := Encode(Envelope{Part: &MapPart{Number: 5, Ranks: 1, Layers: 1}})
 	require.NoError(t, err)
 	_, err = Decode(data)
 	require.ErrorIs(t, err, ErrNoGroup)
