Vote in large groups, divide limits among all entries, follow usual waits

Change: the holder answers the proposer first and names in each poll only the agent that it polls; the proposer's answer no longer repeats all polls. Retry reserve, connections and requests to cold targets are divided among the known entries; where there are more of them than requests that a target bears, a hash of target and names decides whose turn it is. An entry is ready once it has read the other entries. A target is silent only if that exceeds twice the usual wait. Ranks copy up to 4 experts for a map if that takes 100 ms. The search keeps the skews of layers.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -71,6 +71,9 @@
 	version atomic.Pointer[config.Version]
 	// targetsLoaded is set once the table of targets has been read.
 	targetsLoaded atomic.Bool
+	// peersLoaded is set once the table of entries has been read. Without it this entry
+	// does not know its parts of the limits that apply to all entries together.
+	peersLoaded atomic.Bool
 	// rowVersion is the version of this entry's row in the store, 0 before it is
 	// written.
 	rowVersion atomic.Uint64
@@ -112,7 +115,7 @@
 
 // ready reports whether callers may be directed to this entry.
 func (e *Entry) ready() bool {
-	return !e.leaving.Load() && e.version.Load() != nil && e.targetsLoaded.Load()
+	return !e.leaving.Load() && e.version.Load() != nil && e.targetsLoaded.Load() && e.peersLoaded.Load()
 }
 
 // Reload implements command.Reloader. New bounds apply at once, except those of
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -11,6 +11,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/presence"
+	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/poison"
 )
 
@@ -175,7 +176,16 @@
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
 	}
-	e.dispatcher.SetProcesses(1 + e.peers.Count())
+	e.setProcesses()
+}
+
+// setProcesses updates the parts of this entry in the limits that apply to all entries
+// together.
+func (e *Entry) setProcesses() {
+	processes := dispatch.NewProcesses(e.self.Name, e.peers.Names())
+	e.dispatcher.SetProcesses(processes)
+	e.budgets.setEntries(processes.Count())
+	e.targets.setProcesses(processes.Count())
 }
 
 // receive processes datagrams until the socket is closed.
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -49,5 +49,5 @@
 		sender.send()
 	}
 	require.Eventually(t, refuses, 2*time.Second, 10*time.Millisecond)
-	require.Equal(t, 1, receiver.entry.peers.Count())
+	require.Len(t, receiver.entry.peers.Names(), 1)
 }
--- a/daemon/direct/retry_budgets_test.go
+++ b/daemon/direct/retry_budgets_test.go
@@ -11,12 +11,16 @@
 // TestRetryBudgetIsOneEntrysPartOfTheBounds guards against entries that together exceed
 // the bounds on retries: they do not coordinate, so each must stay within its part.
 func TestRetryBudgetIsOneEntrysPartOfTheBounds(t *testing.T) {
-	b := newRetryBudgets(settings.Bounds{RetryShare: 0.2, RetrySlack: 80})
+	const entries, slack = 60, 648
+	b := newRetryBudgets(settings.Bounds{RetryShare: 0.2, RetrySlack: slack})
+	b.forService("s")
+	b.setEntries(entries)
 	spent := 0
 	for b.forService("s").Take() {
 		spent++
 	}
-	require.Equal(t, 80/maxEntries, spent)
+	require.Positive(t, spent)
+	require.LessOrEqual(t, 2*entries*spent, slack, "also if all entries restart in the window")
 	for range 100 {
 		b.forService("s").Succeeded()
 	}
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -55,7 +55,13 @@
 	log := logs.Component(e.logger, "store")
 	targets := &snapshotNotifier{Observer: e.targets, done: func() { e.targetsLoaded.Store(true) }}
 	operator := &operatorObserver{entry: e, log: logs.Component(e.logger, "operator"), domainsOut: map[string]bool{}}
-	peers := &peerObserver{entry: e, log: logs.Component(e.logger, "peers")}
+	peers := &snapshotNotifier{
+		Observer: &peerObserver{entry: e, log: logs.Component(e.logger, "peers")},
+		done: func() {
+			e.setProcesses()
+			e.peersLoaded.Store(true)
+		},
+	}
 	events := follow.NewStoreEvents()
 	followTable := func(cfg follow.Config) {
 		cfg.Reader, cfg.Log, cfg.Events = e.store, log, events
--- a/daemon/direct/targets.go
+++ b/daemon/direct/targets.go
@@ -38,6 +38,8 @@
 	// deletedAt holds, by target ID, when the registrations of targets that are kept for
 	// the time being were deleted.
 	deletedAt map[string]time.Time
+	// processes is the number of entries, which share the connections to a target.
+	processes int
 }
 
 // poolKey identifies a connection pool by target ID and address. The ID names one
@@ -48,9 +50,17 @@
 	return &targetObserver{
 		dispatcher: dispatcher, clock: clock, log: log,
 		pools: map[poolKey]*direct.Pool{}, invalidRows: map[string]uint64{}, deletedAt: map[string]time.Time{},
+		processes: 1,
 	}
 }
 
+// setProcesses sets the number of entries. Connection pools that exist keep their limits.
+func (o *targetObserver) setProcesses(count int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.processes = count
+}
+
 // OnSnapshot implements follow.Observer.
 func (o *targetObserver) OnSnapshot(rows []platform.Row) {
 	o.mu.Lock()
@@ -161,7 +171,7 @@
 	key := poolKey{target.ID(), target.Address()}
 	pool := o.pools[key]
 	if pool == nil {
-		pool = direct.NewPool(target.Address(), target.ConnectionLimit(maxEntries), nil)
+		pool = direct.NewPool(target.Address(), target.ConnectionLimit(o.processes), nil)
 		o.pools[key] = pool
 	}
 	return pool
--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -154,7 +154,7 @@
 	var outcome Outcome
 	start := time.Unix(0, 0)
 	g := &group{running: &rebalance.Map{Experts: initialMap()}, steppedAt: start}
-	shape := config.Experts{Sets: layers, PerSet: experts, SlotsPerRank: slotsPerRank, MaxNewPerMap: maxNewPerMap, Megabytes: expertMegabytes}
+	shape := config.Experts{Sets: layers, PerSet: experts, SlotsPerRank: slotsPerRank, MaxNewPerMap: maxNewPerMap, Megabytes: expertMegabytes, CopyTime: copyTime}
 	planner := rebalance.NewPlanner(expertmap.GroupID{Name: "g"}, shape, 0, rebalance.Status{Size: ranks, AgentIncarnation: 1}, policy)
 	sequence := uint64(0)
 	skew := 1.0
--- a/internal/measure/rebalance/studies.go
+++ b/internal/measure/rebalance/studies.go
@@ -26,7 +26,7 @@
 // policies returns the default policy and the variants that it is compared with.
 func policies() []namedPolicy {
 	wide, single, eager := rebalance.DefaultPolicy(), rebalance.DefaultPolicy(), rebalance.DefaultPolicy()
-	wide.MaxNewPerRank = 4
+	wide.MaxCopyTime = 4 * copyTime
 	single.MaxSlices = 1
 	eager.CopyCost, eager.MinGain = eager.CopyCost/6, 0.03
 	return []namedPolicy{
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -5,6 +5,8 @@
 package presence
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -166,9 +168,9 @@
 	return names
 }
 
-// Count returns the number of known peers, including dead ones.
-func (t *PeerTable) Count() int {
+// Names returns the names of all known peers, including dead ones, sorted.
+func (t *PeerTable) Names() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.peers)
+	return slices.Sorted(maps.Keys(t.peers))
 }
--- a/process/presence/presence_test.go
+++ b/process/presence/presence_test.go
@@ -58,5 +58,5 @@
 	table.Register(peer("a", 2), start)
 	require.Empty(t, table.Ready(start))
 	table.Remove("a")
-	require.Zero(t, table.Count())
+	require.Empty(t, table.Names())
 }
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -169,7 +169,7 @@
 	cold := registration(0, 100)
 	cold.WarmupRemaining = 3 * time.Second
 	d.Register(cold, start)
-	d.SetProcesses(4)
+	d.SetProcesses(NewProcesses("a", []string{"b", "c", "d"}))
 	sent := func(from, until time.Duration) int {
 		count := 0
 		for now := from; now < until; now += 10 * time.Millisecond {
@@ -189,6 +189,51 @@
 	require.Greater(t, sent(3*time.Second, 4*time.Second), 90, "the target is warm")
 }
 
+// TestColdTargetBearsManyProcesses guards against more requests to a cold target than it
+// bears when there are more processes than that: each sent at least one per second.
+func TestColdTargetBearsManyProcesses(t *testing.T) {
+	const count, bears = 60, 20
+	var names []string
+	for n := range count {
+		names = append(names, fmt.Sprintf("entry-%d", n))
+	}
+	for _, coldTargets := range []int{1, 40} {
+		sent := map[*Target]int{}
+		idle := 0
+		perTarget := map[string]int{}
+		for _, name := range names {
+			d := newDispatcher(0, 0)
+			d.SetProcesses(NewProcesses(name, names))
+			for n := range coldTargets {
+				cold := registration(n, 100)
+				cold.WarmupRemaining = 3 * time.Second
+				d.Register(cold, start)
+			}
+			clear(sent)
+			for now := time.Duration(0); now < time.Second; now += 5 * time.Millisecond {
+				taken, waiter := d.Acquire(work(1), at(now))
+				if taken == nil {
+					d.CancelWait(waiter)
+					continue
+				}
+				sent[taken]++
+				perTarget[taken.ID()]++
+				d.Release(taken, Served, at(now))
+			}
+			if len(sent) == 0 {
+				idle++
+			}
+		}
+		require.Len(t, perTarget, coldTargets)
+		for id, requests := range perTarget {
+			require.Equal(t, bears, requests, "target %s", id)
+		}
+		if coldTargets > 1 {
+			require.Zero(t, idle, "each process can use some of the cold targets")
+		}
+	}
+}
+
 func TestFailingTargetIsEjectedTemporarily(t *testing.T) {
 	d := newDispatcher(3, 100)
 	var bad *Target
@@ -216,16 +261,16 @@
 func TestTargetIsSilentOnlyWhileOthersMakeProgress(t *testing.T) {
 	d := newDispatcher(2, 4)
 	first, second := take(t, d, start), take(t, d, start)
-	require.False(t, d.IsSilent(first, time.Second, at(time.Second)), "no target makes progress")
+	require.False(t, d.IsSilent(first, time.Second, time.Second, at(time.Second)), "no target makes progress")
 	d.Progress(second, at(900*time.Millisecond))
-	require.True(t, d.IsSilent(first, time.Second, at(time.Second)))
-	require.False(t, d.IsSilent(second, time.Second, at(time.Second)))
-	require.False(t, d.IsSilent(first, time.Second, at(2*time.Second)), "the others are silent too by then")
+	require.True(t, d.IsSilent(first, time.Second, time.Second, at(time.Second)))
+	require.False(t, d.IsSilent(second, time.Second, time.Second, at(time.Second)))
+	require.False(t, d.IsSilent(first, 2*time.Second, time.Second, at(2*time.Second)), "the others are silent too by then")
 	// Progress of any request on a target counts for all of its requests.
 	d.Progress(first, at(time.Second))
 	d.Progress(second, at(1900*time.Millisecond))
-	require.False(t, d.IsSilent(first, time.Second, at(1950*time.Millisecond)))
-	require.True(t, d.IsSilent(first, time.Second, at(2*time.Second)))
+	require.False(t, d.IsSilent(first, 1950*time.Millisecond, time.Second, at(1950*time.Millisecond)))
+	require.True(t, d.IsSilent(first, 2*time.Second, time.Second, at(2*time.Second)))
 	d.Release(first, Silent, at(time.Second))
 	require.True(t, first.health.ejected(at(time.Second)))
 }
@@ -257,3 +302,25 @@
 	require.Equal(t, 10, take(t, d, start).ConnectionLimit(8))
 	require.Equal(t, 1, take(t, d, start).ConnectionLimit(1000))
 }
+
+// TestBusyTargetIsNotSilent guards against retries that multiply the load of a service
+// whose requests all wait long: with 129 targets and 60 processes, a process has a single
+// request at most targets, which waits behind those of other processes. After the timeout
+// alone, 1,300 of 3,200 requests in 10 s were sent to a second target, where they waited
+// again.
+func TestBusyTargetIsNotSilent(t *testing.T) {
+	const timeout = time.Second
+	d := newDispatcher(2, 8)
+	busy, other := take(t, d, start), take(t, d, start)
+	for n := range 50 {
+		d.FirstProgress(other, 900*time.Millisecond, at(time.Duration(n)*100*time.Millisecond))
+	}
+	now := at(5 * time.Second)
+	d.Progress(other, now)
+	require.False(t, d.IsSilent(busy, timeout, timeout, now), "requests usually wait nearly as long")
+	require.True(t, d.IsSilent(busy, 2*timeout, timeout, now))
+	for range 1000 {
+		d.FirstProgress(other, 100*time.Millisecond, now)
+	}
+	require.True(t, d.IsSilent(busy, timeout, timeout, now), "the timeout applies once waits are short")
+}
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	waiting waitQueue
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
+	usualWait    usualWait
 	// nextReassign is when the next request may be moved away from a slow target.
 	nextReassign time.Time
 }
@@ -38,8 +39,10 @@
 	pools map[string]*pool
 	// domainsOut holds the failure domains that operators took out of service.
 	domainsOut map[string]bool
-	// processes is how many processes send requests to the same targets.
-	processes int
+	// processes are those that send requests to the same targets. generation increases
+	// when they or the limits that they divide change.
+	processes  Processes
+	generation uint64
 	// lastSequence is the sequence number of the latest Waiter.
 	lastSequence uint64
 }
@@ -48,7 +51,7 @@
 func New(cfg Config) *Dispatcher {
 	return &Dispatcher{
 		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
-		pools: map[string]*pool{}, domainsOut: map[string]bool{}, processes: 1,
+		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 	}
 }
 
@@ -89,14 +92,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.warmup = warmup
+	d.generation++
 	d.grantAll(now)
 }
 
-// SetProcesses sets how many processes send requests to the same targets.
-func (d *Dispatcher) SetProcesses(count int) {
+// SetProcesses sets the processes that send requests to the same targets.
+func (d *Dispatcher) SetProcesses(processes Processes) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.processes = max(count, 1)
+	if d.processes.equal(processes) {
+		return
+	}
+	d.processes = processes
+	d.generation++
 }
 
 // Register adds or updates a target from its registration. A target that restarted
@@ -247,27 +255,6 @@
 	d.grant(d.pool(t.registration.Service), now)
 }
 
-// Progress records that a target has responded or continued a stream.
-func (d *Dispatcher) Progress(t *Target, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	t.lastProgress = now
-	d.pool(t.registration.Service).lastProgress = now
-}
-
-// recentProgress is how recently a target of the service must have made progress for
-// a silent target to be considered at fault. If all are silent, another target is no
-// better.
-const recentProgress = 300 * time.Millisecond
-
-// IsSilent reports whether a target has made no progress with any of its requests for
-// the given time while others of its service have.
-func (d *Dispatcher) IsSilent(t *Target, span time.Duration, now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return now.Sub(t.lastProgress) >= span && now.Sub(d.pool(t.registration.Service).lastProgress) < recentProgress
-}
-
 // downAfter is how long a service must have made no progress to count as down.
 const downAfter = 500 * time.Millisecond
 
--- a/request/dispatch/slowdown.go
+++ b/request/dispatch/slowdown.go
@@ -88,7 +88,7 @@
 	if now.Before(pool.nextReassign) || !d.limitsSlow(pool, now) || t.load() <= t.limit(true, now) {
 		return false
 	}
-	pool.nextReassign = now.Add(reassignInterval * time.Duration(d.processes))
+	pool.nextReassign = now.Add(reassignInterval * time.Duration(d.processes.Count()))
 	return true
 }
 
--- a/request/dispatch/slowdown_test.go
+++ b/request/dispatch/slowdown_test.go
@@ -67,7 +67,7 @@
 
 func TestRequestsAreMovedFromASlowTargetOneAtATime(t *testing.T) {
 	d := newDispatcher(3, 4)
-	d.SetProcesses(2)
+	d.SetProcesses(NewProcesses("a", []string{"b"}))
 	var slow *Target
 	for range 12 {
 		if taken := take(t, d, start); taken.ID() == "t1" {
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -24,6 +24,7 @@
 	// sends holds the times of this process's requests to the target within
 	// sendWindow, if its service limits requests to cold targets.
 	sends  []time.Time
+	warmup warmupPart
 	health health
 	// fullUntil ends the pause after the target refused a request for lack of
 	// capacity.
--- a/request/dispatch/warmup.go
+++ b/request/dispatch/warmup.go
@@ -12,11 +12,28 @@
 	Slack float64
 }
 
-// allowance returns how many requests per second one of several processes may send
-// to a cold target without coordinating with the others.
-func (w Warmup) allowance(rate float64, processes int) int {
-	total := rate*w.Share + w.Slack
-	return max(int(total)/max(processes, 1), 1)
+// total returns how many requests per second all processes together may send to a cold
+// target with the given warm-up rate.
+func (w Warmup) total(rate float64) int { return int(rate*w.Share + w.Slack) }
+
+// warmupPart is the number of requests per second that this process may send to a target
+// while that is cold.
+type warmupPart struct {
+	// rate and generation are those for which perSecond was derived.
+	rate       float64
+	generation uint64
+	perSecond  int
+}
+
+// allowance returns how many requests per second this process may send to a cold target
+// without coordinating with the others. It is 0 for some processes if there are more of
+// them than requests that the target bears.
+func (d *Dispatcher) allowance(t *Target) int {
+	rate := t.service.WarmupRate
+	if t.warmup.generation != d.generation || t.warmup.rate != rate {
+		t.warmup = warmupPart{rate: rate, generation: d.generation, perSecond: d.processes.part(d.warmup.total(rate), t.ID())}
+	}
+	return t.warmup.perSecond
 }
 
 // cold reports whether the target is still warming up.
@@ -26,12 +43,12 @@
 
 // warmupExhausted reports whether the target is cold and this process has sent its
 // allowance within the last sendWindow.
-func (t *Target) warmupExhausted(warmup Warmup, processes int, now time.Time) bool {
+func (d *Dispatcher) warmupExhausted(t *Target, now time.Time) bool {
 	if !t.cold(now) {
 		return false
 	}
 	t.pruneSends(now)
-	return len(t.sends) >= warmup.allowance(t.service.WarmupRate, processes)
+	return len(t.sends) >= d.allowance(t)
 }
 
 // recordSend records the time of a request to the target, if its service limits
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -171,7 +171,7 @@
 		h.dispatcher.Release(t, v.result, h.clock.Now())
 		return shouldRetry, h.finalFailure(c, v)
 	}
-	return h.relayBuffered(ctx, attemptCtx, w, c, t, response, v)
+	return h.relayBuffered(ctx, attemptCtx, w, c, t, response, v, watchdog.progress)
 }
 
 // send sends a call to a target and returns the verdict on the head of the
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -18,8 +18,8 @@
 
 // relayBuffered reads the whole response before it writes any of it, so that the
 // caller never receives part of a truncated one. attemptCtx is the attempt's
-// context, derived from ctx. The results are those of attempt.
-func (h *Handler) relayBuffered(ctx, attemptCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, response *direct.Response, v verdict) (shouldRetry bool, failed *failure.Error) {
+// context, derived from ctx; progress is called once the response is complete. The results are those of attempt.
+func (h *Handler) relayBuffered(ctx, attemptCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, response *direct.Response, v verdict, progress func()) (shouldRetry bool, failed *failure.Error) {
 	defer response.Close()
 	body, err := io.ReadAll(io.LimitReader(response, responseLimit))
 	if err != nil {
@@ -30,7 +30,7 @@
 		h.dispatcher.Release(t, truncated.result, h.clock.Now())
 		return shouldRetry, h.finalFailure(c, truncated)
 	}
-	h.dispatcher.Progress(t, h.clock.Now())
+	progress()
 	h.dispatcher.Release(t, v.result, h.clock.Now())
 	if v.success() {
 		h.recordSuccess(c)
--- a/request/forward/watchdog.go
+++ b/request/forward/watchdog.go
@@ -21,8 +21,10 @@
 	// mu guards the fields below.
 	mu           sync.Mutex
 	lastProgress time.Time
-	timer        *time.Timer
-	stopped      bool
+	// progressed is set once the target has made progress with the attempt.
+	progressed bool
+	timer      *time.Timer
+	stopped    bool
 }
 
 // startWatchdog returns the context of an attempt and the watchdog that cancels it.
@@ -30,12 +32,20 @@
 func (h *Handler) startWatchdog(ctx context.Context, c *call, t *dispatch.Target) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{handler: h, target: t, silenceTimeout: c.silenceTimeout(), cancel: cancel, lastProgress: h.clock.Now()}
-	if w.silenceTimeout > 0 {
-		w.timer = time.AfterFunc(min(w.silenceTimeout, maxCheckInterval), w.check)
-	}
+	w.start()
 	return ctx, w
 }
 
+// start schedules the first check, which waits for mu until the timer is set.
+func (w *watchdog) start() {
+	if w.silenceTimeout <= 0 {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(min(w.silenceTimeout, maxCheckInterval), w.check)
+}
+
 const (
 	// silenceLatencies is the silence timeout in multiples of the route's latency
 	// objective.
@@ -64,7 +74,7 @@
 	}
 	now := w.handler.clock.Now()
 	silence := now.Sub(w.lastProgress)
-	if silence >= w.silenceTimeout && w.handler.dispatcher.IsSilent(w.target, w.silenceTimeout, now) {
+	if silence >= w.silenceTimeout && w.handler.dispatcher.IsSilent(w.target, silence, w.silenceTimeout, now) {
 		w.cancel(errTargetSilent)
 		return
 	}
@@ -97,10 +107,14 @@
 // progress records that the target has made progress.
 func (w *watchdog) progress() {
 	now := w.handler.clock.Now()
-	w.handler.dispatcher.Progress(w.target, now)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastProgress = now
+	if w.progressed {
+		w.handler.dispatcher.Progress(w.target, now)
+	} else {
+		w.handler.dispatcher.FirstProgress(w.target, now.Sub(w.lastProgress), now)
+	}
+	w.lastProgress, w.progressed = now, true
 }
 
 // stop ends the checks and releases the attempt's context.
--- a/request/retry/budget.go
+++ b/request/retry/budget.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// SetCapacity changes the capacity. Tokens beyond it are lost.
+func (b *Budget) SetCapacity(capacity float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.capacity = capacity
+	b.tokens = min(b.tokens, capacity)
+}
+
 // Grant adds one retry for each request that was in flight at a target when it
 // was lost, also beyond the capacity. A target that stays down holds no further
 // requests, so it adds nothing more.
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -95,8 +95,9 @@
 	// SlotsPerRank is the number of experts of a set that fit on a rank. MaxNewPerMap
 	// is how many of them one map may add to the rank.
 	SlotsPerRank, MaxNewPerMap int
-	// Megabytes is the size of one expert.
+	// Megabytes is the size of one expert, CopyTime the time in which a rank copies it.
 	Megabytes float64
+	CopyTime  time.Duration
 	// ExpertWorkShare is the fraction of a token's work that is done by the experts.
 	ExpertWorkShare float64
 	// FormTime is the time that a group takes to form again.
--- a/version/expertmap/group_hold.go
+++ b/version/expertmap/group_hold.go
@@ -34,14 +34,30 @@
 	}
 }
 
-// receiveReady makes the holder poll the proposer too.
+// receiveReady makes the holder poll the proposer, which has sent the message, too.
 func (a *Agent) receiveReady(message Message, out *Output) {
 	found := a.find(message.ID)
 	if found == nil || found.state != promised || message.Peer != a.config.Incarnation {
 		return
 	}
+	if found.proposerReady || found.promises[message.From] {
+		return
+	}
 	found.proposerReady = true
-	a.poll(found, out)
+	a.pollRank(found, message.From, out)
+}
+
+// addressedTo returns the proposal as the holder sends it to a rank: it names only that
+// rank's agent, so that the polls of a large group stay short. The others poll nobody but
+// the holder, which knows the whole proposal.
+func (p Proposal) addressedTo(rank int) Proposal {
+	if rank >= len(p.Agents) {
+		return p
+	}
+	agents := make([]uint64, len(p.Agents))
+	agents[rank] = p.Agents[rank]
+	p.Agents = agents
+	return p
 }
 
 // awaitsProposer reports whether this agent is the holder and has not polled the
--- a/version/expertmap/vote.go
+++ b/version/expertmap/vote.go
@@ -90,6 +90,14 @@
 func (a *Agent) promise(now time.Time, rec *record, out *Output) {
 	rec.state = promised
 	rec.promises[a.rank] = true
+	// The proposer waits for this answer, so that it precedes the polls: those of a large
+	// group occupy the link for some time.
+	for rank, poller := range rec.pollers {
+		if poller != 0 {
+			out.Messages = append(out.Messages, a.promiseTo(rank, poller, rec.proposal.ID))
+		}
+	}
+	clear(rec.pollers)
 	if rec.proposal.heldBy(a.rank) {
 		rec.coordinates = true
 		rec.abandonAt = now.Add(a.config.PollInterval)
@@ -98,12 +106,6 @@
 	if rec.pollAt.IsZero() {
 		rec.pollAt = now.Add(a.pollDelay())
 	}
-	for rank, poller := range rec.pollers {
-		if poller != 0 {
-			out.Messages = append(out.Messages, a.promiseTo(rank, poller, rec.proposal.ID))
-		}
-	}
-	clear(rec.pollers)
 	a.commitIfComplete(rec, out)
 }
 
@@ -211,16 +213,22 @@
 // poll polls the ranks that shouldPoll selects.
 func (a *Agent) poll(rec *record, out *Output) {
 	for rank := range a.size {
-		if rank == a.rank || !a.shouldPoll(rec, rank) {
-			continue
+		if rank != a.rank && a.shouldPoll(rec, rank) {
+			a.pollRank(rec, rank, out)
 		}
-		message := a.message(KindPoll, rank, rec.proposal.ID)
-		proposal := rec.proposal
-		message.Proposal = &proposal
-		out.Messages = append(out.Messages, message)
 	}
 }
 
+func (a *Agent) pollRank(rec *record, rank int, out *Output) {
+	proposal := rec.proposal
+	if proposal.heldBy(a.rank) {
+		proposal = proposal.addressedTo(rank)
+	}
+	message := a.message(KindPoll, rank, proposal.ID)
+	message.Proposal = &proposal
+	out.Messages = append(out.Messages, message)
+}
+
 func (a *Agent) broadcastOutcome(rec *record, out *Output) {
 	for rank := range a.size {
 		if rank != a.rank {
--- a/version/placement/equalshare_search.go
+++ b/version/placement/equalshare_search.go
@@ -28,22 +28,28 @@
 // run repeatedly changes the layer with the largest skew until no change pays or
 // MaxSteps is reached.
 func (s *equalShareSearch) run(layers []*equalShareLayer) {
+	skews := make([]float64, len(layers))
+	for index, layer := range layers {
+		skews[index] = layer.skew()
+	}
 	for range s.settings.MaxSteps {
-		var worst *equalShareLayer
-		for _, layer := range layers {
-			if !layer.exhausted && len(layer.weights) > 0 && (worst == nil || layer.skew() > worst.skew()) {
-				worst = layer
+		worst := none
+		for index, layer := range layers {
+			if !layer.exhausted && len(layer.weights) > 0 && (worst == none || skews[index] > skews[worst]) {
+				worst = index
 			}
 		}
-		if worst == nil {
+		if worst == none {
 			return
 		}
-		change, ok := s.best(worst)
+		layer := layers[worst]
+		change, ok := s.best(layer)
 		if !ok {
-			worst.exhausted = true
+			layer.exhausted = true
 			continue
 		}
-		s.apply(worst, change)
+		s.apply(layer, change)
+		skews[worst] = layer.skew()
 	}
 }
 
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -319,7 +319,7 @@
 		thresholdFactor = p.policy.FastStepFactor
 	}
 	plan, err := placement.ImproveEqualShare(input, p.current.Experts, placement.EqualShareSettings{
-		MinGainPerCopy: thresholdFactor * p.policy.copyCost(p.experts.Megabytes, p.size), MaxNewPerRank: p.policy.MaxNewPerRank, MaxSteps: maxSearchSteps,
+		MinGainPerCopy: thresholdFactor * p.policy.copyCost(p.experts.Megabytes, p.size), MaxNewPerRank: p.policy.newPerRank(p.experts.CopyTime), MaxSteps: maxSearchSteps,
 	})
 	if err != nil {
 		p.current = nil
--- a/version/rebalance/policy.go
+++ b/version/rebalance/policy.go
@@ -24,6 +24,9 @@
 	// FastStepFactor times as much. Steps that process long prompts take several times
 	// the mean.
 	FastStepShare, FastStepFactor float64
+	// MaxCopyTime bounds the time that a rank spends copying for one map, which adds to
+	// the time until the map can be used. One expert may take longer.
+	MaxCopyTime time.Duration
 	// MaxNewPerRank is the maximum number of experts that a rank copies for one map;
 	// each adds to the time until the map can be used.
 	MaxNewPerRank int
@@ -37,10 +40,19 @@
 	return p.CopyCost * megabytes / float64(max(ranks, 1))
 }
 
+// newPerRank returns the maximum number of experts that a rank copies for one map, if one
+// takes the given time; 0 if that is not known.
+func (p Policy) newPerRank(copyTime time.Duration) int {
+	if copyTime <= 0 {
+		return p.MaxNewPerRank
+	}
+	return min(max(int(p.MaxCopyTime/copyTime), 1), p.MaxNewPerRank)
+}
+
 // DefaultPolicy returns the policy used in production.
 func DefaultPolicy() Policy {
 	return Policy{
-		HalfLife: 300 * time.Millisecond, MaxSlices: 8, CopyCost: 2.7e-4, MinGain: 0.2, MaxNewPerRank: 1, MinLead: 2,
+		HalfLife: 300 * time.Millisecond, MaxSlices: 8, CopyCost: 2.7e-4, MinGain: 0.2, MaxCopyTime: 100 * time.Millisecond, MaxNewPerRank: 4, MinLead: 2,
 		FastStepShare: 0.28, FastStepFactor: 2,
 	}
 }
