Poll the store rarely on most entries and exchange what entries know of it

Each of 60 entries polled the operator's table every 3 s, and each change of a target while they start ended a call of every entry.

Change: four entries poll often, the others wait for 15 s. Heartbeats carry the versions of the latest known changes of both tables, and whether the store is lost; an entry that hears of a newer change abandons a poll that the store may have lost, and one that hears no frequent poller is one itself. The pause after changes of targets and entries grows with the number of entries, up to a quarter of the time within which a leaving target must get no requests.

With 4 entries nothing changes. Tests: a change missed by a lost poll is seen by a hint, and not within 2 s without; hints cause one more poll, not one per heartbeat; 4 of 60 entries poll often.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -62,6 +62,7 @@
 	peers      *presence.PeerTable
 	dispatcher *dispatch.Dispatcher
 	targets    *targetObserver
+	storeWatch *storeWatch
 	budgets    *retryBudgets
 	poison     *poison.Tracker
 	handler    *forward.Handler
@@ -101,6 +102,7 @@
 		}),
 	}
 	e.bounds.Store(&s.Bounds)
+	e.storeWatch = newStoreWatch(s.Name)
 	e.targets = newTargetObserver(e.dispatcher, e.clock, logs.Component(cfg.Logger, "targets"))
 	e.budgets = newRetryBudgets(s.Bounds)
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
--- a/daemon/direct/operator.go
+++ b/daemon/direct/operator.go
@@ -71,7 +71,7 @@
 }
 
 // OnStoreLost implements follow.Observer. The last valid configuration stays in force.
-func (o *operatorObserver) OnStoreLost() {}
+func (o *operatorObserver) OnStoreLost() { o.entry.storeWatch.setStoreLost(true) }
 
 // OnStoreRegained implements follow.Observer.
-func (o *operatorObserver) OnStoreRegained() {}
+func (o *operatorObserver) OnStoreRegained() { o.entry.storeWatch.setStoreLost(false) }
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -154,7 +154,7 @@
 	h.sequence++
 	encoded, err := cbor.Marshal(datagram{
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
-			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence,
+			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
 		}},
 		Evidence: h.evidence(),
 	})
@@ -177,6 +177,7 @@
 		e.dispatcher.SetPeerLoad(name, nil, now)
 	}
 	e.setProcesses()
+	e.storeWatch.update(e.peers.Ready(now))
 }
 
 // setProcesses updates the parts of this entry in the limits that apply to all entries
@@ -211,6 +212,7 @@
 		}
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
+			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
 		}
 	}
 }
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -62,22 +62,23 @@
 			e.peersLoaded.Store(true)
 		},
 	}
-	events := follow.NewStoreEvents()
+	events := e.storeWatch.events
 	followTable := func(cfg follow.Config) {
 		cfg.Reader, cfg.Log, cfg.Events = e.store, log, events
 		wg.Go(func() { follow.Table(ctx, cfg) })
 	}
 	followTable(follow.Config{
 		Table: platform.TableOperator, Observer: operator,
-		FeedWait: e.operatorFeedWait(), BatchDelay: operatorBatchDelay, MaxBackoff: follow.ShortMaxBackoff,
+		FeedWait: func() time.Duration { return e.storeWatch.feedWait(e.operatorFeedWait()) },
+		Position: e.storeWatch.operator, BatchDelay: follow.Always(operatorBatchDelay), MaxBackoff: follow.ShortMaxBackoff,
 	})
 	followTable(follow.Config{
-		Table: platform.TableTargets, Observer: targets,
-		FeedWait: follow.LongFeedWait, BatchDelay: targetsBatchDelay, MaxBackoff: e.registrationMaxBackoff(),
+		Table: platform.TableTargets, Observer: targets, Position: e.storeWatch.targets,
+		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(targetsBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
 	followTable(follow.Config{
-		Table: platform.TableEntries, Observer: peers,
-		FeedWait: follow.LongFeedWait, BatchDelay: entriesBatchDelay, MaxBackoff: e.registrationMaxBackoff(),
+		Table: platform.TableEntries, Observer: peers, Position: follow.NewPosition(),
+		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(entriesBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
 	wg.Go(func() { e.register(ctx) })
 	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.send) })
@@ -98,6 +99,11 @@
 	operatorBatchDelay = 100 * time.Millisecond
 	targetsBatchDelay  = 250 * time.Millisecond
 	entriesBatchDelay  = time.Second
+	// batchDelayPerEntry is the least pause after changes per entry: each change ends a
+	// call of every entry. batchDelayFraction limits it to a part of
+	// settings.Bounds.Drain, the time after which a leaving target gets no requests.
+	batchDelayPerEntry = 16 * time.Millisecond
+	batchDelayFraction = 0.25
 	// One call waits for a change by the operator for applyFraction of
 	// settings.Bounds.Apply, the time within which a configuration must be in force, but
 	// at least for minOperatorFeedWait.
@@ -105,6 +111,16 @@
 	minOperatorFeedWait = 500 * time.Millisecond
 )
 
+// batchDelay returns the pauses after changes of a table: the usual one, or a longer one if
+// there are many entries.
+func (e *Entry) batchDelay(usual time.Duration) func() time.Duration {
+	return func() time.Duration {
+		longest := time.Duration(batchDelayFraction * float64(e.bounds.Load().Drain))
+		entries := time.Duration(1 + len(e.peers.Names()))
+		return max(usual, min(entries*batchDelayPerEntry, longest))
+	}
+}
+
 // registrationMaxBackoff returns the maximum backoff of the tables of targets and
 // entries. They must be read again well before the store counts as reachable, which it
 // does settings.Bounds.Contact after a disturbance.
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -39,6 +39,11 @@
 	LongMaxBackoff  = 2 * time.Second
 )
 
+// Always returns a function that returns the duration, for Config.
+func Always(d time.Duration) func() time.Duration {
+	return func() time.Duration { return d }
+}
+
 // Reader reads tables; platform.Store implements it.
 type Reader interface {
 	Read(ctx context.Context, table string) ([]platform.Row, uint64, error)
@@ -63,13 +68,15 @@
 	Table    string
 	Observer Observer
 	Log      *logrus.Entry
-	// FeedWait is the long-poll wait for changes. A call that is in flight when the
+	// Position records how far the table is known.
+	Position *Position
+	// FeedWait returns the long-poll wait for changes. A call that is in flight when the
 	// store becomes unresponsive is abandoned only after this time, or earlier when a
-	// call for another table fails.
-	FeedWait time.Duration
-	// BatchDelay is the pause after changes, so that changes in quick succession, as
+	// call for another table fails or a peer knows of a change.
+	FeedWait func() time.Duration
+	// BatchDelay returns the pause after changes, so that changes in quick succession, as
 	// when many targets start, arrive in one call.
-	BatchDelay time.Duration
+	BatchDelay func() time.Duration
 	// MaxBackoff limits the pause after failed calls.
 	MaxBackoff time.Duration
 	// Events is shared by all tables of a process.
@@ -89,6 +96,13 @@
 	return &StoreEvents{failed: newBroadcast(), recovered: newBroadcast()}
 }
 
+// Interrupt makes all followers abandon their long polls and check the store, for instance
+// because a peer has lost it.
+func (s *StoreEvents) Interrupt() { s.failed.send() }
+
+// Interrupted returns a channel that is closed at the next failure or Interrupt.
+func (s *StoreEvents) Interrupted() <-chan struct{} { return s.failed.next() }
+
 // broadcast is a repeatable event that wakes all goroutines waiting for it.
 type broadcast struct {
 	// mu guards sent. No other lock is acquired while it is held.
@@ -117,6 +131,9 @@
 // to the store failed.
 var ErrInterrupted = errors.New("long poll abandoned: another call to the store has failed")
 
+// errHinted is the reason for abandoning a long poll when a peer knows of a change.
+var errHinted = errors.New("long poll abandoned: a peer knows of a change")
+
 // Table follows a table until ctx is done.
 func Table(ctx context.Context, cfg Config) {
 	f := &follower{Config: cfg, log: cfg.Log.WithField("table", cfg.Table)}
@@ -142,6 +159,8 @@
 	version uint64
 	// failures is the number of consecutive failed calls.
 	failures int
+	// hinted is set if the last long poll was abandoned because of a hint.
+	hinted bool
 }
 
 // step reads the whole table, or waits for its next changes.
@@ -155,6 +174,7 @@
 			return err
 		}
 		f.synced, f.version = true, version
+		f.Position.read(rows, version)
 		f.Observer.OnSnapshot(rows)
 		return nil
 	}
@@ -165,36 +185,43 @@
 		f.log.Info("store no longer holds the table's changes; reading the whole table")
 		return nil
 	}
+	if f.hinted = errors.Is(err, errHinted); f.hinted {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
 	f.version = max(f.version, version)
+	f.Position.fed(rows, f.version)
 	if len(rows) > 0 {
 		f.Observer.OnChanges(rows)
-		f.sleep(ctx, f.BatchDelay)
+		f.sleep(ctx, f.BatchDelay())
 	}
 	return nil
 }
 
-// feed waits for the next changes. A failure of another call to the store ends a
-// long poll early.
+// feed waits for the next changes. A failure of another call to the store, and a hint,
+// end a long poll early. Before long polls after a hint, a short one asks for changes, so
+// that the store's version is known even if there are none.
 func (f *follower) feed(ctx context.Context) ([]platform.Row, uint64, error) {
-	if f.failures > 0 {
+	if f.failures > 0 || f.hinted {
 		return f.Reader.Feed(ctx, f.Table, f.version, probeWait)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	failed := f.Events.failed.next()
+	failed, hinted := f.Events.failed.next(), f.Position.hinted.next()
 	go func() {
 		select {
 		case <-failed:
 			cancel(ErrInterrupted)
+		case <-hinted:
+			cancel(errHinted)
 		case <-ctx.Done():
 		}
 	}()
-	rows, version, err := f.Reader.Feed(ctx, f.Table, f.version, f.FeedWait)
-	if err != nil && errors.Is(context.Cause(ctx), ErrInterrupted) {
-		err = ErrInterrupted
+	rows, version, err := f.Reader.Feed(ctx, f.Table, f.version, f.FeedWait())
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, ErrInterrupted) || errors.Is(cause, errHinted)) {
+		err = cause
 	}
 	return rows, version, err
 }
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -98,7 +98,9 @@
 			return changed, version, nil
 		}
 	}
-	return nil, after, ctx.Err()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return nil, s.version, ctx.Err()
 }
 
 // leaveUnanswered blocks a call until its context or the limit ends it.
@@ -155,7 +157,7 @@
 }
 
 func newConfig(store Reader, table string, observer Observer) Config {
-	return Config{Reader: store, Table: table, Observer: observer, Log: discardLog(), FeedWait: LongFeedWait, MaxBackoff: ShortMaxBackoff, Events: NewStoreEvents()}
+	return Config{Reader: store, Table: table, Observer: observer, Log: discardLog(), Position: NewPosition(), FeedWait: Always(LongFeedWait), BatchDelay: Always(0), MaxBackoff: ShortMaxBackoff, Events: NewStoreEvents()}
 }
 
 // TestLongPollIsAbandonedWhenShorterOneFails guards against a late configuration
@@ -166,7 +168,7 @@
 		store := &fakeStore{version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
 		shortObserver, longObserver := &recorder{}, &recorder{}
 		short := newConfig(store, "short", shortObserver)
-		short.FeedWait = 1500 * time.Millisecond
+		short.FeedWait = Always(1500 * time.Millisecond)
 		long := newConfig(store, "long", longObserver)
 		long.Events = short.Events
 		ctx, cancel := context.WithCancel(t.Context())
@@ -269,6 +271,76 @@
 	})
 }
 
+// followFor runs Table until the test has advanced the time by d, then stops it.
+func followFor(t *testing.T, cfg Config, d time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		Table(ctx, cfg)
+		close(done)
+	}()
+	time.Sleep(d)
+	cancel()
+	<-done
+}
+
+// TestHintRevealsChangeMissedByLostPoll guards against a change that is seen only after a
+// long wait: the store became unresponsive for a moment and never answers the poll that it
+// had accepted. A peer that polls more often has seen the change.
+func TestHintRevealsChangeMissedByLostPoll(t *testing.T) {
+	for _, hinted := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			store, observer := &fakeStore{version: 1}, &recorder{}
+			cfg := newConfig(store, "t", observer)
+			go func() {
+				time.Sleep(time.Second)
+				store.set(func(s *fakeStore) { s.unresponsive = true })
+				time.Sleep(100 * time.Millisecond)
+				store.set(func(s *fakeStore) {
+					s.unresponsive = false
+					s.rows, s.version = []platform.Row{{Key: "a", Version: 2}}, 2
+				})
+				if hinted {
+					cfg.Position.Hint(2)
+				}
+			}()
+			followFor(t, cfg, 2*time.Second)
+			seen := 0
+			if hinted {
+				seen = 1
+			}
+			require.Len(t, observer.changes, seen)
+			require.Zero(t, observer.lost, "a hint is no failure of the store")
+		})
+	}
+}
+
+// TestHintsCauseFewPolls guards against a call to the store for every heartbeat of every
+// peer, be it that the hinted change is known already or that the table has none.
+func TestHintsCauseFewPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 9, rows: []platform.Row{{Key: "a", Version: 7}}}
+		cfg := newConfig(store, "t", &recorder{})
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			for range 100 {
+				cfg.Position.Hint(7)
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Equal(t, 1, store.feedCount())
+			require.Equal(t, uint64(7), cfg.Position.Change())
+			store.set(func(s *fakeStore) { s.version = 12 })
+			for range 300 {
+				cfg.Position.Hint(11)
+				time.Sleep(10 * time.Millisecond)
+			}
+			// The abandoned poll, a short one and the next long one.
+			require.Equal(t, 3, store.feedCount())
+		}()
+		followFor(t, cfg, 5*time.Second)
+	})
+}
+
 // TestChangesInQuickSuccessionAreBatched guards against one call per change when many
 // targets start and register one after the other.
 func TestChangesInQuickSuccessionAreBatched(t *testing.T) {
@@ -276,7 +348,7 @@
 		store := &fakeStore{version: 1}
 		observer := &recorder{}
 		cfg := newConfig(store, "t", observer)
-		cfg.BatchDelay = 250 * time.Millisecond
+		cfg.BatchDelay = Always(250 * time.Millisecond)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -33,6 +33,18 @@
 	Load map[string]int `cbor:"4,keyasint"`
 	// Sequence increases with each heartbeat of an incarnation.
 	Sequence uint64 `cbor:"5,keyasint"`
+	// Store is what the process knows of the platform's store.
+	Store StoreStatus `cbor:"8,keyasint"`
+}
+
+// StoreStatus is what a process knows of the platform's store.
+type StoreStatus struct {
+	// OperatorChange and TargetsChange are the store's versions at the latest changes of
+	// the operator's table and of the table of targets that the process knows.
+	OperatorChange uint64 `cbor:"1,keyasint"`
+	TargetsChange  uint64 `cbor:"2,keyasint"`
+	// Lost is set while the process cannot read the store.
+	Lost bool `cbor:"3,keyasint,omitempty"`
 }
 
 // SlowdownThreshold is the slowdown at and above which a target counts as slow.
