--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -21,9 +21,14 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats to each peer. Heartbeats
-	// carry the load by which the other entries select targets.
-	heartbeatInterval = 100 * time.Millisecond
+	// heartbeatInterval is the time between two heartbeats to each peer, per
+	// entriesPerInterval entries. Heartbeats carry the load by which the other entries
+	// select targets.
+	heartbeatInterval  = 100 * time.Millisecond
+	entriesPerInterval = 32
+	// maxHeartbeatIntervals limits the time between two heartbeats, so that a live peer
+	// does not miss peerTimeout when two of its heartbeats are lost.
+	maxHeartbeatIntervals = 3
 	// peerTimeout is how long after its last heartbeat a peer counts as alive. It must be
 	// well below the time within which a failed entry must leave the directory,
 	// settings.Bounds.Contact plus 3 s.
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -112,7 +112,9 @@
 	socket *net.UDPConn
 	// sequence is the sequence number of the last heartbeat sent.
 	sequence uint64
-	log      *logrus.Entry
+	// ticks counts the heartbeat intervals.
+	ticks int
+	log   *logrus.Entry
 }
 
 // datagram is the format of all datagrams that entries receive.
@@ -147,6 +149,20 @@
 	return &recent
 }
 
+// tick sends heartbeats once per heartbeatInterval, or less often if there are many entries:
+// their total number grows with the square of that of the entries.
+func (h *heartbeater) tick() {
+	h.ticks++
+	if h.ticks%heartbeatIntervals(1+len(h.entry.peers.Names())) == 0 {
+		h.send()
+	}
+}
+
+// heartbeatIntervals returns the number of heartbeat intervals between two heartbeats.
+func heartbeatIntervals(entries int) int {
+	return min((entries+entriesPerInterval-1)/entriesPerInterval, maxHeartbeatIntervals)
+}
+
 // send sends one heartbeat to each peer. A lost heartbeat is not sent again: the next
 // one replaces it.
 func (h *heartbeater) send() {
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -51,3 +51,14 @@
 	require.Eventually(t, refuses, 2*time.Second, 10*time.Millisecond)
 	require.Len(t, receiver.entry.peers.Names(), 1)
 }
+
+// TestHeartbeatsOfManyEntriesAreRarer guards against heartbeats that grow with the square of
+// the number of entries, and against ones so rare that two lost ones end a peer's life.
+func TestHeartbeatsOfManyEntriesAreRarer(t *testing.T) {
+	for _, entries := range []int{1, 4, 14, 32} {
+		require.Equal(t, 1, heartbeatIntervals(entries))
+	}
+	require.Equal(t, 2, heartbeatIntervals(60))
+	longest := heartbeatInterval * time.Duration(heartbeatIntervals(1400))
+	require.Greater(t, peerTimeout, 3*longest)
+}
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -81,7 +81,7 @@
 		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(entriesBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
 	wg.Go(func() { e.register(ctx) })
-	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.send) })
+	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.tick) })
 	started := e.clock.Now()
 	wg.Go(func() {
 		runEvery(ctx, e.clock, tickInterval, func() {
