--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -76,8 +76,13 @@
 	}
 }
 
-// registerTimeout limits one attempt to register or unregister.
-const registerTimeout = time.Second
+const (
+	// registerTimeout limits one attempt to register.
+	registerTimeout = time.Second
+	// unregisterTimeout limits the attempt to unregister, which must end within
+	// shutdownMargin.
+	unregisterTimeout = shutdownMargin / 2
+)
 
 func (e *Entry) writeRow(ctx context.Context, row platform.Row) error {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
@@ -96,7 +101,7 @@
 	if err != nil || e.rowVersion.Load() == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), registerTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
 	defer cancel()
 	row.Value, row.Version = nil, e.rowVersion.Load()
 	_, err = e.store.Apply(ctx, platform.Transaction{Conditions: []platform.Row{row}, Deletes: []platform.Row{row}})
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/request/poison"
@@ -62,3 +66,20 @@
 	longest := heartbeatInterval * time.Duration(heartbeatIntervals(1400))
 	require.Greater(t, peerTimeout, 3*longest)
 }
+
+// TestUnregisterEndsWithinShutdownMargin guards against an entry that is killed at the end
+// of its grace period because a slow store does not answer the removal of its row.
+func TestUnregisterEndsWithinShutdownMargin(t *testing.T) {
+	answered := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-answered }))
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { close(answered) })
+	e := New(Config{
+		Settings: settings.Direct{Name: "a"}, Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")),
+		Clock: clockwork.NewRealClock(), Logger: logs.Discard(),
+	})
+	e.rowVersion.Store(1)
+	started := time.Now()
+	e.unregister()
+	require.Less(t, time.Since(started), shutdownMargin)
+}
