Keep the turns of counts, reject nested relays, plan only for the agent's group

Ranks that missed turns while no planner was known all reported their counts when they learned of it, and together from then on. A planner ends when its engine reports another group before the agent is reset.

--- /dev/null
+++ b/daemon/follow/position_test.go
@@ -0,0 +1,82 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/platform"
+)
+
+// followFor runs Table until the test has advanced the time by d, then stops it.
+func followFor(t *testing.T, cfg Config, d time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		Table(ctx, cfg)
+		close(done)
+	}()
+	time.Sleep(d)
+	cancel()
+	<-done
+}
+
+// TestHintRevealsChangeMissedByLostPoll guards against a change that is seen only after a
+// long wait: the store became unresponsive for a moment and never answers the poll that it
+// had accepted. A peer that polls more often has seen the change.
+func TestHintRevealsChangeMissedByLostPoll(t *testing.T) {
+	for _, hinted := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			store, observer := &fakeStore{version: 1}, &recorder{}
+			cfg := newConfig(store, "t", observer)
+			go func() {
+				time.Sleep(time.Second)
+				store.set(func(s *fakeStore) { s.unresponsive = true })
+				time.Sleep(100 * time.Millisecond)
+				store.set(func(s *fakeStore) {
+					s.unresponsive = false
+					s.rows, s.version = []platform.Row{{Key: "a", Version: 2}}, 2
+				})
+				if hinted {
+					cfg.Position.Hint(2)
+				}
+			}()
+			followFor(t, cfg, 2*time.Second)
+			seen := 0
+			if hinted {
+				seen = 1
+			}
+			require.Len(t, observer.changes, seen)
+			require.Zero(t, observer.lost, "a hint is no failure of the store")
+		})
+	}
+}
+
+// TestHintsCauseFewPolls guards against a call to the store for every heartbeat of every
+// peer, be it that the hinted change is known already or that the table has none.
+func TestHintsCauseFewPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &fakeStore{version: 9, rows: []platform.Row{{Key: "a", Version: 7}}}
+		cfg := newConfig(store, "t", &recorder{})
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			for range 100 {
+				cfg.Position.Hint(7)
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.Equal(t, 1, store.feedCount())
+			require.Equal(t, uint64(7), cfg.Position.Change())
+			store.set(func(s *fakeStore) { s.version = 12 })
+			for range 300 {
+				cfg.Position.Hint(11)
+				time.Sleep(10 * time.Millisecond)
+			}
+			// The abandoned poll, a short one and the next long one.
+			require.Equal(t, 3, store.feedCount())
+		}()
+		followFor(t, cfg, 5*time.Second)
+	})
+}
--- a/daemon/rank/counts.go
+++ b/daemon/rank/counts.go
@@ -65,7 +65,8 @@
 func (a *Agent) countsDue(now time.Time) bool { return !now.Before(a.counts.dueAt) }
 
 // dueCounts returns the counts since the baseline, split into datagrams, if it is this
-// rank's turn to report them.
+// rank's turn to report them. The next turn comes whole cycles later, so that ranks which
+// learn of their planner at the same time do not report together from then on.
 func (a *Agent) dueCounts(ctx context.Context, now time.Time) []rebalance.Counts {
 	if !a.countsDue(now) {
 		return nil
@@ -73,11 +74,17 @@
 	report := a.engine.LastReport()
 	counts := rebalance.SplitCounts(report.Rank, a.newCounts(ctx))
 	cycle := a.countsCycle(report.Size)
-	a.counts.dueAt = now.Add(cycle)
+	a.counts.dueAt = nextTurn(a.counts.dueAt, cycle, now)
 	a.counts.baselineDue = cycle > maxCountsWindow
 	return counts
 }
 
+// nextTurn returns the first time after now that is whole cycles after a turn.
+func nextTurn(turn time.Time, cycle time.Duration, now time.Time) time.Time {
+	missed := now.Sub(turn) / cycle
+	return turn.Add((missed + 1) * cycle)
+}
+
 // newCounts returns how often each expert was chosen since the baseline, or nil if the
 // counts cannot be read or do not continue it. The counts read become the baseline.
 func (a *Agent) newCounts(ctx context.Context) []uint64 {
--- a/daemon/rank/groups_test.go
+++ b/daemon/rank/groups_test.go
@@ -151,3 +151,30 @@
 	agent.handleDatagram(datagram{envelope: envelope})
 	require.InDelta(t, 1, testutil.ToFloat64(agent.dropped.counter.WithLabelValues(string(dropInvalid))), 0)
 }
+
+// TestCountsKeepTheirTurns guards against ranks that all report their counts together: they
+// missed turns while no planner was known, and learned of it at the same time.
+func TestCountsKeepTheirTurns(t *testing.T) {
+	const cycle = 1800 * time.Millisecond
+	start := time.Unix(100, 0)
+	learned := start.Add(5 * time.Second)
+	turns := map[time.Duration]bool{}
+	for rank := range 129 {
+		turn := start.Add(cycle * time.Duration(rank) / 129)
+		next := nextTurn(turn, cycle, learned)
+		require.True(t, next.After(learned))
+		require.False(t, next.After(learned.Add(cycle)))
+		turns[next.Sub(learned)] = true
+	}
+	require.Len(t, turns, 129)
+}
+
+// TestNestedRelayRejected guards against a datagram that agents forward to each other
+// without end.
+func TestNestedRelayRejected(t *testing.T) {
+	agent := New(Config{Settings: settings.Rank{Name: "a", TargetAddress: "127.0.0.1:1", Service: "s"}, Clock: clockwork.NewRealClock(), Logger: logs.Discard()})
+	agent.identity.group = expertmap.GroupID{Name: "g", Incarnation: 1}
+	inner := agent.encode(rebalance.Envelope{Relay: &rebalance.Relay{}})
+	agent.handleDatagram(datagram{envelope: rebalance.Envelope{Group: agent.identity.group, Relay: &rebalance.Relay{Datagram: inner}}})
+	require.InDelta(t, 1, testutil.ToFloat64(agent.dropped.counter.WithLabelValues(string(dropInvalid))), 0)
+}
--- a/daemon/rank/outbox.go
+++ b/daemon/rank/outbox.go
@@ -3,8 +3,11 @@
 import (
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"verbenaseam.example/verbenaseam/version/rebalance"
 )
 
@@ -62,7 +65,7 @@
 		return
 	}
 	if newMap && len(messages.delta) > 0 && size >= minRelayedSize {
-		a.queueRelays(size, append([][]byte{messages.directive}, messages.delta...))
+		a.queueRelays(size, slices.Concat([][]byte{messages.directive}, messages.delta))
 		return
 	}
 	for rank := range size {
@@ -115,11 +118,17 @@
 	return first
 }
 
+// ErrNestedRelay reports a relayed datagram that is to be relayed again.
+var ErrNestedRelay = eris.New("relayed datagram is to be relayed again")
+
 // handleRelay forwards a datagram of the planner to the other ranks of a block and
 // processes it.
 func (a *Agent) handleRelay(relay rebalance.Relay, from netip.AddrPort) {
 	envelope, err := rebalance.Decode(relay.Datagram)
-	if err != nil || envelope.Relay != nil {
+	if err == nil && envelope.Relay != nil {
+		err = ErrNestedRelay
+	}
+	if err != nil {
 		a.recordInvalid(err, from, a.clock.Now())
 		return
 	}
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -39,7 +39,7 @@
 // waiting time of its rank. Rank 0 does not wait.
 func (a *Agent) startPlanningIfNeeded(ctx context.Context, now time.Time) {
 	report := a.engine.LastReport()
-	if a.planner != nil || !report.Stepping {
+	if a.planner != nil || !report.Stepping || report.Group != a.identity.group {
 		return
 	}
 	lastHeard := a.formedAt
@@ -145,7 +145,7 @@
 	if a.planner == nil {
 		return
 	}
-	if !a.engine.LastReport().Stepping {
+	if report := a.engine.LastReport(); !report.Stepping || report.Group != a.planner.Group() {
 		a.planner = nil
 		return
 	}
