--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -318,7 +318,7 @@
 	now := at(5 * time.Second)
 	d.Progress(other, now)
 	require.False(t, d.IsSilent(busy, timeout, timeout, now), "requests usually wait nearly as long")
-	require.True(t, d.IsSilent(busy, 2*timeout, timeout, now))
+	require.True(t, d.IsSilent(busy, 3*timeout/2, timeout, now), "callers of a stalled target give up soon")
 	for range 1000 {
 		d.FirstProgress(other, 100*time.Millisecond, now)
 	}
--- a/request/dispatch/silence.go
+++ b/request/dispatch/silence.go
@@ -21,6 +21,9 @@
 	// wait. Without it, requests that wait behind others at a busy target would be sent
 	// to another one, where they wait again.
 	silenceWaits = 2
+	// maxTimeoutFactor limits that to a multiple of the timeout: later, callers of a target
+	// that has stalled give up before another target could answer.
+	maxTimeoutFactor = 1.5
 )
 
 func (u *usualWait) record(wait time.Duration) {
@@ -57,6 +60,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pool := d.pool(t.registration.Service)
-	timeout = max(timeout, silenceWaits*time.Duration(pool.usualWait))
+	timeout = max(timeout, min(silenceWaits*time.Duration(pool.usualWait), time.Duration(maxTimeoutFactor*float64(timeout))))
 	return silence >= timeout && now.Sub(t.lastProgress) >= timeout && now.Sub(pool.lastProgress) < recentProgress
 }
