--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -133,6 +133,21 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
+// Check reports whether the target accepts connections: it returns nil if an idle
+// connection is still open or a new one can be made, which then becomes idle.
+func (p *Pool) Check(ctx context.Context) error {
+	c, err := p.get(ctx, time.Now(), false)
+	if err != nil {
+		return err
+	}
+	expires := c.expires
+	if !c.reused {
+		expires = time.Now().Add(defaultIdleTimeout)
+	}
+	p.putIdle(c, expires)
+	return nil
+}
+
 // reserve counts a connection to be dialled. It returns false if the limit is reached.
 func (p *Pool) reserve() bool {
 	p.mu.Lock()
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -34,12 +35,9 @@
 	// settings.Bounds.Contact plus 3 s.
 	peerTimeout = time.Second
 	// refuseAfterCrashes is the number of target crashes after which a request is refused
-	// if it was in flight during all of them and did not complete in between.
+	// if it was in flight during all of them and did not complete in between. With fewer
+	// it runs freely, because most requests in flight at a crash did not cause it.
 	refuseAfterCrashes = 3
-	// propagationHold is how long a request is held after the first crash during which it
-	// was in flight: practically not at all, because most requests in flight at a crash
-	// did not cause it. 0 would select poison.DefaultPropagationHold.
-	propagationHold = time.Nanosecond
 )
 
 // Config configures an Entry.
@@ -73,6 +71,10 @@
 	handler    *forward.Handler
 	metrics    *metrics.Metrics
 
+	// evidenceChanged asks for a heartbeat at once, to share new evidence of crashes.
+	evidenceChanged chan struct{}
+	// processes are this entry and those it knows of, which share limits and trials.
+	processes atomic.Pointer[dispatch.Processes]
 	// version is the configuration in force, nil before the first one.
 	version atomic.Pointer[config.Version]
 	// targetsLoaded is set once the table of targets has been read.
@@ -100,7 +102,8 @@
 			Name: s.Name, Incarnation: rand.Uint64(), CallerAddress: s.CallerAddress,
 			PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain,
 		},
-		peers: presence.NewPeerTable(s.Name, peerTimeout),
+		peers:           presence.NewPeerTable(s.Name, peerTimeout),
+		evidenceChanged: make(chan struct{}, 1),
 		dispatcher: dispatch.New(dispatch.Config{
 			FailureDomain: s.FailureDomain,
 			Warmup:        dispatch.Warmup{Share: s.Bounds.WarmupShare, Slack: s.Bounds.WarmupSlack},
@@ -110,12 +113,20 @@
 	e.storeWatch = newStoreWatch(s.Name)
 	e.targets = newTargetObserver(e.dispatcher, e.clock, logs.Component(cfg.Logger, "targets"))
 	e.budgets = newRetryBudgets(s.Bounds)
+	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
-	e.poison = poison.NewTracker(poison.Config{RefuseAfterCrashes: refuseAfterCrashes, PropagationHold: propagationHold}, e.clock)
+	e.poison = poison.NewTracker(poison.Config{TrialAfterCrashes: refuseAfterCrashes, RefuseAfterCrashes: refuseAfterCrashes}, e.clock)
+	crashes := poison.NewCrashDetector(poison.DetectorConfig{
+		Tracker: e.poison, Clock: e.clock, Metrics: e.metrics, Log: logs.Component(cfg.Logger, "poison"), Share: e.shareEvidence,
+	})
+	e.targets.onEnd = func(t *dispatch.Target, sign poison.CrashSign) {
+		crashes.TargetEnded(t.ID(), t.Incarnation(), sign)
+	}
 	e.handler = forward.NewHandler(forward.Config{
 		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
-		Connections: e.targets.connectionPool, Budget: e.budgets.forService, Poison: e.poison, Crashes: poison.NewCrashDetector(e.poison, e.clock), Metrics: e.metrics, Clock: e.clock,
-		Log: logs.Component(cfg.Logger, "forward"),
+		Connections: e.targets.connectionPool, Budget: e.budgets.forService,
+		Poison: e.poison, Crashes: crashes, TrialRank: e.trialRank,
+		Metrics: e.metrics, Clock: e.clock, Log: logs.Component(cfg.Logger, "forward"),
 	})
 	return e
 }
@@ -125,6 +136,20 @@
 	return !e.leaving.Load() && e.version.Load() != nil && e.targetsLoaded.Load() && e.peersLoaded.Load()
 }
 
+// shareEvidence asks for a heartbeat, unless one is due already.
+func (e *Entry) shareEvidence() {
+	select {
+	case e.evidenceChanged <- struct{}{}:
+	default:
+	}
+}
+
+// trialRank returns the rank of this entry in the order of all entries that a fingerprint
+// determines.
+func (e *Entry) trialRank(fingerprint uint64) int {
+	return e.processes.Load().Rank(strconv.FormatUint(fingerprint, 10))
+}
+
 // Reload implements command.Reloader. New bounds apply at once, except those of
 // retries, whose budgets are in use already, and those from which startBackground derives
 // the intervals of reading the store. The latter and new addresses apply from the next
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -115,11 +116,17 @@
 type heartbeater struct {
 	entry  *Entry
 	socket *net.UDPConn
+	log    *logrus.Entry
+
+	// mu guards the fields below and makes heartbeats leave in the order of their
+	// sequence numbers. Locks of the entry's parts are taken under it.
+	mu sync.Mutex
 	// sequence is the sequence number of the last heartbeat sent.
 	sequence uint64
 	// ticks counts the heartbeat intervals.
 	ticks int
-	log   *logrus.Entry
+	// restrictedSent is when a heartbeat last reported the crashes of restricted requests.
+	restrictedSent time.Time
 }
 
 // datagram is the format of all datagrams that entries receive.
@@ -133,36 +140,57 @@
 	// maxEvidenceItems is the maximum number of crashes, and also of clearances, in a
 	// heartbeat; it reports the newest ones.
 	maxEvidenceItems = 3
-	// evidenceSpan is how long after a crash or clearance every heartbeat reports it.
-	// Every fullEvidencePeriod-th heartbeat reports older ones too, for entries that have
-	// started since.
-	evidenceSpan       = 2 * time.Second
-	fullEvidencePeriod = 20
+	// evidenceSpan is how long after a crash or clearance every heartbeat reports it. Each
+	// also reports one crash of all, in turn, for entries that have started since.
+	evidenceSpan = 2 * time.Second
+	// restrictedInterval is the time between two heartbeats that also report the older
+	// crashes of requests that do not run freely. An entry that has started since must know
+	// of them within settings.Bounds.Contact, though a few datagrams are lost.
+	restrictedInterval = 500 * time.Millisecond
+	// maxRestrictedCrashes is the maximum number of these crashes in one heartbeat.
+	maxRestrictedCrashes = 32
 )
 
 // evidence returns the crashes and clearances to report in the next heartbeat; nil for
 // none.
-func (h *heartbeater) evidence() *poison.Evidence {
-	span := evidenceSpan
-	if h.sequence%fullEvidencePeriod == 0 {
-		span = poison.DefaultRefuseFor
+func (h *heartbeater) evidence(now time.Time) *poison.Evidence {
+	evidence := h.entry.poison.Recent(maxEvidenceItems, evidenceSpan)
+	evidence.Append(h.entry.poison.NextCrash())
+	if now.Sub(h.restrictedSent) >= restrictedInterval {
+		h.restrictedSent = now
+		evidence.Append(h.entry.poison.Restricted(maxRestrictedCrashes))
 	}
-	recent := h.entry.poison.Recent(maxEvidenceItems, span)
-	if len(recent.Crashes) == 0 && len(recent.Clearances) == 0 {
+	if len(evidence.Crashes) == 0 && len(evidence.Clearances) == 0 {
 		return nil
 	}
-	return &recent
+	return &evidence
 }
 
 // tick sends heartbeats once per heartbeatInterval, or less often if there are many entries:
 // their total number grows with the square of that of the entries.
 func (h *heartbeater) tick() {
+	h.mu.Lock()
 	h.ticks++
-	if h.ticks%heartbeatIntervals(1+len(h.entry.peers.Names())) == 0 {
+	due := h.ticks%heartbeatIntervals(1+len(h.entry.peers.Names())) == 0
+	h.mu.Unlock()
+	if due {
 		h.send()
 	}
 }
 
+// sendOnChange sends a heartbeat whenever the entry has new evidence of a crash, until ctx
+// is done.
+func (h *heartbeater) sendOnChange(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.entry.evidenceChanged:
+			h.send()
+		}
+	}
+}
+
 // heartbeatIntervals returns the number of heartbeat intervals between two heartbeats.
 func heartbeatIntervals(entries int) int {
 	return min((entries+entriesPerInterval-1)/entriesPerInterval, maxHeartbeatIntervals)
@@ -171,13 +199,15 @@
 // send sends one heartbeat to each peer. A lost heartbeat is not sent again: the next
 // one replaces it.
 func (h *heartbeater) send() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	e := h.entry
 	h.sequence++
 	encoded, err := cbor.Marshal(datagram{
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
 		}},
-		Evidence: h.evidence(),
+		Evidence: h.evidence(e.clock.Now()),
 	})
 	if err != nil {
 		h.log.WithError(err).Error("heartbeat cannot be encoded")
@@ -205,6 +235,7 @@
 // together.
 func (e *Entry) setProcesses() {
 	processes := dispatch.NewProcesses(e.self.Name, e.peers.Names())
+	e.processes.Store(&processes)
 	e.dispatcher.SetProcesses(processes)
 	e.budgets.setEntries(processes.Count())
 	e.targets.setProcesses(processes.Count())
@@ -229,7 +260,9 @@
 			continue
 		}
 		if received.Evidence != nil && h.entry.poison.Merge(*received.Evidence) {
-			h.log.WithField("peer", received.Peer.Name).Info("crashes heard of")
+			h.log.WithFields(logrus.Fields{
+				"peer": received.Peer.Name, "crashes": len(received.Evidence.Crashes), "clearances": len(received.Evidence.Clearances),
+			}).Info("crashes heard of")
 		}
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,7 +36,8 @@
 }
 
 // TestHeartbeatsCarryCrashEvidence lets one entry see three crashes. The other entry must
-// refuse the request too, even if it started after the crashes.
+// refuse the request too, even if it started after the crashes. Not every heartbeat
+// reports all crashes that are long past.
 func TestHeartbeatsCarryCrashEvidence(t *testing.T) {
 	receiver := newHeartbeater(t, "a", nil)
 	go receiver.receive()
@@ -47,15 +49,39 @@
 	refuses := func() bool {
 		return receiver.entry.poison.Assess(7).Failure(time.Now()) != nil
 	}
+	sender.restrictedSent = sender.entry.clock.Now()
 	sender.send()
 	require.Never(t, refuses, 100*time.Millisecond, 20*time.Millisecond, "most heartbeats do not report old crashes")
-	for range fullEvidencePeriod {
-		sender.send()
-	}
+	sender.restrictedSent = sender.restrictedSent.Add(-restrictedInterval)
+	sender.send()
 	require.Eventually(t, refuses, 2*time.Second, 10*time.Millisecond)
+	require.Len(t, sender.evidence(sender.restrictedSent.Add(restrictedInterval-time.Millisecond)).Crashes, 1)
 	require.Len(t, receiver.entry.peers.Names(), 1)
 }
 
+// TestRestartedEntryLearnsOfCrashesAmongManyOthers guards against an entry that starts after
+// a request has crashed three targets and sends it on, because heartbeats report only the
+// latest crashes and other targets have crashed since.
+func TestRestartedEntryLearnsOfCrashesAmongManyOthers(t *testing.T) {
+	receiver := newHeartbeater(t, "a", nil)
+	go receiver.receive()
+	sender := newHeartbeater(t, "b", receiver)
+	for n := range uint64(3) {
+		crash := poison.Crash{Target: fmt.Sprintf("x%d", n), Incarnation: "1", Fingerprints: []uint64{7, 100 + n}}
+		require.True(t, sender.entry.poison.Crashed(crash, time.Duration(30-5*n)*time.Second))
+	}
+	for n := range uint64(10) {
+		crash := poison.Crash{Target: fmt.Sprintf("y%d", n), Incarnation: "1", Fingerprints: []uint64{200 + n}}
+		require.True(t, sender.entry.poison.Crashed(crash, time.Duration(15-n)*time.Second))
+	}
+	sender.send()
+	refuses := func() bool {
+		return receiver.entry.poison.Assess(7).Failure(time.Now()) != nil
+	}
+	require.Eventually(t, refuses, 2*time.Second, 10*time.Millisecond)
+	require.Nil(t, receiver.entry.poison.Assess(200).Failure(time.Now()))
+}
+
 // TestHeartbeatsOfManyEntriesAreRarer guards against heartbeats that grow with the square of
 // the number of entries, and against ones so rare that two lost ones end a peer's life.
 func TestHeartbeatsOfManyEntriesAreRarer(t *testing.T) {
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -82,6 +82,7 @@
 	})
 	wg.Go(func() { e.register(ctx) })
 	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.tick) })
+	wg.Go(func() { heartbeats.sendOnChange(ctx) })
 	started := e.clock.Now()
 	wg.Go(func() {
 		runEvery(ctx, e.clock, tickInterval, func() {
--- a/daemon/direct/targets.go
+++ b/daemon/direct/targets.go
@@ -10,6 +10,7 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/poison"
 )
 
 // removalGrace is how long after an outage of the store targets may renew registrations
@@ -22,6 +23,9 @@
 	dispatcher *dispatch.Dispatcher
 	clock      clockwork.Clock
 	log        *logrus.Entry
+	// onEnd is called when the registrations show that a target's incarnation has ended
+	// that had not said that it leaves; may be nil.
+	onEnd func(t *dispatch.Target, sign poison.CrashSign)
 
 	// mu guards the fields below. The dispatcher's lock may be acquired while it is held.
 	mu sync.Mutex
@@ -101,7 +105,9 @@
 		return false
 	}
 	delete(o.deletedAt, row.Key)
-	o.dispatcher.Register(registration, o.clock.Now())
+	if replaced := o.dispatcher.Register(registration, o.clock.Now()); replaced != nil {
+		o.ended(replaced, poison.RegistrationReplaced)
+	}
 	o.log.WithFields(logrus.Fields{
 		"target": registration.ID, "service": registration.Service, "address": registration.Address,
 		"leaving": registration.Leaving, "version": row.Version,
@@ -124,7 +130,9 @@
 }
 
 func (o *targetObserver) remove(id string) {
-	o.dispatcher.Remove(id)
+	if removed := o.dispatcher.Remove(id); removed != nil {
+		o.ended(removed, poison.RegistrationDeleted)
+	}
 	delete(o.deletedAt, id)
 	for key, pool := range o.pools {
 		if key.id == id {
@@ -135,6 +143,13 @@
 	o.log.WithField("target", id).Info("target gone")
 }
 
+// ended reports the end of a target that was removed from the dispatcher.
+func (o *targetObserver) ended(t *dispatch.Target, sign poison.CrashSign) {
+	if o.onEnd != nil && !t.Leaving() {
+		o.onEnd(t, sign)
+	}
+}
+
 // OnStoreLost implements follow.Observer.
 func (o *targetObserver) OnStoreLost() {
 	o.mu.Lock()
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -30,6 +30,7 @@
 	failures         *prometheus.CounterVec
 	attempts         *prometheus.CounterVec
 	retryBudget      prometheus.Gauge
+	targetCrashes    *prometheus.CounterVec
 }
 
 // New returns the metrics of a process with the given role. maxOrganisations is the
@@ -57,7 +58,11 @@
 	m.retryBudget = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "verbenaseam_retry_budget", Help: "Retries that the retry budget currently allows.", ConstLabels: constLabels,
 	})
-	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget)
+	m.targetCrashes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_target_crashes_total", Help: "Crashes of targets with requests of this process in flight, by what showed them.",
+		ConstLabels: constLabels,
+	}, []string{"sign"})
+	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes)
 	return m
 }
 
@@ -87,6 +92,9 @@
 // CountAttempt counts an attempt; kind is "first", "retry" or "hedge".
 func (m *Metrics) CountAttempt(kind string) { m.attempts.WithLabelValues(kind).Inc() }
 
+// CountTargetCrash counts a crash of a target; sign is what showed it.
+func (m *Metrics) CountTargetCrash(sign string) { m.targetCrashes.WithLabelValues(sign).Inc() }
+
 // SetRetryBudget sets the number of retries that the retry budget allows.
 func (m *Metrics) SetRetryBudget(retries float64) { m.retryBudget.Set(retries) }
 
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -108,8 +108,9 @@
 }
 
 // Register adds or updates a target from its registration. A target that restarted
-// under its ID, or that changed its service or address, replaces the old one.
-func (d *Dispatcher) Register(registration target.Registration, now time.Time) {
+// under its ID, or that changed its service or address, replaces the old one, which is
+// then returned; otherwise the result is nil.
+func (d *Dispatcher) Register(registration target.Registration, now time.Time) (replaced *Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for name, pool := range d.pools {
@@ -120,9 +121,10 @@
 		if name == registration.Service && old.registration.Address == registration.Address && old.registration.StartedAt.Equal(registration.StartedAt) {
 			old.setRegistration(registration, now)
 			d.grant(pool, now)
-			return
+			return nil
 		}
 		old.gone = true
+		replaced = old
 		delete(pool.targets, registration.ID)
 	}
 	pool := d.pool(registration.Service)
@@ -133,18 +135,22 @@
 	added.setRegistration(registration, now)
 	pool.targets[registration.ID] = added
 	d.grant(pool, now)
+	return replaced
 }
 
-// Remove removes a target whose registration was deleted.
-func (d *Dispatcher) Remove(id string) {
+// Remove removes a target whose registration was deleted and returns it, or nil if there
+// is none with the ID.
+func (d *Dispatcher) Remove(id string) (removed *Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, pool := range d.pools {
 		if t := pool.targets[id]; t != nil {
 			t.gone = true
 			delete(pool.targets, id)
+			removed = t
 		}
 	}
+	return removed
 }
 
 // TargetIDs returns the IDs of all targets.
--- a/request/dispatch/processes.go
+++ b/request/dispatch/processes.go
@@ -35,14 +35,15 @@
 func (p Processes) part(total int, key string) int {
 	count := p.Count()
 	even, rest := total/count, total%count
-	if rest > 0 && p.position(key) < rest {
+	if rest > 0 && p.Rank(key) < rest {
 		even++
 	}
 	return even
 }
 
-// position returns the position of this process in the order of a key, from 0.
-func (p Processes) position(key string) int {
+// Rank returns the position, from 0, of this process in an order of all processes that
+// depends on the key.
+func (p Processes) Rank(key string) int {
 	own := hashFor(key, p.self)
 	position := 0
 	for _, name := range p.names {
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -39,6 +39,9 @@
 	// fingerprint is the same for all requests with the same organisation, URL and
 	// body.
 	fingerprint uint64
+	// onTrial is set while the call runs although its fingerprint is suspected. It is then
+	// sent to one target only.
+	onTrial bool
 	// attempts decides whether the call is retried.
 	attempts *retry.Session
 	// lastEventID is the ID of the last stream event that the caller has received, or
@@ -70,7 +73,7 @@
 		return c, err
 	}
 	c.fingerprint = prompt.Fingerprint(c.organisationName(), c.request.Host+c.request.RequestURI, c.body)
-	if err := h.poison.Assess(c.fingerprint).Failure(h.clock.Now()); err != nil {
+	if err := h.refuseSuspect(c); err != nil {
 		return c, err
 	}
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
--- /dev/null
+++ b/request/forward/crash_check.go
@@ -0,0 +1,138 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"syscall"
+	"time"
+
+	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/poison"
+)
+
+const (
+	// checkRounds is how often a target is checked after it interrupted a request, and
+	// checkInterval the time between. The second round finds a process that was still
+	// closing its sockets in the first one.
+	checkRounds   = 2
+	checkInterval = 50 * time.Millisecond
+	// checkTimeout limits one check.
+	checkTimeout = 500 * time.Millisecond
+)
+
+// targetChecks holds the targets that are being checked for a crash.
+type targetChecks struct {
+	// mu guards rounds; it is a leaf lock.
+	mu sync.Mutex
+	// rounds holds how many rounds are left, by target.
+	rounds map[*dispatch.Target]int
+}
+
+func newTargetChecks() *targetChecks {
+	return &targetChecks{rounds: map[*dispatch.Target]int{}}
+}
+
+// request asks for all rounds. It reports whether the caller must run them, because
+// nobody does yet.
+func (c *targetChecks) request(t *dispatch.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, running := c.rounds[t]
+	c.rounds[t] = checkRounds
+	return !running
+}
+
+// next reports whether another round is to be run.
+func (c *targetChecks) next(t *dispatch.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rounds[t] == 0 {
+		delete(c.rounds, t)
+		return false
+	}
+	c.rounds[t]--
+	return true
+}
+
+// checkTarget finds out whether a target that interrupted a request has crashed. Without
+// it, that would show only in the next request to the target, which may come too late or
+// once the target is back.
+func (h *Handler) checkTarget(t *dispatch.Target) {
+	if !h.checks.request(t) {
+		return
+	}
+	go func() {
+		for h.checks.next(t) {
+			if err := h.connect(t); errors.Is(err, syscall.ECONNREFUSED) {
+				h.crashes.TargetEnded(t.ID(), t.Incarnation(), poison.ConnectionRefused)
+			}
+			<-h.clock.After(checkInterval)
+		}
+	}()
+}
+
+func (h *Handler) connect(t *dispatch.Target) error {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	return h.connections(t).Check(ctx)
+}
+
+// updateCrashEvidence reports to the crash detector what a response to a request that was
+// sent at the given time, or the error err in place of one, implies about a crash of the
+// target.
+func (h *Handler) updateCrashEvidence(c *call, t *dispatch.Target, sent time.Time, err error, v verdict) {
+	switch {
+	case v.result == dispatch.AddressReused:
+		h.crashes.TargetEnded(t.ID(), t.Incarnation(), poison.AddressTaken)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		h.crashes.TargetEnded(t.ID(), t.Incarnation(), poison.ConnectionRefused)
+	case err == nil:
+		h.crashes.TargetResponded(t.ID(), t.Incarnation(), sent)
+	case v.failedAfterSend():
+		h.crashes.RequestInterrupted(t.ID(), t.Incarnation(), c.fingerprint, c.onTrial)
+		h.checkTarget(t)
+	}
+}
+
+// trialRetryAfter is the Retry-After of a suspected request that this entry may not run
+// on trial. By then another entry may have found out whether it crashes targets.
+const trialRetryAfter = 2 * time.Second
+
+// refuseSuspect returns the failure of a call that must not run now according to the
+// crash evidence, or nil if it may.
+func (h *Handler) refuseSuspect(c *call) *failure.Error {
+	assessment := h.poison.Assess(c.fingerprint)
+	if refusal := assessment.Failure(h.clock.Now()); refusal != nil {
+		return refusal
+	}
+	if assessment.Level == poison.OnTrial && h.trialAllowance(c) == 0 {
+		return newTrialRefusal()
+	}
+	return nil
+}
+
+// refuseBeforeAttempt is refuseSuspect for a call that is about to be sent to a target.
+// A suspect that may run is on trial from then on.
+func (h *Handler) refuseBeforeAttempt(c *call) *failure.Error {
+	refusal := h.refuseSuspect(c)
+	if refusal == nil && h.poison.Assess(c.fingerprint).Level == poison.OnTrial {
+		if c.onTrial = h.poison.BeginTrial(c.fingerprint, h.trialAllowance(c)); !c.onTrial {
+			refusal = newTrialRefusal()
+		}
+	}
+	if refusal != nil {
+		refusal.Outcome = c.attempts.Outcome()
+	}
+	return refusal
+}
+
+func newTrialRefusal() *failure.Error {
+	return failure.New(failure.Overloaded, failure.NotRun, "the request is suspected of crashing targets and on trial elsewhere").
+		WithRetryAfter(trialRetryAfter)
+}
+
+func (h *Handler) trialAllowance(c *call) int {
+	return poison.TrialAllowance(h.trialRank(c.fingerprint))
+}
--- a/request/forward/failure.go
+++ b/request/forward/failure.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/poison"
 )
 
 // httpStatus maps a failure to an HTTP status. 503 (like 429, which is not used here)
@@ -69,6 +70,10 @@
 		fields["target"] = c.target
 		fields["attempts"] = len(c.work.Tried)
 	}
+	if h.poison.Assess(c.fingerprint).Level != poison.Clear {
+		fields["fingerprint"] = c.fingerprint
+		fields["on_trial"] = c.onTrial
+	}
 	if c.queueWait > time.Millisecond {
 		fields["waited_ms"] = c.queueWait.Milliseconds()
 	}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net/http"
-	"syscall"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -33,9 +31,12 @@
 	// the crashes.
 	Poison  *poison.Tracker
 	Crashes *poison.CrashDetector
-	Metrics *metrics.Metrics
-	Clock   clockwork.Clock
-	Log     *logrus.Entry
+	// TrialRank returns the rank of this process, from 0, in an order of all processes
+	// that depends on a fingerprint; see poison.TrialAllowance.
+	TrialRank func(fingerprint uint64) int
+	Metrics   *metrics.Metrics
+	Clock     clockwork.Clock
+	Log       *logrus.Entry
 }
 
 // Handler is the HTTP handler for callers' requests.
@@ -47,6 +48,8 @@
 	budget      func(service string) *retry.Budget
 	poison      *poison.Tracker
 	crashes     *poison.CrashDetector
+	trialRank   func(fingerprint uint64) int
+	checks      *targetChecks
 	metrics     *metrics.Metrics
 	clock       clockwork.Clock
 	log         *logrus.Entry
@@ -57,6 +60,7 @@
 	return &Handler{
 		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
+		trialRank: cfg.TrialRank, checks: newTargetChecks(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
@@ -100,16 +104,30 @@
 			"request": c.id, "target": c.target, "reason": v.reason, "again": decision.Retry,
 		}).Info("attempt failed")
 	}
-	return decision.Retry
+	return decision.Retry && !c.onTrial
 }
 
 // noJitter selects the shortest backoff, which is none: a retry goes to another target
 // and starts without delay.
 const noJitter = 0
 
-// acquireTarget obtains a target for a call. If none is free, it waits in the
-// dispatcher's queue until the call's queue deadline.
+// acquireTarget obtains a target for a call that may run according to the crash evidence,
+// which may have changed since the call arrived.
 func (h *Handler) acquireTarget(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
+	t, err := h.awaitTarget(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	if refusal := h.refuseBeforeAttempt(c); refusal != nil {
+		h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// awaitTarget obtains a target for a call. If none is free, it waits in the
+// dispatcher's queue until the call's queue deadline.
+func (h *Handler) awaitTarget(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
 	now := h.clock.Now()
 	t, waiter := h.dispatcher.Acquire(c.work, now)
 	if t != nil {
@@ -178,32 +196,18 @@
 // response. The response is nil if none arrived. attemptCtx is the attempt's
 // context, derived from ctx.
 func (h *Handler) send(ctx, attemptCtx context.Context, c *call, t *dispatch.Target) (*direct.Response, verdict) {
-	response, err := h.connections(t).Do(attemptCtx, c.outgoingRequest(&h.headers, t, h.clock.Now()), false)
+	sent := h.clock.Now()
+	response, err := h.connections(t).Do(attemptCtx, c.outgoingRequest(&h.headers, t, sent), false)
 	if err != nil {
 		v := withWatchdogCause(attemptCtx, classifyError(err, ctx.Err() != nil))
-		h.updateCrashEvidence(c, t, err, v)
+		h.updateCrashEvidence(c, t, sent, err, v)
 		return nil, v
 	}
 	v := classifyResponse(&h.headers, response.Status, response.Header, t.ID())
-	h.updateCrashEvidence(c, t, nil, v)
+	h.updateCrashEvidence(c, t, sent, nil, v)
 	return response, v
 }
 
-// updateCrashEvidence reports to the crash detector what a response, or the error err
-// in place of one, implies about a crash of the target.
-func (h *Handler) updateCrashEvidence(c *call, t *dispatch.Target, err error, v verdict) {
-	switch {
-	case v.result == dispatch.AddressReused || errors.Is(err, syscall.ECONNREFUSED):
-		if h.crashes.TargetEnded(t.ID(), t.Incarnation()) {
-			h.log.WithFields(logrus.Fields{"request": c.id, "target": t.ID()}).Warn("target crashed")
-		}
-	case err == nil:
-		h.crashes.TargetResponded(t.ID(), t.Incarnation())
-	case v.failedAfterSend():
-		h.crashes.RequestInterrupted(t.ID(), t.Incarnation(), c.fingerprint)
-	}
-}
-
 // beginAttempt records that a call is sent to a target.
 func (h *Handler) beginAttempt(c *call, t *dispatch.Target) {
 	kind := "first"
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -26,7 +26,7 @@
 		truncated := truncatedVerdict(attemptCtx)
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
-		h.updateCrashEvidence(c, t, err, truncated)
+		h.updateCrashEvidence(c, t, h.clock.Now(), err, truncated)
 		h.dispatcher.Release(t, truncated.result, h.clock.Now())
 		return shouldRetry, h.finalFailure(c, truncated)
 	}
@@ -95,7 +95,7 @@
 			v = v.abandoned()
 		}
 		src.watchdog.stop()
-		h.updateCrashEvidence(c, src.target, err, v)
+		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, v)
 		h.dispatcher.Release(src.target, v.result, h.clock.Now())
 		shouldRetry := h.endFailedAttempt(ctx, c, v)
 		if !out.started {
--- a/request/poison/assessment.go
+++ b/request/poison/assessment.go
@@ -50,6 +50,9 @@
 type suspectState struct {
 	// incidents are those with the fingerprint in flight, sorted by time.
 	incidents []*incident
+	// crashes is the number of crashes with the fingerprint in flight. Unlike count it
+	// counts those of a mass crash one by one.
+	crashes int
 	// lastAt is the time of the latest incident and lastMass whether that was a mass
 	// crash; crashed are the targets of all incidents.
 	lastAt   time.Time
@@ -75,11 +78,11 @@
 // assess returns the assessment of the fingerprint at a point in time.
 func (s *suspectState) assess(config Config, now time.Time) Assessment {
 	end := s.lastAt.Add(config.RefuseFor)
-	if !now.Before(end) {
+	if !now.Before(end) || s.crashes < config.TrialAfterCrashes && s.count < config.RefuseAfterCrashes {
 		return Assessment{}
 	}
 	hold := config.PropagationHold
-	if s.count >= config.RefuseAfterCrashes || s.lastMass {
+	if s.count >= config.RefuseAfterCrashes || s.crashes >= config.refuseAmbiguousAfter() || s.lastMass {
 		hold = config.RefusalHold
 	}
 	a := Assessment{Level: OnTrial, Crashed: s.crashed}
--- a/request/poison/config.go
+++ b/request/poison/config.go
@@ -9,6 +9,7 @@
 	DefaultMassCrashTargets   = 3
 	DefaultRefusalHold        = 1500 * time.Millisecond
 	DefaultPropagationHold    = 150 * time.Millisecond
+	DefaultTrialAfterCrashes  = 1
 	DefaultRefuseAfterCrashes = 2
 	DefaultMaxCrashes         = 64
 	DefaultMaxFingerprints    = 1024
@@ -32,6 +33,9 @@
 	// PropagationHold is how long a suspect is held after its first crash, so that the
 	// evidence reaches all entries before the request runs again.
 	PropagationHold time.Duration
+	// TrialAfterCrashes is the number of crashes from which on a fingerprint is suspected
+	// so much that its requests run on trial only.
+	TrialAfterCrashes int
 	// RefuseAfterCrashes is the number of crashes after which a fingerprint is refused
 	// if no other one explains them as well. After three crashes, or
 	// RefuseAfterCrashes if that is more, it is refused in any case.
@@ -47,6 +51,7 @@
 	setDefault(&c.MassCrashTargets, DefaultMassCrashTargets)
 	setDefault(&c.RefusalHold, DefaultRefusalHold)
 	setDefault(&c.PropagationHold, DefaultPropagationHold)
+	setDefault(&c.TrialAfterCrashes, DefaultTrialAfterCrashes)
 	setDefault(&c.RefuseAfterCrashes, DefaultRefuseAfterCrashes)
 	setDefault(&c.MaxCrashes, DefaultMaxCrashes)
 	setDefault(&c.MaxFingerprints, DefaultMaxFingerprints)
--- a/request/poison/detector_test.go
+++ b/request/poison/detector_test.go
@@ -1,29 +1,42 @@
 package poison
 
 import (
+	"io"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/process/metrics"
 )
 
-var refuseAfterThree = Config{RefuseAfterCrashes: 3}
+// refuseAfterThree is the configuration of entries without agents.
+var refuseAfterThree = Config{TrialAfterCrashes: 3, RefuseAfterCrashes: 3}
+
+func discardLog() *logrus.Entry {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return logrus.NewEntry(logger)
+}
 
 func newDetector() (*CrashDetector, *Tracker, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	tracker := NewTracker(refuseAfterThree, clock)
-	return NewCrashDetector(tracker, clock), tracker, clock
+	return NewCrashDetector(DetectorConfig{
+		Tracker: tracker, Clock: clock, Metrics: metrics.New("direct", 1), Log: discardLog(), Share: func() {},
+	}), tracker, clock
 }
 
 func TestTargetThatInterruptsRequestsAndIsGoneHasCrashed(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for n, target := range []string{"a", "b", "c"} {
 		require.NotEqual(t, Refused, tracker.Assess(1).Level, "before crash %d", n+1)
-		detector.RequestInterrupted(target, "1", 1)
+		detector.RequestInterrupted(target, "1", 1, false)
 		clock.Advance(20 * time.Millisecond)
-		require.True(t, detector.TargetEnded(target, "1"))
-		require.False(t, detector.TargetEnded(target, "1"), "one crash counts once")
+		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
+		require.False(t, detector.TargetEnded(target, "1", ConnectionRefused), "one crash counts once")
 		clock.Advance(5 * time.Second)
 	}
 	require.Equal(t, Refused, tracker.Assess(1).Level)
@@ -31,24 +44,35 @@
 }
 
 func TestTargetThatRespondsAgainHasNotCrashed(t *testing.T) {
-	detector, _, _ := newDetector()
-	detector.RequestInterrupted("a", "1", 1)
-	detector.TargetResponded("a", "1")
-	require.False(t, detector.TargetEnded("a", "1"))
+	detector, _, clock := newDetector()
+	detector.RequestInterrupted("a", "1", 1, false)
+	detector.TargetResponded("a", "1", clock.Now())
+	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
+}
+
+// TestResponseOnItsWayDoesNotHideCrash guards against a crash that goes unnoticed because
+// the target's last responses are read after the requests that it interrupted.
+func TestResponseOnItsWayDoesNotHideCrash(t *testing.T) {
+	detector, _, clock := newDetector()
+	sent := clock.Now()
+	clock.Advance(10 * time.Millisecond)
+	detector.RequestInterrupted("a", "1", 1, false)
+	detector.TargetResponded("a", "1", sent)
+	require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
 }
 
 func TestRequestsInterruptedLongBeforeAreNotPartOfACrash(t *testing.T) {
 	detector, _, clock := newDetector()
-	detector.RequestInterrupted("a", "1", 1)
+	detector.RequestInterrupted("a", "1", 1, false)
 	clock.Advance(interruptedTTL + time.Second)
-	require.False(t, detector.TargetEnded("a", "1"))
-	require.False(t, detector.TargetEnded("b", "1"), "a target without interrupted requests")
+	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
+	require.False(t, detector.TargetEnded("b", "1", ConnectionRefused), "a target without interrupted requests")
 }
 
 func TestInterruptedRequestsPerTargetAreBounded(t *testing.T) {
 	detector, _, _ := newDetector()
 	for fingerprint := range uint64(3 * maxInterrupted) {
-		detector.RequestInterrupted("a", "1", fingerprint)
+		detector.RequestInterrupted("a", "1", fingerprint, false)
 	}
 	require.Len(t, detector.interrupted[crashID{"a", "1"}], maxInterrupted)
 }
@@ -56,8 +80,8 @@
 func TestRequestThatCompletesBetweenCrashesIsNotRefused(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for n, target := range []string{"a", "b", "c", "d"} {
-		detector.RequestInterrupted(target, "1", 1)
-		require.True(t, detector.TargetEnded(target, "1"))
+		detector.RequestInterrupted(target, "1", 1, false)
+		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		clock.Advance(3 * time.Second)
 		if n == 1 {
 			require.True(t, tracker.Completed(1))
@@ -72,8 +96,8 @@
 func TestRecentReturnsTheNewestCrashesFirst(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for _, target := range []string{"a", "b", "c"} {
-		detector.RequestInterrupted(target, "1", 1)
-		require.True(t, detector.TargetEnded(target, "1"))
+		detector.RequestInterrupted(target, "1", 1, false)
+		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		clock.Advance(time.Minute)
 	}
 	recent := tracker.Recent(2, 10*time.Minute)
--- /dev/null
+++ b/request/poison/entries_test.go
@@ -0,0 +1,96 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	// maxLaterSends is how often a crashing request may reach targets once simSpread has
+	// passed since its third crash.
+	maxLaterSends = 3
+	// maxPopularOutage is how long crashes of targets may keep a harmless request from
+	// completing: the hold after a mass crash, and a trial at the entry that may run it.
+	maxPopularOutage = 10 * time.Second
+)
+
+func drawScenario(t *rapid.T) entriesScenario {
+	drawDuration := func(name string, low, high time.Duration) time.Duration {
+		return time.Duration(rapid.Int64Range(int64(low), int64(high)).Draw(t, name))
+	}
+	scenario := entriesScenario{
+		entries:           rapid.IntRange(2, 6).Draw(t, "entries"),
+		targets:           rapid.SampledFrom([]int{3, 6, 12}).Draw(t, "targets"),
+		resendEvery:       drawDuration("resend", 30*time.Millisecond, 3*time.Second),
+		attempts:          rapid.IntRange(1, 3).Draw(t, "attempts"),
+		copies:            rapid.IntRange(1, 4).Draw(t, "copies"),
+		turnedAwayShare:   rapid.Float64Range(0, 0.8).Draw(t, "turned away"),
+		harmlessPerSecond: rapid.Float64Range(0, 20).Draw(t, "harmless"),
+		restart:           drawDuration("restart", 500*time.Millisecond, 5*time.Second),
+		keepsID:           rapid.Bool().Draw(t, "keepsID"),
+		lossShare:         rapid.Float64Range(0, 0.05).Draw(t, "loss"),
+	}
+	if rapid.Bool().Draw(t, "others crash") {
+		scenario.otherCrashes = drawDuration("other crashes", 500*time.Millisecond, 10*time.Second)
+	}
+	if rapid.Bool().Draw(t, "entries restart") {
+		scenario.entryRestarts = drawDuration("entry restarts", 10*time.Second, time.Minute)
+	}
+	return scenario
+}
+
+// TestCrashingRequestReachesFewTargetsAfterItsThirdCrash guards against a request that
+// goes on crashing targets: its crashes are noticed too late or not at all, look like a
+// power failure, or are unknown to entries that have started since.
+func TestCrashingRequestReachesFewTargetsAfterItsThirdCrash(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newEntriesSim(drawScenario(t), rapid.Uint64().Draw(t, "seed"))
+		sim.run()
+		require.LessOrEqual(t, sim.laterSends, maxLaterSends)
+	})
+}
+
+// usualScenario is a service of few targets, one of which crashes now and then for other
+// reasons, while entries are restarted.
+var usualScenario = entriesScenario{
+	entries: 4, targets: 12, resendEvery: time.Second, attempts: 2, copies: 2, turnedAwayShare: 0.5, harmlessPerSecond: 0.5,
+	restart: 4 * time.Second, otherCrashes: 3 * time.Second, entryRestarts: 6 * time.Second, lossShare: 0.02,
+}
+
+// TestSimulationCatchesFaults checks that the simulation notices broken entries.
+func TestSimulationCatchesFaults(t *testing.T) {
+	const seeds = 40
+	for name, fault := range map[string]simFault{
+		"targets not checked": targetsNotChecked, "only newest crashes": onlyNewestCrashes,
+		"trials unlimited": trialsUnlimited, "mass crashes count once": massCrashesCountOnce,
+	} {
+		t.Run(name, func(t *testing.T) {
+			scenario := usualScenario
+			scenario.fault = fault
+			caught := 0
+			for seed := range uint64(seeds) {
+				sim := newEntriesSim(scenario, seed)
+				sim.run()
+				if sim.laterSends > maxLaterSends {
+					caught++
+				}
+			}
+			require.Positive(t, caught)
+			t.Logf("caught with %d of %d seeds", caught, seeds)
+		})
+	}
+}
+
+// TestPopularRequestSurvivesMassCrashes guards against a harmless request that stays refused
+// because it was in flight when many targets lost power at once.
+func TestPopularRequestSurvivesMassCrashes(t *testing.T) {
+	for seed := range uint64(20) {
+		sim := newEntriesSim(entriesScenario{entries: 4, targets: 12, harmlessPerSecond: 20, restart: 2 * time.Second}, seed)
+		sim.massCrashes = 8 * time.Second
+		sim.run()
+		require.Less(t, sim.longestPopularOutage, maxPopularOutage, "seed %d", seed)
+	}
+}
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -70,6 +70,54 @@
 	return recent
 }
 
+// NextCrash returns one crash and all clearances of requests in flight in it. Successive
+// calls return all crashes in turn, so that peers which have started since learn of them.
+func (l *Ledger) NextCrash(now time.Time) Evidence {
+	all := l.Evidence(now)
+	if len(all.Crashes) == 0 {
+		return Evidence{}
+	}
+	l.nextCrash = (l.nextCrash + 1) % len(all.Crashes)
+	crash := all.Crashes[l.nextCrash]
+	all.Clearances = slices.DeleteFunc(all.Clearances, func(c Clearance) bool {
+		return !slices.Contains(crash.Fingerprints, c.Fingerprint)
+	})
+	return Evidence{Crashes: []CrashEvidence{crash}, Clearances: all.Clearances}
+}
+
+// Restricted returns at most limit of the newest crashes with fingerprints whose requests
+// do not run freely, and of their fingerprints only those. It is all that a peer without
+// evidence needs to treat these requests alike, however many targets have crashed since.
+func (l *Ledger) Restricted(limit int, now time.Time) Evidence {
+	restricted := map[uint64]bool{}
+	for fingerprint, suspect := range l.suspects {
+		if suspect.assess(l.config, now).Level != Clear {
+			restricted[fingerprint] = true
+		}
+	}
+	var evidence Evidence
+	if len(restricted) == 0 {
+		return evidence
+	}
+	all := l.Evidence(now).Crashes
+	slices.Reverse(all)
+	for _, crash := range all {
+		free := func(fingerprint uint64) bool { return !restricted[fingerprint] }
+		crash.Fingerprints = slices.DeleteFunc(slices.Clone(crash.Fingerprints), free)
+		crash.OnTrial = slices.DeleteFunc(slices.Clone(crash.OnTrial), free)
+		if len(crash.Fingerprints) > 0 && len(evidence.Crashes) < limit {
+			evidence.Crashes = append(evidence.Crashes, crash)
+		}
+	}
+	return evidence
+}
+
+// Append adds the crashes and clearances of other to e.
+func (e *Evidence) Append(other Evidence) {
+	e.Crashes = append(e.Crashes, other.Crashes...)
+	e.Clearances = append(e.Clearances, other.Clearances...)
+}
+
 // Merge adds a peer's evidence and reports whether it changed anything. Ages do not
 // include the transmission time, so evidence appears newer than it is; of several
 // reports of a crash, the earliest time is kept.
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -17,6 +18,10 @@
 	// suspects is derived from crashes and cleared. It is replaced as a whole and
 	// never modified.
 	suspects map[uint64]*suspectState
+	// trials holds the trials of suspects that this process has begun.
+	trials map[uint64]trialCount
+	// nextCrash is the position of the crash that NextCrash returned last.
+	nextCrash int
 }
 
 // NewLedger returns a ledger without evidence.
@@ -25,6 +30,7 @@
 		config:  config.withDefaults(),
 		crashes: map[crashID]*Crash{},
 		cleared: map[uint64]time.Time{},
+		trials:  map[uint64]trialCount{},
 	}
 }
 
@@ -89,6 +95,17 @@
 	return suspect.assess(l.config, now)
 }
 
+// BeginTrial reports whether this process may run a suspect on trial now, and if so,
+// counts the trial. allowance is how many trials of the suspect the process may begin.
+func (l *Ledger) BeginTrial(fingerprint uint64, allowance int, now time.Time) bool {
+	trials := l.trials[fingerprint]
+	if trials.begun >= allowance || now.Sub(trials.last) < trialInterval {
+		return false
+	}
+	l.trials[fingerprint] = trialCount{begun: trials.begun + 1, last: now}
+	return true
+}
+
 // Refused returns the fingerprints that are refused at the given time, sorted.
 func (l *Ledger) Refused(now time.Time) []uint64 {
 	var refused []uint64
@@ -103,14 +120,26 @@
 
 // recompute drops expired evidence and derives the suspects from the rest.
 func (l *Ledger) recompute(now time.Time) {
-	l.prune(now)
+	l.dropExpired(now)
+	l.deriveSuspects()
+	if l.dropExcess() {
+		l.deriveSuspects()
+	}
+	for fingerprint := range l.trials {
+		if l.suspects[fingerprint] == nil {
+			delete(l.trials, fingerprint)
+		}
+	}
+}
+
+// deriveSuspects sets suspects from crashes and cleared.
+func (l *Ledger) deriveSuspects() {
 	limit := l.config.MaxFingerprints
-	incidents := incidentsOf(l.sortedCrashes(), limit)
-	incidents = mergeMassCrashes(incidents, l.config.MassCrashWindow, l.config.MassCrashTargets, limit)
+	single := incidentsOf(l.sortedCrashes(), limit)
 	suspects := map[uint64]*suspectState{}
-	for _, incident := range incidents {
+	for _, incident := range mergeMassCrashes(single, l.config.MassCrashWindow, l.config.MassCrashTargets, limit) {
 		for _, fingerprint := range incident.fingerprints {
-			if cleared, ok := l.cleared[fingerprint]; ok && cleared.After(incident.at) {
+			if l.clearedAfter(fingerprint, incident.at) {
 				continue
 			}
 			suspect := suspects[fingerprint]
@@ -121,10 +150,46 @@
 			suspect.addIncident(incident, fingerprint, l.config)
 		}
 	}
+	l.countCrashes(suspects, single)
 	markCauses(suspects, l.config)
 	l.suspects = suspects
 }
 
+// clearedAfter reports whether a request with the fingerprint completed after the given
+// time.
+func (l *Ledger) clearedAfter(fingerprint uint64, at time.Time) bool {
+	cleared, ok := l.cleared[fingerprint]
+	return ok && cleared.After(at)
+}
+
+// countCrashes sets the crashes of the suspects. It adds the fingerprints that were in
+// flight in many crashes, each time in only one of a mass crash: a request whose crashes
+// coincide with those of other targets must not stay unsuspected for that reason.
+func (l *Ledger) countCrashes(suspects map[uint64]*suspectState, single []*incident) {
+	all := map[uint64]*suspectState{}
+	for _, incident := range single {
+		for _, fingerprint := range incident.fingerprints {
+			if l.clearedAfter(fingerprint, incident.at) {
+				continue
+			}
+			if all[fingerprint] == nil {
+				all[fingerprint] = &suspectState{}
+			}
+			counted := all[fingerprint]
+			counted.crashes++
+			counted.lastAt = incident.at
+			counted.crashed = append(counted.crashed, incident.targets...)
+		}
+	}
+	for fingerprint, counted := range all {
+		if suspect := suspects[fingerprint]; suspect != nil {
+			suspect.crashes = counted.crashes
+		} else if counted.crashes >= l.config.refuseAmbiguousAfter() {
+			suspects[fingerprint] = counted
+		}
+	}
+}
+
 // addIncident adds an incident, later than those before, in which the fingerprint was
 // in flight.
 func (s *suspectState) addIncident(added *incident, fingerprint uint64, config Config) {
@@ -178,30 +243,49 @@
 	return crashes
 }
 
-// prune drops evidence older than RefuseFor, and the oldest beyond the limits of
-// Config.
-func (l *Ledger) prune(now time.Time) {
+// dropExpired drops evidence older than RefuseFor.
+func (l *Ledger) dropExpired(now time.Time) {
 	oldest := now.Add(-l.config.RefuseFor)
+	maps.DeleteFunc(l.crashes, func(_ crashID, crash *Crash) bool { return crash.At.Before(oldest) })
+	maps.DeleteFunc(l.cleared, func(_ uint64, at time.Time) bool { return at.Before(oldest) })
+}
+
+// dropExcess drops the oldest evidence beyond the limits of Config and reports whether it
+// dropped a crash. Crashes with fingerprints that were in flight in many crashes are
+// dropped last: they keep requests refused, however many other targets crash.
+func (l *Ledger) dropExcess() bool {
+	excess := len(l.crashes) - l.config.MaxCrashes
 	crashes := l.sortedCrashes()
-	for i, crash := range crashes {
-		if crash.At.Before(oldest) || len(crashes)-i > l.config.MaxCrashes {
+	for _, keepIncriminating := range []bool{true, false} {
+		for _, crash := range crashes {
+			if excess <= 0 || l.crashes[crash.id()] == nil || keepIncriminating && l.incriminating(crash) {
+				continue
+			}
 			delete(l.crashes, crash.id())
+			excess--
 		}
 	}
-	type clearance struct {
-		fingerprint uint64
-		at          time.Time
-	}
-	clearances := make([]clearance, 0, len(l.cleared))
-	for fingerprint, at := range l.cleared {
-		clearances = append(clearances, clearance{fingerprint, at})
+	l.dropExcessClearances()
+	return len(l.crashes) < len(crashes)
+}
+
+// incriminating reports whether a fingerprint in flight in the crash was so in many.
+func (l *Ledger) incriminating(crash *Crash) bool {
+	return slices.ContainsFunc(crash.Fingerprints, func(fingerprint uint64) bool {
+		suspect := l.suspects[fingerprint]
+		return suspect != nil && suspect.crashes >= l.config.refuseAmbiguousAfter()
+	})
+}
+
+func (l *Ledger) dropExcessClearances() {
+	excess := len(l.cleared) - l.config.MaxClearances
+	if excess <= 0 {
+		return
 	}
-	slices.SortFunc(clearances, func(a, b clearance) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.fingerprint, b.fingerprint))
+	oldestFirst := slices.SortedFunc(maps.Keys(l.cleared), func(a, b uint64) int {
+		return cmp.Or(l.cleared[a].Compare(l.cleared[b]), cmp.Compare(a, b))
 	})
-	for i, c := range clearances {
-		if c.at.Before(oldest) || len(clearances)-i > l.config.MaxClearances {
-			delete(l.cleared, c.fingerprint)
-		}
+	for _, fingerprint := range oldestFirst[:excess] {
+		delete(l.cleared, fingerprint)
 	}
 }
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -15,7 +15,8 @@
 // Tracker is a Ledger that is safe for concurrent use. While nothing is suspected,
 // Assess and Completed do not take its lock.
 type Tracker struct {
-	clock clockwork.Clock
+	clock   clockwork.Clock
+	started time.Time
 	// suspects is the number of suspected fingerprints, read to skip the lock while
 	// there are none.
 	suspects atomic.Int64
@@ -27,7 +28,7 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker(config Config, clock clockwork.Clock) *Tracker {
-	return &Tracker{clock: clock, ledger: NewLedger(config)}
+	return &Tracker{clock: clock, started: clock.Now(), ledger: NewLedger(config)}
 }
 
 // Crashed adds a crash that happened age ago. It reports whether this changed the
@@ -80,6 +81,18 @@
 	return t.ledger.Assess(fingerprint, now)
 }
 
+// BeginTrial reports whether this process may run a suspect on trial now; see
+// Ledger.BeginTrial.
+func (t *Tracker) BeginTrial(fingerprint uint64, allowance int) bool {
+	now := t.clock.Now()
+	if now.Sub(t.started) < trialsAfter {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.BeginTrial(fingerprint, allowance, now)
+}
+
 // Evidence returns all evidence, to be sent to a peer.
 func (t *Tracker) Evidence() Evidence {
 	now := t.clock.Now()
@@ -100,6 +113,24 @@
 	return t.ledger.Recent(limit, span, now)
 }
 
+// NextCrash returns one crash to be sent to a peer, all of them in turn; see
+// Ledger.NextCrash.
+func (t *Tracker) NextCrash() Evidence {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.NextCrash(now)
+}
+
+// Restricted returns the crashes of the fingerprints whose requests do not run freely, to
+// be sent to a peer; see Ledger.Restricted.
+func (t *Tracker) Restricted(limit int) Evidence {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.Restricted(limit, now)
+}
+
 // Refused returns the fingerprints that are currently refused, for operators.
 func (t *Tracker) Refused() []uint64 {
 	now := t.clock.Now()
--- a/request/poison/trial.go
+++ b/request/poison/trial.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -35,6 +36,27 @@
 	return xxhash.Sum64(append(key, target...))
 }
 
+// trialInterval is the least time between two trials of a suspect by one process. It is
+// longer than the evidence of a crash on trial takes to arrive.
+const trialInterval = 2 * time.Second
+
+// trialsAfter is how long after the start of a process it runs no suspects on trial. It
+// does not know of trials that it began before a restart.
+const trialsAfter = 10 * time.Second
+
+// trialCount counts the trials of one suspect that this process has begun.
+type trialCount struct {
+	begun int
+	// last is when the latest trial began.
+	last time.Time
+}
+
+// TrialAllowance returns how many trials of a suspect a process may begin that has the
+// given rank, from 0, among all processes. The allowances add up to 3, so that a
+// request that crashes every target is not tried without end by processes that see
+// different evidence; that of the second rank is for the time when the first one is down.
+func TrialAllowance(rank int) int { return max(2-rank, 0) }
+
 // Trial limits a target to one suspect at a time; each agent has one. It is not safe
 // for concurrent use.
 type Trial struct {
