--- a/internal/measure/poisons/simulation.go
+++ b/internal/measure/poisons/simulation.go
@@ -113,12 +113,12 @@
 		onCrash:      func(time.Duration) {},
 	}
 	for range entryCount {
-		s.entries = append(s.entries, &entry{ledger: poison.NewLedger(poison.Config{})})
+		s.entries = append(s.entries, &entry{ledger: poison.NewLedger(poison.Config{}, s.virtualTime())})
 	}
 	for i := range targetCount {
 		s.agents = append(s.agents, &agent{
 			name:    "target-" + strconv.Itoa(i),
-			ledger:  poison.NewLedger(poison.Config{}),
+			ledger:  poison.NewLedger(poison.Config{}, s.virtualTime()),
 			up:      true,
 			running: map[*request]bool{},
 		})
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -10,7 +10,9 @@
 // Ledger stores the evidence about crashes and derives assessments from it. It is not
 // safe for concurrent use.
 type Ledger struct {
-	config  Config
+	config Config
+	// started is when this process started.
+	started time.Time
 	crashes map[crashID]*Crash
 	// cleared maps a fingerprint to the time of the latest completion of a request with
 	// it while it was suspected.
@@ -24,10 +26,11 @@
 	nextCrash int
 }
 
-// NewLedger returns a ledger without evidence.
-func NewLedger(config Config) *Ledger {
+// NewLedger returns a ledger without evidence for a process that started at the given time.
+func NewLedger(config Config, started time.Time) *Ledger {
 	return &Ledger{
 		config:  config.withDefaults(),
+		started: started,
 		crashes: map[crashID]*Crash{},
 		cleared: map[uint64]time.Time{},
 		trials:  map[uint64]trialCount{},
@@ -96,9 +99,14 @@
 }
 
 // BeginTrial reports whether this process may run a suspect on trial now, and if so,
-// counts the trial. allowance is how many trials of the suspect the process may begin.
+// counts the trial. allowance is how many trials of the suspect the process may begin. A
+// process that has started since the latest crash begins none: it does not know which it
+// began before.
 func (l *Ledger) BeginTrial(fingerprint uint64, allowance int, now time.Time) bool {
-	trials := l.trials[fingerprint]
+	suspect, trials := l.suspects[fingerprint], l.trials[fingerprint]
+	if suspect == nil || suspect.lastAt.Before(l.started) {
+		return false
+	}
 	if trials.begun >= allowance || now.Sub(trials.last) < trialInterval {
 		return false
 	}
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -15,8 +15,7 @@
 // Tracker is a Ledger that is safe for concurrent use. While nothing is suspected,
 // Assess and Completed do not take its lock.
 type Tracker struct {
-	clock   clockwork.Clock
-	started time.Time
+	clock clockwork.Clock
 	// suspects is the number of suspected fingerprints, read to skip the lock while
 	// there are none.
 	suspects atomic.Int64
@@ -28,7 +27,7 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker(config Config, clock clockwork.Clock) *Tracker {
-	return &Tracker{clock: clock, started: clock.Now(), ledger: NewLedger(config)}
+	return &Tracker{clock: clock, ledger: NewLedger(config, clock.Now())}
 }
 
 // Crashed adds a crash that happened age ago. It reports whether this changed the
@@ -85,9 +84,6 @@
 // Ledger.BeginTrial.
 func (t *Tracker) BeginTrial(fingerprint uint64, allowance int) bool {
 	now := t.clock.Now()
-	if now.Sub(t.started) < trialsAfter {
-		return false
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.ledger.BeginTrial(fingerprint, allowance, now)
