Send nothing to targets that said they leave or asked for a pause

Requests that no target can serve in time any more are refused at once with the end of the first pause as Retry-After.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -100,6 +100,9 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		if request.OnHead != nil {
+			request.OnHead(response.StatusCode, response.Header)
+		}
 		id := response.Header.Get(request.IDHeader)
 		if id != "" && id != request.ID {
 			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
--- a/connection/direct/request.go
+++ b/connection/direct/request.go
@@ -24,6 +24,9 @@
 	// is its value. A response with another value is rejected; a response without the
 	// header is accepted.
 	IDHeader, ID string
+	// OnHead, if not nil, is called with the head of each response that arrives on the
+	// connection before the one to this request, and of that one.
+	OnHead func(status int, header http.Header)
 }
 
 // maxSmallBodyBytes is the size up to which a body is written before the response is
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -206,6 +206,7 @@
 	encoded, err := cbor.Marshal(datagram{
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
+			Leavings: e.dispatcher.Leavings(e.clock.Now()),
 		}},
 		Evidence: h.evidence(e.clock.Now()),
 	})
@@ -264,6 +265,7 @@
 				"peer": received.Peer.Name, "crashes": len(received.Evidence.Crashes), "clearances": len(received.Evidence.Clearances),
 			}).Info("crashes heard of")
 		}
+		h.mergeLeavings(received.Peer.Name, received.Leavings, now)
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
 			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
@@ -271,6 +273,15 @@
 	}
 }
 
+// mergeLeavings records the targets that told another entry that they leave.
+func (h *heartbeater) mergeLeavings(peer string, leavings []presence.TargetLeaving, now time.Time) {
+	for _, added := range h.entry.dispatcher.MergeLeavings(leavings, now) {
+		h.log.WithFields(logrus.Fields{
+			"target": added.Target, "incarnation": added.Incarnation, "source": peer, "age_ms": added.AgeMillis,
+		}).Info("target leaves")
+	}
+}
+
 // applySlowdown applies the slowdown that an agent reports for the target on its host.
 func (h *heartbeater) applySlowdown(report presence.SlowdownReport, now time.Time) {
 	if h.entry.dispatcher.SetSlowdown(report.Address, report.Slowdown, now) {
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -15,6 +15,8 @@
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/settings"
+	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/poison"
 )
 
@@ -82,6 +84,31 @@
 	require.Nil(t, receiver.entry.poison.Assess(200).Failure(time.Now()))
 }
 
+// TestEntriesLearnOfLeavingTargetsFromEachOther guards against entries that send requests to a
+// target which told another entry that it leaves, while the store is away.
+func TestEntriesLearnOfLeavingTargetsFromEachOther(t *testing.T) {
+	receiver := newHeartbeater(t, "a", nil)
+	go receiver.receive()
+	sender := newHeartbeater(t, "b", receiver)
+	work := dispatch.Request{Service: "s", QueueDeadline: time.Now().Add(time.Minute)}
+	for _, h := range []*heartbeater{receiver, sender} {
+		h.entry.dispatcher.Register(target.Registration{
+			ID: "t", Service: "s", Address: "127.0.0.1:1", Capacity: 1, StartedAt: time.UnixMilli(5),
+		}, time.Now())
+	}
+	leaving, _ := sender.entry.dispatcher.Acquire(work, time.Now())
+	require.NotNil(t, leaving)
+	sender.entry.dispatcher.RecordLeaving(leaving, time.Now())
+	sender.send()
+	require.Eventually(t, func() bool {
+		taken, waiter := receiver.entry.dispatcher.Acquire(work, time.Now())
+		if taken != nil {
+			receiver.entry.dispatcher.Release(taken, dispatch.Abandoned, time.Now())
+		}
+		return taken == nil && waiter == nil
+	}, 2*time.Second, 10*time.Millisecond)
+}
+
 // TestHeartbeatsOfManyEntriesAreRarer guards against heartbeats that grow with the square of
 // the number of entries, and against ones so rare that two lost ones end a peer's life.
 func TestHeartbeatsOfManyEntriesAreRarer(t *testing.T) {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -31,6 +31,7 @@
 	attempts         *prometheus.CounterVec
 	retryBudget      prometheus.Gauge
 	targetCrashes    *prometheus.CounterVec
+	targetNotices    *prometheus.CounterVec
 }
 
 // New returns the metrics of a process with the given role. maxOrganisations is the
@@ -62,7 +63,11 @@
 		Name: "verbenaseam_target_crashes_total", Help: "Crashes of targets with requests of this process in flight, by what showed them.",
 		ConstLabels: constLabels,
 	}, []string{"sign"})
-	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes)
+	m.targetNotices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, and responses that asked for a pause.",
+		ConstLabels: constLabels,
+	}, []string{"service", "notice"})
+	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.targetNotices)
 	return m
 }
 
@@ -95,6 +100,11 @@
 // CountTargetCrash counts a crash of a target; sign is what showed it.
 func (m *Metrics) CountTargetCrash(sign string) { m.targetCrashes.WithLabelValues(sign).Inc() }
 
+// CountTargetNotice counts a notice of a target of a service: "leaving", or "pause".
+func (m *Metrics) CountTargetNotice(service, notice string) {
+	m.targetNotices.WithLabelValues(service, notice).Inc()
+}
+
 // SetRetryBudget sets the number of retries that the retry budget allows.
 func (m *Metrics) SetRetryBudget(retries float64) { m.retryBudget.Set(retries) }
 
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -35,6 +35,26 @@
 	Sequence uint64 `cbor:"5,keyasint"`
 	// Store is what the process knows of the platform's store.
 	Store StoreStatus `cbor:"8,keyasint"`
+	// Leavings are targets that told the process that they leave.
+	Leavings []TargetLeaving `cbor:"9,keyasint,omitempty"`
+}
+
+// TargetLeaving reports that an incarnation of a target said that it leaves.
+type TargetLeaving struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	// AgeMillis is how long ago it said so, by the sender's clock.
+	AgeMillis int64 `cbor:"3,keyasint"`
+}
+
+// NewTargetLeaving returns the report of a target that said age ago that it leaves.
+func NewTargetLeaving(target, incarnation string, age time.Duration) TargetLeaving {
+	return TargetLeaving{Target: target, Incarnation: incarnation, AgeMillis: age.Milliseconds()}
+}
+
+// Age returns how long ago the target said so; never negative.
+func (l TargetLeaving) Age() time.Duration {
+	return time.Duration(max(l.AgeMillis, 0)) * time.Millisecond
 }
 
 // StoreStatus is what a process knows of the platform's store.
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -13,7 +13,7 @@
 	var bestScore float64
 	skipEjected, limitSlow := d.skipsEjected(pool, now), d.limitsSlow(pool, now)
 	for _, t := range pool.targets {
-		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) {
+		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) {
 			continue
 		}
 		if skipEjected && t.health.ejected(now) {
@@ -52,14 +52,15 @@
 // skipsEjected reports whether ejected targets of a pool get no requests. If more than
 // maxEjectedShare of the usable ones are ejected, they are used anyway.
 func (d *Dispatcher) skipsEjected(pool *pool, now time.Time) bool {
-	return d.usableShare(pool, func(t *Target) bool { return t.health.ejected(now) }) <= maxEjectedShare
+	return d.usableShare(pool, now, func(t *Target) bool { return t.health.ejected(now) }) <= maxEjectedShare
 }
 
-// usableShare returns the share of a pool's usable targets that match a predicate.
-func (d *Dispatcher) usableShare(pool *pool, matches func(*Target) bool) float64 {
+// usableShare returns the share of a pool's usable targets that match a predicate. Those
+// that pause have no capacity to spare and do not count.
+func (d *Dispatcher) usableShare(pool *pool, now time.Time, matches func(*Target) bool) float64 {
 	count, usable := 0, 0
 	for _, t := range pool.targets {
-		if !t.usable(d.domainsOut) {
+		if !t.usable(d.domainsOut) || t.pause.active(now) {
 			continue
 		}
 		usable++
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -45,6 +45,12 @@
 	generation uint64
 	// lastSequence is the sequence number of the latest Waiter.
 	lastSequence uint64
+	// leaving holds the incarnations that said that they leave. nextLeaving is the position
+	// of the one that Leavings reported last, in turn.
+	leaving     map[incarnationID]leavingNotice
+	nextLeaving int
+	// pauses holds the pauses that incarnations have asked for.
+	pauses map[incarnationID]*pause
 }
 
 // New returns a Dispatcher without targets.
@@ -52,6 +58,7 @@
 	return &Dispatcher{
 		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
+		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
 	}
 }
 
@@ -133,6 +140,8 @@
 		incarnation: strconv.FormatInt(registration.StartedAt.UnixMilli(), 10),
 	}
 	added.setRegistration(registration, now)
+	added.saidLeaving = d.leaving[added.incarnationID()].valid(now)
+	added.pause = d.pauseOf(added.incarnationID())
 	pool.targets[registration.ID] = added
 	d.grant(pool, now)
 	return replaced
@@ -167,7 +176,8 @@
 }
 
 // Acquire returns a target for the work, or a Waiter if the work has to be queued, or
-// neither if the service has no target that could run the work, now or later.
+// neither if the service has no target that could run the work, now or by the end of its
+// wait.
 func (d *Dispatcher) Acquire(work Request, now time.Time) (*Target, *Waiter) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -178,7 +188,7 @@
 			return t, nil
 		}
 	}
-	if !d.canServeLater(pool, &work) {
+	if !d.canServeLater(pool, &work, now) {
 		return nil, nil
 	}
 	d.lastSequence++
@@ -188,10 +198,13 @@
 }
 
 // canServeLater reports whether there is a usable target that the work was not sent
-// to yet.
-func (d *Dispatcher) canServeLater(pool *pool, work *Request) bool {
+// to yet and that does not pause until the work is taken out of the queue.
+func (d *Dispatcher) canServeLater(pool *pool, work *Request, now time.Time) bool {
 	for _, t := range pool.targets {
-		if t.usable(d.domainsOut) && !work.tried(t) {
+		if !t.usable(d.domainsOut) || work.tried(t) {
+			continue
+		}
+		if !t.pause.active(now) || t.pause.resumesAt.Before(work.QueueDeadline) {
 			return true
 		}
 	}
@@ -212,6 +225,7 @@
 // take counts a request as running on the target and records when it was sent.
 func (t *Target) take(now time.Time) {
 	t.running++
+	t.pause.startsSince++
 	t.recordSend(now)
 }
 
@@ -276,6 +290,8 @@
 func (d *Dispatcher) Tick(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.dropLeavings(now)
+	d.dropPauses(now)
 	d.grantAll(now)
 }
 
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -36,7 +36,8 @@
 	sequence uint64
 }
 
-// Granted returns a channel that yields the granted target, once.
+// Granted returns a channel that yields the granted target, once, or nil if no target can
+// serve the request in time any more.
 func (w *Waiter) Granted() <-chan *Target { return w.granted }
 
 // waitQueue is a heap of waiters, ordered by urgency and then by arrival.
--- a/request/dispatch/slowdown.go
+++ b/request/dispatch/slowdown.go
@@ -95,5 +95,5 @@
 // limitsSlow reports whether slow targets of a pool get fewer requests than their
 // capacity.
 func (d *Dispatcher) limitsSlow(pool *pool, now time.Time) bool {
-	return d.usableShare(pool, func(t *Target) bool { return t.slow(now) }) <= maxSlowShare
+	return d.usableShare(pool, now, func(t *Target) bool { return t.slow(now) }) <= maxSlowShare
 }
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -26,6 +26,10 @@
 	sends  []time.Time
 	warmup warmupPart
 	health health
+	// saidLeaving is set while a notice in Dispatcher.leaving names this incarnation.
+	saidLeaving bool
+	// pause is the pause that the target has asked for; never nil.
+	pause *pause
 	// fullUntil ends the pause after the target refused a request for lack of
 	// capacity.
 	fullUntil time.Time
@@ -76,10 +80,10 @@
 	}
 }
 
-// usable reports whether the target may get new requests: it is registered, is not
-// leaving, and its failure domain is not among domainsOut.
+// usable reports whether the target may get new requests, now or after a pause: it is
+// registered, is not leaving, and its failure domain is not among domainsOut.
 func (t *Target) usable(domainsOut map[string]bool) bool {
-	return !t.gone && !t.registration.Leaving && !domainsOut[t.registration.FailureDomain]
+	return !t.gone && !t.registration.Leaving && !t.saidLeaving && !domainsOut[t.registration.FailureDomain]
 }
 
 // ConnectionLimit returns how many connections one of several processes may open to
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -115,6 +115,11 @@
 // which may have changed since the call arrived.
 func (h *Handler) acquireTarget(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
 	t, err := h.awaitTarget(ctx, c)
+	for err == nil && !h.dispatcher.MayStart(t, h.clock.Now()) {
+		// The target said that it leaves or pauses since it was granted.
+		h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+		t, err = h.awaitTarget(ctx, c)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -134,12 +139,15 @@
 		return t, nil
 	}
 	if waiter == nil {
-		return nil, h.newFailure(c, failure.NoTarget, "no target can take the request")
+		return nil, h.noTarget(c)
 	}
 	timer := h.clock.NewTimer(c.work.QueueDeadline.Sub(now))
 	defer timer.Stop()
 	select {
 	case t = <-waiter.Granted():
+		if t == nil {
+			return nil, h.noTarget(c)
+		}
 	case <-timer.Chan():
 		t = h.dispatcher.CancelWait(waiter)
 	case <-ctx.Done():
@@ -155,12 +163,21 @@
 	return t, nil
 }
 
+// noTarget returns the failure of a call that no target can take in time.
+func (h *Handler) noTarget(c *call) *failure.Error {
+	return h.newFailure(c, failure.NoTarget, "no target can take the request")
+}
+
 // newFailure returns the final failure of a call, with the combined outcome of its
 // attempts so far.
 func (h *Handler) newFailure(c *call, kind failure.Kind, message string) *failure.Error {
 	now := h.clock.Now()
+	err := failure.New(kind, c.attempts.Outcome(), message)
+	if pause := h.dispatcher.ResumesIn(c.service, now); pause > 0 {
+		return err.WithRetryAfter(retryAfterPause(pause, rand.Float64()))
+	}
 	down := h.dispatcher.IsDown(c.service, now)
-	return failure.New(kind, c.attempts.Outcome(), message).WithRetryAfter(retryAfter(down, c.deadline.Sub(now), rand.Float64()))
+	return err.WithRetryAfter(retryAfter(down, c.deadline.Sub(now), rand.Float64()))
 }
 
 // deadlineExceeded returns the failure of a call whose deadline has passed.
@@ -197,7 +214,9 @@
 // context, derived from ctx.
 func (h *Handler) send(ctx, attemptCtx context.Context, c *call, t *dispatch.Target) (*direct.Response, verdict) {
 	sent := h.clock.Now()
-	response, err := h.connections(t).Do(attemptCtx, c.outgoingRequest(&h.headers, t, sent), false)
+	request := c.outgoingRequest(&h.headers, t, sent)
+	request.OnHead = func(status int, header http.Header) { h.recordNotice(c, t, status, header) }
+	response, err := h.connections(t).Do(attemptCtx, request, false)
 	if err != nil {
 		v := withWatchdogCause(attemptCtx, classifyError(err, ctx.Err() != nil))
 		h.updateCrashEvidence(c, t, sent, err, v)
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -16,6 +16,9 @@
 	// Expect is the ID of the target that may run the request, Instance that of the
 	// target that responded.
 	Expect, Instance string
+	// Leaving is set by a target that is about to exit. RetryAfter is, with status 503, for
+	// how many seconds a target wants no requests from this process.
+	Leaving, RetryAfter string
 	// NotRun is set by a target that has not run the request.
 	NotRun string
 	// Signature is the target's signature of its response.
--- a/request/forward/retry_after.go
+++ b/request/forward/retry_after.go
@@ -19,6 +19,18 @@
 	minRetryAfter = 50 * time.Millisecond
 )
 
+// pauseSpreadShare is the random part of the Retry-After while all targets pause, as a share
+// of the pause; at least busyRetryJitter.
+const pauseSpreadShare = 0.25
+
+// retryAfterPause returns how long a rejected caller should wait if all targets pause for
+// the given time. It does not depend on the caller's remaining time: a caller that cannot
+// wait that long must know. random is in [0, 1).
+func retryAfterPause(pause time.Duration, random float64) time.Duration {
+	spread := max(time.Duration(pauseSpreadShare*float64(pause)), busyRetryJitter)
+	return pause + time.Duration(random*float64(spread))
+}
+
 // retryAfter returns how long a rejected caller with the given remaining time
 // should wait before it tries again. random is in [0, 1).
 func retryAfter(down bool, remaining time.Duration, random float64) time.Duration {
