Let settings files name keys that older builds may ignore

From this build on, optional_keys of a section lists keys that a build may ignore if it does not know them; it logs them at start. Unlisted and misspelt keys, and wrong values of known ones, stay errors. Builds before this one still need programs first, settings after.

--- a/daemon/agent/load.go
+++ b/daemon/agent/load.go
@@ -19,11 +19,13 @@
 		return nil, err
 	}
 	return func() (command.Daemon, error) {
+		logger := logs.New(os.Stderr, loaded.Log)
+		logs.ReportIgnoredKeys(logger, loaded.IgnoredKeys)
 		return New(Config{
 			Settings: loaded,
 			Platform: platform.NewService(platform.NewStore(loaded.Platform.StoreAddress)),
 			Clock:    clockwork.NewRealClock(),
-			Logger:   logs.New(os.Stderr, loaded.Log),
+			Logger:   logger,
 		})
 	}, nil
 }
--- a/daemon/direct/load.go
+++ b/daemon/direct/load.go
@@ -6,6 +6,7 @@
 
 	"verbenaseam.example/verbenaseam/daemon/command"
 	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/settings"
 )
 
@@ -17,6 +18,7 @@
 		return nil, err
 	}
 	build := func(logger *logrus.Logger) command.Daemon {
+		logs.ReportIgnoredKeys(logger, loaded.IgnoredKeys)
 		store := platform.NewStore(loaded.StoreAddress)
 		return New(Config{Settings: loaded, File: file, Store: store, Clock: clockwork.NewRealClock(), Logger: logger})
 	}
--- a/process/logs/logs.go
+++ b/process/logs/logs.go
@@ -68,3 +68,11 @@
 	prefixed.Message = part + ": " + entry.Message
 	return f.next.Format(&prefixed)
 }
+
+// ReportIgnoredKeys logs the keys of a settings file that this build does not know, if there
+// are any.
+func ReportIgnoredKeys(logger *logrus.Logger, keys []string) {
+	if len(keys) > 0 {
+		Component(logger, "settings").WithField("keys", keys).Warn("optional keys that this build does not know are ignored")
+	}
+}
--- a/process/settings/direct.go
+++ b/process/settings/direct.go
@@ -56,6 +56,9 @@
 	MaxOpenFiles int
 	Bounds       Bounds
 	Log          Log
+	// IgnoredKeys are the keys of the file that this build does not know and that the file
+	// allows to be ignored.
+	IgnoredKeys []string
 }
 
 // Rank holds the settings of verbenaseam-rank.
@@ -74,6 +77,9 @@
 	StoreAddress string
 	Bounds       Bounds
 	Log          Log
+	// IgnoredKeys are the keys of the file that this build does not know and that the file
+	// allows to be ignored.
+	IgnoredKeys []string
 }
 
 // LoadDirect reads and validates the settings of verbenaseam-direct.
@@ -97,7 +103,9 @@
 	r.address("store", "address", &s.StoreAddress, required)
 	readBounds(r, &s.Bounds)
 	readLog(r, &s.Log)
-	return s, r.finish()
+	err = r.finish()
+	s.IgnoredKeys = r.ignored
+	return s, err
 }
 
 // LoadRank reads and validates the settings of verbenaseam-rank.
@@ -117,7 +125,9 @@
 	r.address("store", "address", &s.StoreAddress, required)
 	readBounds(r, &s.Bounds)
 	readLog(r, &s.Log)
-	return s, r.finish()
+	err = r.finish()
+	s.IgnoredKeys = r.ignored
+	return s, err
 }
 
 // Bandwidths of network links, in Mbit/s.
--- a/process/settings/direct_test.go
+++ b/process/settings/direct_test.go
@@ -58,3 +58,29 @@
 	_, err = LoadRank(writeSettings(t, strings.Replace(text, "service = s\n", "", 1)))
 	require.Error(t, err)
 }
+
+// TestUnknownOptionalKeyIsIgnored guards against processes of an older build that do not
+// start with the settings of a newer one, and against misspelt keys that go unnoticed.
+func TestUnknownOptionalKeyIsIgnored(t *testing.T) {
+	withStore := func(keys string) (Direct, error) {
+		text := strings.Replace(directFile, "[store]\n", "[store]\n"+keys, 1)
+		return LoadDirect(writeSettings(t, text))
+	}
+	loaded, err := withStore("optional_keys = shards, address\nshards = 4\n")
+	require.NoError(t, err)
+	require.Equal(t, []string{"[store] shards"}, loaded.IgnoredKeys, "address is known and in use")
+	require.Equal(t, "10.0.0.9:1", loaded.StoreAddress)
+	for name, keys := range map[string]string{
+		"not listed":      "shards = 4\n",
+		"misspelt":        "optional_keys = shards\nshrads = 4\n",
+		"listed, missing": "optional_keys = shards\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := withStore(keys)
+			var all KeyErrors
+			require.ErrorAs(t, err, &all)
+		})
+	}
+	_, err = LoadDirect(writeSettings(t, strings.Replace(directFile, "warmup_slack = 5", "warmup_slack = five\noptional_keys = warmup_slack", 1)))
+	require.Error(t, err, "a wrong value of a known key stays an error")
+}
--- a/process/settings/reader.go
+++ b/process/settings/reader.go
@@ -27,8 +27,15 @@
 	// known holds the keys looked up so far, by section; finish reports all others.
 	known  map[string]map[string]bool
 	errors KeyErrors
+	// ignored holds the unknown keys that the file allows builds to ignore, as
+	// "[section] key".
+	ignored []string
 }
 
+// optionalKeysKey is the key that lists, in any section, keys that builds which do not
+// know them may ignore.
+const optionalKeysKey = "optional_keys"
+
 func newReader(file string) (*reader, error) {
 	options := ini.LoadOptions{Insensitive: false, AllowShadows: false}
 	loaded, err := ini.LoadSources(options, file)
@@ -280,13 +287,34 @@
 		r.addError(section.Name(), "", "", "a known section")
 		return
 	}
+	mayIgnore := r.optionalKeys(section)
 	for _, key := range section.KeyStrings() {
-		if !keys[key] {
+		switch {
+		case keys[key] || key == optionalKeysKey:
+		case mayIgnore[key]:
+			r.ignored = append(r.ignored, "["+section.Name()+"] "+key)
+		default:
 			r.addError(section.Name(), key, section.Key(key).String(), "a known key")
 		}
 	}
 }
 
+// optionalKeys returns the keys that the section's optionalKeysKey lists. It records an
+// error for one that the section does not have, which is most likely misspelt.
+func (r *reader) optionalKeys(section *ini.Section) map[string]bool {
+	listed := map[string]bool{}
+	if !section.HasKey(optionalKeysKey) {
+		return listed
+	}
+	for _, key := range splitList(section.Key(optionalKeysKey).String()) {
+		if !section.HasKey(key) {
+			r.addError(section.Name(), optionalKeysKey, key, "keys of the section")
+		}
+		listed[key] = true
+	}
+	return listed
+}
+
 func splitList(value string) []string {
 	parts := []string{}
 	for _, part := range strings.Split(value, ",") {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -71,6 +71,9 @@
 	Log      Log
 	Limits   Limits
 	Shutdown Shutdown
+	// IgnoredKeys are the keys of the file that this build does not know and that the file
+	// allows to be ignored.
+	IgnoredKeys []string
 }
 
 // Agent holds the settings of verbenaseam-agent.
@@ -89,6 +92,9 @@
 	TLS           TLS
 	Log           Log
 	Shutdown      Shutdown
+	// IgnoredKeys are the keys of the file that this build does not know and that the file
+	// allows to be ignored.
+	IgnoredKeys []string
 }
 
 const (
@@ -115,7 +121,9 @@
 	readLog(r, &s.Log)
 	readLimits(r, &s.Limits)
 	readShutdown(r, &s.Shutdown)
-	return s, r.finish()
+	err = r.finish()
+	s.IgnoredKeys = r.ignored
+	return s, err
 }
 
 // LoadAgent reads and validates the settings of verbenaseam-agent.
@@ -138,7 +146,9 @@
 	readTLS(r, &s.TLS)
 	readLog(r, &s.Log)
 	readShutdown(r, &s.Shutdown)
-	return s, r.finish()
+	err = r.finish()
+	s.IgnoredKeys = r.ignored
+	return s, err
 }
 
 // DefaultProbeInterval is the default of Agent.ProbeInterval.
