--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -120,6 +120,10 @@
 		Tracker: e.poison, Clock: e.clock, Metrics: e.metrics, Log: logs.Component(cfg.Logger, "poison"), Share: e.shareEvidence,
 	})
 	e.targets.onEnd = func(t *dispatch.Target, sign poison.CrashSign) {
+		if e.dispatcher.IsLeaving(t) {
+			crashes.TargetLeft(t.ID(), t.Incarnation())
+			return
+		}
 		crashes.TargetEnded(t.ID(), t.Incarnation(), sign)
 	}
 	e.handler = forward.NewHandler(forward.Config{
--- a/daemon/direct/targets.go
+++ b/daemon/direct/targets.go
@@ -23,8 +23,8 @@
 	dispatcher *dispatch.Dispatcher
 	clock      clockwork.Clock
 	log        *logrus.Entry
-	// onEnd is called when the registrations show that a target's incarnation has ended
-	// that had not said that it leaves; may be nil.
+	// onEnd is called when the registrations show that a target's incarnation has ended;
+	// may be nil.
 	onEnd func(t *dispatch.Target, sign poison.CrashSign)
 
 	// mu guards the fields below. The dispatcher's lock may be acquired while it is held.
@@ -145,7 +145,7 @@
 
 // ended reports the end of a target that was removed from the dispatcher.
 func (o *targetObserver) ended(t *dispatch.Target, sign poison.CrashSign) {
-	if o.onEnd != nil && !t.Leaving() {
+	if o.onEnd != nil {
 		o.onEnd(t, sign)
 	}
 }
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -162,6 +162,14 @@
 	return removed
 }
 
+// IsRegistered reports whether a target is still registered, by the same incarnation and at
+// the same address.
+func (d *Dispatcher) IsRegistered(t *Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !t.gone
+}
+
 // TargetIDs returns the IDs of all targets.
 func (d *Dispatcher) TargetIDs() []string {
 	d.mu.Lock()
--- a/request/dispatch/leaving.go
+++ b/request/dispatch/leaving.go
@@ -59,6 +59,13 @@
 	return known.at.IsZero()
 }
 
+// IsLeaving reports whether a target has registered or said that it leaves.
+func (d *Dispatcher) IsLeaving(t *Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return t.registration.Leaving || t.saidLeaving
+}
+
 // MergeLeavings records the targets that told another process that they leave. It returns
 // those that were not known.
 func (d *Dispatcher) MergeLeavings(reported []presence.TargetLeaving, now time.Time) []presence.TargetLeaving {
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -59,10 +59,6 @@
 // FailureDomain returns the name of the target's failure domain.
 func (t *Target) FailureDomain() string { return t.registration.FailureDomain }
 
-// Leaving reports whether the target has registered that it leaves. It may be called on
-// targets that were removed from the Dispatcher only; those no longer change.
-func (t *Target) Leaving() bool { return t.registration.Leaving }
-
 // load returns how many requests all known processes have at the target.
 func (t *Target) load() int {
 	total := t.running
--- a/request/forward/crash_check.go
+++ b/request/forward/crash_check.go
@@ -60,7 +60,7 @@
 // it, that would show only in the next request to the target, which may come too late or
 // once the target is back.
 func (h *Handler) checkTarget(t *dispatch.Target) {
-	if !h.checks.request(t) {
+	if !h.dispatcher.IsRegistered(t) || !h.checks.request(t) {
 		return
 	}
 	go func() {
@@ -90,7 +90,7 @@
 		h.crashes.TargetEnded(t.ID(), t.Incarnation(), poison.ConnectionRefused)
 	case err == nil:
 		h.crashes.TargetResponded(t.ID(), t.Incarnation(), sent)
-	case v.failedAfterSend():
+	case v.failedAfterSend() && !h.dispatcher.IsLeaving(t):
 		h.crashes.RequestInterrupted(t.ID(), t.Incarnation(), c.fingerprint, c.onTrial)
 		h.checkTarget(t)
 	}
--- a/request/poison/detector.go
+++ b/request/poison/detector.go
@@ -143,6 +143,17 @@
 	return added
 }
 
+// TargetLeft records that a target has ended as it had announced, which is no crash.
+func (d *CrashDetector) TargetLeft(target, incarnation string) {
+	if d.interruptedCount.Load() == 0 {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.interrupted, crashID{target, incarnation})
+	d.interruptedCount.Store(int64(len(d.interrupted)))
+}
+
 // logCrash logs and counts a crash and, of the requests in flight, those that do not run freely
 // because of it and earlier ones.
 func (d *CrashDetector) logCrash(crash Crash, sign CrashSign, age time.Duration) {
--- a/request/poison/detector_test.go
+++ b/request/poison/detector_test.go
@@ -61,6 +61,16 @@
 	require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
 }
 
+// TestTargetThatLeftHasNotCrashed guards against requests that are suspected because targets
+// that leave, as announced, end with them in flight.
+func TestTargetThatLeftHasNotCrashed(t *testing.T) {
+	detector, _, _ := newDetector()
+	detector.RequestInterrupted("a", "1", 1, false)
+	detector.TargetLeft("a", "1")
+	require.False(t, detector.TargetEnded("a", "1", RegistrationDeleted))
+	require.Empty(t, detector.interrupted)
+}
+
 func TestRequestsInterruptedLongBeforeAreNotPartOfACrash(t *testing.T) {
 	detector, _, clock := newDetector()
 	detector.RequestInterrupted("a", "1", 1, false)
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -33,24 +33,30 @@
 func (l *Ledger) Evidence(now time.Time) Evidence {
 	var evidence Evidence
 	for _, crash := range l.sortedCrashes() {
-		evidence.Crashes = append(evidence.Crashes, CrashEvidence{
-			Target:       crash.Target,
-			Incarnation:  crash.Incarnation,
-			Group:        crash.Group,
-			Fingerprints: crash.Fingerprints,
-			OnTrial:      crash.OnTrial,
-			AgeMillis:    now.Sub(crash.At).Milliseconds(),
-		})
+		evidence.Crashes = append(evidence.Crashes, crash.evidence(now))
 	}
-	for fingerprint, at := range l.cleared {
-		evidence.Clearances = append(evidence.Clearances, Clearance{
-			Fingerprint: fingerprint,
-			AgeMillis:   now.Sub(at).Milliseconds(),
-		})
+	for fingerprint := range l.cleared {
+		evidence.Clearances = append(evidence.Clearances, l.clearance(fingerprint, now))
 	}
 	return evidence
 }
 
+func (c *Crash) evidence(now time.Time) CrashEvidence {
+	return CrashEvidence{
+		Target:       c.Target,
+		Incarnation:  c.Incarnation,
+		Group:        c.Group,
+		Fingerprints: c.Fingerprints,
+		OnTrial:      c.OnTrial,
+		AgeMillis:    now.Sub(c.At).Milliseconds(),
+	}
+}
+
+// clearance returns the clearance of a fingerprint that was cleared.
+func (l *Ledger) clearance(fingerprint uint64, now time.Time) Clearance {
+	return Clearance{Fingerprint: fingerprint, AgeMillis: now.Sub(l.cleared[fingerprint]).Milliseconds()}
+}
+
 // Recent returns at most limit of the newest crashes, and at most limit clearances,
 // none of them older than span.
 func (l *Ledger) Recent(limit int, span time.Duration, now time.Time) Evidence {
@@ -73,16 +79,19 @@
 // NextCrash returns one crash and all clearances of requests in flight in it. Successive
 // calls return all crashes in turn, so that peers which have started since learn of them.
 func (l *Ledger) NextCrash(now time.Time) Evidence {
-	all := l.Evidence(now)
-	if len(all.Crashes) == 0 {
+	crashes := l.sortedCrashes()
+	if len(crashes) == 0 {
 		return Evidence{}
 	}
-	l.nextCrash = (l.nextCrash + 1) % len(all.Crashes)
-	crash := all.Crashes[l.nextCrash]
-	all.Clearances = slices.DeleteFunc(all.Clearances, func(c Clearance) bool {
-		return !slices.Contains(crash.Fingerprints, c.Fingerprint)
-	})
-	return Evidence{Crashes: []CrashEvidence{crash}, Clearances: all.Clearances}
+	l.nextCrash = (l.nextCrash + 1) % len(crashes)
+	crash := crashes[l.nextCrash]
+	evidence := Evidence{Crashes: []CrashEvidence{crash.evidence(now)}}
+	for _, fingerprint := range crash.Fingerprints {
+		if _, cleared := l.cleared[fingerprint]; cleared {
+			evidence.Clearances = append(evidence.Clearances, l.clearance(fingerprint, now))
+		}
+	}
+	return evidence
 }
 
 // Restricted returns at most limit of the newest crashes with fingerprints whose requests
@@ -99,14 +108,13 @@
 	if len(restricted) == 0 {
 		return evidence
 	}
-	all := l.Evidence(now).Crashes
-	slices.Reverse(all)
-	for _, crash := range all {
-		free := func(fingerprint uint64) bool { return !restricted[fingerprint] }
-		crash.Fingerprints = slices.DeleteFunc(slices.Clone(crash.Fingerprints), free)
-		crash.OnTrial = slices.DeleteFunc(slices.Clone(crash.OnTrial), free)
-		if len(crash.Fingerprints) > 0 && len(evidence.Crashes) < limit {
-			evidence.Crashes = append(evidence.Crashes, crash)
+	runsFreely := func(fingerprint uint64) bool { return !restricted[fingerprint] }
+	for _, crash := range slices.Backward(l.sortedCrashes()) {
+		reported := crash.evidence(now)
+		reported.Fingerprints = slices.DeleteFunc(slices.Clone(crash.Fingerprints), runsFreely)
+		reported.OnTrial = slices.DeleteFunc(slices.Clone(crash.OnTrial), runsFreely)
+		if len(reported.Fingerprints) > 0 && len(evidence.Crashes) < limit {
+			evidence.Crashes = append(evidence.Crashes, reported)
 		}
 	}
 	return evidence
