Compare the store's versions within an era

In a drill the store may return from a copy some seconds old and give out versions again. A feed that was resumed by its old number missed the changes with numbers known before; hints of peers were compared with them; an entry's row was lost for good; targets and evacuations that the copy lacks vanished at once. The era of each response is decoded in platform/ and handed on with the version. Followers show a restoration as an outage and read the table again; entries write their rows again.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -82,9 +82,9 @@
 	// peersLoaded is set once the table of entries has been read. Without it this entry
 	// does not know its parts of the limits that apply to all entries together.
 	peersLoaded atomic.Bool
-	// rowVersion is the version of this entry's row in the store, 0 before it is
+	// rowVersion is the version of this entry's row in the store, nil before it is
 	// written.
-	rowVersion atomic.Uint64
+	rowVersion atomic.Pointer[platform.Version]
 	// readyLogged is set once the entry has been ready for the first time.
 	readyLogged atomic.Bool
 	leaving     atomic.Bool
--- a/daemon/direct/operator.go
+++ b/daemon/direct/operator.go
@@ -2,10 +2,13 @@
 
 import (
 	"maps"
+	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/logs"
 )
 
 // operatorObserver applies the rows that operators write: the configuration and the
@@ -13,22 +16,61 @@
 type operatorObserver struct {
 	entry *Entry
 	log   *logrus.Entry
-	// domainsOut holds the failure domains that are taken out of service. Only the
-	// follower's goroutine uses it.
+
+	// mu guards the fields below. The dispatcher's lock is acquired while it is held.
+	mu sync.Mutex
+	// domainsOut holds the failure domains that are taken out of service.
 	domainsOut map[string]bool
+	// missingSince holds, for those of domainsOut that the last snapshot lacked, when it
+	// arrived.
+	missingSince map[string]time.Time
+}
+
+func newOperatorObserver(e *Entry) *operatorObserver {
+	return &operatorObserver{
+		entry: e, log: logs.Component(e.logger, "operator"),
+		domainsOut: map[string]bool{}, missingSince: map[string]time.Time{},
+	}
 }
 
-// OnSnapshot implements follow.Observer.
+// OnSnapshot implements follow.Observer. Domains that the snapshot lacks stay out of service
+// for removalGrace: a store that was restored from an older copy may not know of them yet.
 func (o *operatorObserver) OnSnapshot(rows []platform.Row) {
-	o.domainsOut = map[string]bool{}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.entry.clock.Now()
+	for domain := range o.domainsOut {
+		if _, missing := o.missingSince[domain]; !missing {
+			o.missingSince[domain] = now
+		}
+	}
 	for _, row := range rows {
 		o.apply(row)
 	}
 	o.publishDomainsOut()
 }
 
+// tick puts domains back into service that no snapshot or change has named for
+// removalGrace.
+func (o *operatorObserver) tick() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.entry.clock.Now()
+	for domain, since := range o.missingSince {
+		if now.Sub(since) < removalGrace {
+			continue
+		}
+		delete(o.missingSince, domain)
+		delete(o.domainsOut, domain)
+		o.log.WithField("failure_domain", domain).Info("failure domain no longer listed; back in service")
+		o.publishDomainsOut()
+	}
+}
+
 // OnChanges implements follow.Observer.
 func (o *operatorObserver) OnChanges(rows []platform.Row) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for _, row := range rows {
 		o.apply(row)
 	}
@@ -38,6 +80,7 @@
 func (o *operatorObserver) apply(row platform.Row) {
 	if domain, ok := platform.EvacuatedDomain(row.Key); ok {
 		delete(o.domainsOut, domain)
+		delete(o.missingSince, domain)
 		if !row.Deleted {
 			o.domainsOut[domain] = true
 		}
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -77,7 +77,21 @@
 	}
 }
 
+// registerAgain writes this entry's row again if the store was restored from an older copy,
+// which may lack it, since it was written.
+func (e *Entry) registerAgain(ctx context.Context) {
+	written := e.rowVersion.Load()
+	if written == nil || written.Era == e.store.Era() || e.leaving.Load() {
+		return
+	}
+	e.log.WithFields(logrus.Fields{"era": e.store.Era(), "written": written.Era}).Info("store restored; registering again")
+	e.register(ctx)
+}
+
 const (
+	// registrationCheckInterval is the time between two checks for a restored store. An
+	// entry must be registered again within 2 s.
+	registrationCheckInterval = 500 * time.Millisecond
 	// registerTimeout limits one attempt to register.
 	registerTimeout = time.Second
 	// unregisterTimeout limits the attempt to unregister, which must end within
@@ -90,7 +104,7 @@
 	defer cancel()
 	version, err := e.store.Apply(ctx, platform.Transaction{Writes: []platform.Row{row}})
 	if err == nil {
-		e.rowVersion.Store(version)
+		e.rowVersion.Store(&version)
 	}
 	return err
 }
@@ -99,12 +113,17 @@
 // it.
 func (e *Entry) unregister() {
 	row, err := platform.EncodePeer(e.self)
-	if err != nil || e.rowVersion.Load() == 0 {
+	written := e.rowVersion.Load()
+	if err != nil || written == nil {
+		return
+	}
+	if written.Era != e.store.Era() {
+		e.log.Warn("registration not deleted: the store was restored since it was written")
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
 	defer cancel()
-	row.Value, row.Version = nil, e.rowVersion.Load()
+	row.Value, row.Version = nil, written.Number
 	_, err = e.store.Apply(ctx, platform.Transaction{Conditions: []platform.Row{row}, Deletes: []platform.Row{row}})
 	if err != nil {
 		e.log.WithError(err).Warn("deleting the registration from the store failed")
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -131,7 +131,7 @@
 		Settings: settings.Direct{Name: "a"}, Store: platform.NewStore(strings.TrimPrefix(server.URL, "http://")),
 		Clock: clockwork.NewRealClock(), Logger: logs.Discard(),
 	})
-	e.rowVersion.Store(1)
+	e.rowVersion.Store(&platform.Version{Number: 1})
 	started := time.Now()
 	e.unregister()
 	require.Less(t, time.Since(started), shutdownMargin)
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -54,7 +54,7 @@
 func (e *Entry) startBackground(ctx context.Context, wg *sync.WaitGroup, heartbeats *heartbeater) {
 	log := logs.Component(e.logger, "store")
 	targets := &snapshotNotifier{Observer: e.targets, done: func() { e.targetsLoaded.Store(true) }}
-	operator := &operatorObserver{entry: e, log: logs.Component(e.logger, "operator"), domainsOut: map[string]bool{}}
+	operator := newOperatorObserver(e)
 	peers := &snapshotNotifier{
 		Observer: &peerObserver{entry: e, log: logs.Component(e.logger, "peers")},
 		done: func() {
@@ -80,13 +80,17 @@
 		Table: platform.TableEntries, Observer: peers, Position: follow.NewPosition(),
 		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(entriesBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
-	wg.Go(func() { e.register(ctx) })
+	wg.Go(func() {
+		e.register(ctx)
+		runEvery(ctx, e.clock, registrationCheckInterval, func() { e.registerAgain(ctx) })
+	})
 	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.tick) })
 	wg.Go(func() { heartbeats.sendOnChange(ctx) })
 	started := e.clock.Now()
 	wg.Go(func() {
 		runEvery(ctx, e.clock, tickInterval, func() {
 			e.tick()
+			operator.tick()
 			e.logReadyOnce(started)
 		})
 	})
--- a/daemon/direct/store_watch.go
+++ b/daemon/direct/store_watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/daemon/follow"
+	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/presence"
 )
 
@@ -83,15 +84,19 @@
 func (w *storeWatch) status() presence.StoreStatus {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return presence.StoreStatus{OperatorChange: w.operator.Change(), TargetsChange: w.targets.Change(), Lost: w.storeLost}
+	operator, targets := w.operator.Change(), w.targets.Change()
+	return presence.StoreStatus{
+		OperatorChange: operator.Number, OperatorEra: operator.Era,
+		TargetsChange: targets.Number, TargetsEra: targets.Era, Lost: w.storeLost,
+	}
 }
 
 // handleStatus polls again if a peer knows of changes that this entry does not. If a
 // frequent poller has lost the store, it checks the store, unless this entry polls
 // frequently too.
 func (w *storeWatch) handleStatus(peer string, status presence.StoreStatus) {
-	w.operator.Hint(status.OperatorChange)
-	w.targets.Hint(status.TargetsChange)
+	w.operator.Hint(platform.Version{Era: status.OperatorEra, Number: status.OperatorChange})
+	w.targets.Hint(platform.Version{Era: status.TargetsEra, Number: status.TargetsChange})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	newlyLost := status.Lost && !w.lostBy[peer]
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -46,8 +46,8 @@
 
 // Reader reads tables; platform.Store implements it.
 type Reader interface {
-	Read(ctx context.Context, table string) ([]platform.Row, uint64, error)
-	Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Row, uint64, error)
+	Read(ctx context.Context, table string) ([]platform.Row, platform.Version, error)
+	Feed(ctx context.Context, table string, after platform.Version, wait time.Duration) ([]platform.Row, platform.Version, error)
 }
 
 // Observer receives the rows of a table. Its methods are called from one goroutine.
@@ -156,7 +156,9 @@
 	// until the store no longer has its changes; version is the store's version up to
 	// which they are known.
 	synced  bool
-	version uint64
+	version platform.Version
+	// read is set once the whole table has been read.
+	read bool
 	// failures is the number of consecutive failed calls.
 	failures int
 	// hinted is set if the last long poll was abandoned because of a hint.
@@ -173,9 +175,7 @@
 		if err != nil {
 			return err
 		}
-		f.synced, f.version = true, version
-		f.Position.read(rows, version)
-		f.Observer.OnSnapshot(rows)
+		f.takeSnapshot(rows, version)
 		return nil
 	}
 	rows, version, err := f.feed(ctx)
@@ -185,13 +185,20 @@
 		f.log.Info("store no longer holds the table's changes; reading the whole table")
 		return nil
 	}
+	var restored *platform.RestoredError
+	if errors.As(err, &restored) {
+		// Counted as a failure: for the observer it is an outage of the store.
+		f.synced = false
+		f.log.WithFields(logrus.Fields{"era": restored.After, "known": f.version.Number}).Warn("store restored from an older copy; reading the whole table")
+		return err
+	}
 	if f.hinted = errors.Is(err, errHinted); f.hinted {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	f.version = max(f.version, version)
+	f.version.Number = max(f.version.Number, version.Number)
 	f.Position.fed(rows, f.version)
 	if len(rows) > 0 {
 		f.Observer.OnChanges(rows)
@@ -200,10 +207,24 @@
 	return nil
 }
 
+// takeSnapshot passes on the rows of the whole table. If they are of another era than the
+// rows known before, it is an outage of the store for the observer, also if no call failed:
+// the copy from which the store was restored may lack rows that will be written again.
+func (f *follower) takeSnapshot(rows []platform.Row, version platform.Version) {
+	unnoticed := f.read && version.Era != f.version.Era && f.failures == 0
+	f.read, f.synced, f.version = true, true, version
+	f.Position.read(rows, version)
+	if unnoticed {
+		f.Observer.OnStoreLost()
+		defer f.Observer.OnStoreRegained()
+	}
+	f.Observer.OnSnapshot(rows)
+}
+
 // feed waits for the next changes. A failure of another call to the store, and a hint,
 // end a long poll early. Before long polls after a hint, a short one asks for changes, so
 // that the store's version is known even if there are none.
-func (f *follower) feed(ctx context.Context) ([]platform.Row, uint64, error) {
+func (f *follower) feed(ctx context.Context) ([]platform.Row, platform.Version, error) {
 	if f.failures > 0 || f.hinted {
 		return f.Reader.Feed(ctx, f.Table, f.version, probeWait)
 	}
--- a/daemon/follow/follow_test.go
+++ b/daemon/follow/follow_test.go
@@ -23,7 +23,7 @@
 	// answer after it is reset either.
 	unresponsive bool
 	rows         []platform.Row
-	version      uint64
+	version      platform.Version
 	// historyLost makes the next feed fail with platform.HistoryLostError.
 	historyLost bool
 	// failNext makes the next feed fail at once, failAll all of them.
@@ -33,6 +33,9 @@
 	feeds int
 }
 
+// at returns a version of the first era.
+func at(number uint64) platform.Version { return platform.Version{Number: number} }
+
 // shouldFail reports whether a feed is to fail, and resets failNext.
 func (s *fakeStore) shouldFail() bool {
 	s.mu.Lock()
@@ -54,10 +57,10 @@
 	return s.unresponsive
 }
 
-func (s *fakeStore) Read(ctx context.Context, _ string) ([]platform.Row, uint64, error) {
+func (s *fakeStore) Read(ctx context.Context, _ string) ([]platform.Row, platform.Version, error) {
 	if s.isUnresponsive() {
 		<-ctx.Done()
-		return nil, 0, &platform.CallError{Call: "read", Cause: ctx.Err()}
+		return nil, platform.Version{}, &platform.CallError{Call: "read", Cause: ctx.Err()}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -68,27 +71,32 @@
 // feedTimeoutMargin is how long after its wait a feed times out, as in platform.Store.
 const feedTimeoutMargin = 500 * time.Millisecond
 
-func (s *fakeStore) Feed(ctx context.Context, table string, after uint64, wait time.Duration) ([]platform.Row, uint64, error) {
+func (s *fakeStore) Feed(ctx context.Context, table string, after platform.Version, wait time.Duration) ([]platform.Row, platform.Version, error) {
 	if s.isUnresponsive() {
 		return s.leaveUnanswered(ctx, wait+feedTimeoutMargin)
 	}
 	s.set(func(s *fakeStore) { s.feeds++ })
 	if s.shouldFail() {
-		return nil, 0, &platform.StatusError{Call: "feed", Status: 503}
+		return nil, platform.Version{}, &platform.StatusError{Call: "feed", Status: 503}
 	}
 	for deadline := time.Now().Add(wait); time.Now().Before(deadline) && ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
 		if s.isUnresponsive() {
 			return s.leaveUnanswered(ctx, time.Until(deadline)+feedTimeoutMargin)
 		}
 		s.mu.Lock()
+		if s.version.Era != after.Era && !s.historyLost {
+			restored := &platform.RestoredError{Table: table, Before: after.Era, After: s.version.Era}
+			s.mu.Unlock()
+			return nil, platform.Version{}, restored
+		}
 		if s.historyLost {
 			s.historyLost = false
 			s.mu.Unlock()
-			return nil, 0, &platform.HistoryLostError{Table: table}
+			return nil, platform.Version{}, &platform.HistoryLostError{Table: table}
 		}
 		var changed []platform.Row
 		for _, row := range s.rows {
-			if row.Version > after {
+			if row.Version > after.Number {
 				changed = append(changed, row)
 			}
 		}
@@ -104,11 +112,11 @@
 }
 
 // leaveUnanswered blocks a call until its context or the limit ends it.
-func (s *fakeStore) leaveUnanswered(ctx context.Context, limit time.Duration) ([]platform.Row, uint64, error) {
+func (s *fakeStore) leaveUnanswered(ctx context.Context, limit time.Duration) ([]platform.Row, platform.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	<-ctx.Done()
-	return nil, 0, &platform.CallError{Call: "feed", Cause: ctx.Err()}
+	return nil, platform.Version{}, &platform.CallError{Call: "feed", Cause: ctx.Err()}
 }
 
 func (s *fakeStore) set(change func(*fakeStore)) {
@@ -165,7 +173,7 @@
 // had begun a long poll, the configuration was read only 7 s after the store was back.
 func TestLongPollIsAbandonedWhenShorterOneFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
+		store := &fakeStore{version: at(1), rows: []platform.Row{{Key: "a", Version: 1}}}
 		shortObserver, longObserver := &recorder{}, &recorder{}
 		short := newConfig(store, "short", shortObserver)
 		short.FeedWait = Always(1500 * time.Millisecond)
@@ -180,7 +188,7 @@
 		time.Sleep(9 * time.Second)
 		store.set(func(s *fakeStore) {
 			s.unresponsive = false
-			s.rows, s.version = append(s.rows, platform.Row{Key: "b", Version: 2}), 2
+			s.rows, s.version = append(s.rows, platform.Row{Key: "b", Version: 2}), at(2)
 		})
 		time.Sleep(1500 * time.Millisecond)
 		for _, observer := range []*recorder{shortObserver, longObserver} {
@@ -197,7 +205,7 @@
 
 func TestTableIsReadSoonAfterUnresponsiveStoreIsBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{unresponsive: true, version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
+		store := &fakeStore{unresponsive: true, version: at(1), rows: []platform.Row{{Key: "a", Version: 1}}}
 		observer := &recorder{}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -222,7 +230,7 @@
 
 func TestWholeTableIsReadAfterLostHistory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{version: 1, rows: []platform.Row{{Key: "a", Version: 1}}}
+		store := &fakeStore{version: at(1), rows: []platform.Row{{Key: "a", Version: 1}}}
 		observer := &recorder{}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -232,7 +240,7 @@
 		}()
 		time.Sleep(time.Second)
 		store.set(func(s *fakeStore) {
-			s.rows, s.version = append(s.rows, platform.Row{Key: "b", Version: 2}), 2
+			s.rows, s.version = append(s.rows, platform.Row{Key: "b", Version: 2}), at(2)
 		})
 		time.Sleep(time.Second)
 		store.set(func(s *fakeStore) { s.historyLost = true })
@@ -246,7 +254,7 @@
 
 func TestFeedToUnresponsiveStoreIsAbandonedSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{version: 1, failNext: true}
+		store := &fakeStore{version: at(1), failNext: true}
 		observer := &recorder{}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
@@ -259,7 +267,7 @@
 		time.Sleep(3 * time.Second)
 		store.set(func(s *fakeStore) {
 			s.unresponsive = false
-			s.rows, s.version = []platform.Row{{Key: "a", Version: 2}}, 2
+			s.rows, s.version = []platform.Row{{Key: "a", Version: 2}}, at(2)
 		})
 		time.Sleep(2 * time.Second)
 		observer.mu.Lock()
@@ -275,7 +283,7 @@
 // targets start and register one after the other.
 func TestChangesInQuickSuccessionAreBatched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{version: 1}
+		store := &fakeStore{version: at(1)}
 		observer := &recorder{}
 		cfg := newConfig(store, "t", observer)
 		cfg.BatchDelay = Always(250 * time.Millisecond)
@@ -289,8 +297,8 @@
 		for n := range targets {
 			time.Sleep(20 * time.Millisecond)
 			store.set(func(s *fakeStore) {
-				s.version++
-				s.rows = append(s.rows, platform.Row{Key: strconv.Itoa(n), Version: s.version})
+				s.version.Number++
+				s.rows = append(s.rows, platform.Row{Key: strconv.Itoa(n), Version: s.version.Number})
 			})
 		}
 		time.Sleep(time.Second)
@@ -305,7 +313,7 @@
 // the short backoff is retried often, and the other one recovers together with it.
 func TestOneTableProbesForAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		frequent, infrequent := &fakeStore{version: 1}, &fakeStore{version: 1}
+		frequent, infrequent := &fakeStore{version: at(1)}, &fakeStore{version: at(1)}
 		events := NewStoreEvents()
 		observer := &recorder{}
 		ctx, cancel := context.WithCancel(t.Context())
@@ -338,3 +346,33 @@
 		group.Wait()
 	})
 }
+
+// TestRestoredStoreIsAnOutageAndReadAgain guards against a table that is followed from a
+// version of another era, and against rows that vanish at once because an older copy lacks
+// them: the observer must see an outage, the rows of the copy, and the end of the outage,
+// also if all that a call shows is that the history was lost.
+func TestRestoredStoreIsAnOutageAndReadAgain(t *testing.T) {
+	t.Run("shown by the era", func(t *testing.T) { checkRestore(t, false) })
+	t.Run("shown by lost history", func(t *testing.T) { checkRestore(t, true) })
+}
+
+func checkRestore(t *testing.T, historyLost bool) {
+	synctest.Test(t, func(t *testing.T) {
+		store, observer := &fakeStore{version: at(5), rows: []platform.Row{{Key: "a", Version: 5}}}, &recorder{}
+		cfg := newConfig(store, "t", observer)
+		go func() {
+			time.Sleep(time.Second)
+			store.set(func(s *fakeStore) {
+				s.version = platform.Version{Era: 1, Number: 7}
+				s.rows = []platform.Row{{Key: "b", Version: 3}, {Key: "c", Version: 7}}
+				s.historyLost = historyLost
+			})
+		}()
+		followFor(t, cfg, 4*time.Second)
+		require.Equal(t, []int{1, 2}, observer.snapshots)
+		require.Empty(t, observer.changes, "no change was taken from a feed across eras")
+		require.Equal(t, 1, observer.lost)
+		require.Equal(t, 1, observer.regained)
+		require.Equal(t, platform.Version{Era: 1, Number: 7}, cfg.Position.Change())
+	})
+}
--- a/daemon/follow/position.go
+++ b/daemon/follow/position.go
@@ -20,8 +20,8 @@
 	// mu guards the fields below. The lock of hinted is acquired while it is held.
 	mu sync.Mutex
 	// change is the store's version at the latest known change of the table, known the
-	// version up to which all changes are known.
-	change, known uint64
+	// version up to which all changes are known. Both are of the same era.
+	change, known platform.Version
 	hintedAt      time.Time
 }
 
@@ -29,17 +29,20 @@
 func NewPosition() *Position { return &Position{hinted: newBroadcast()} }
 
 // Change returns the store's version at the latest known change of the table.
-func (p *Position) Change() uint64 {
+func (p *Position) Change() platform.Version {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.change
 }
 
-// Hint tells that a peer knows of a change of the table at the given version.
-func (p *Position) Hint(change uint64) {
+// Hint tells that a peer knows of a change of the table at the given version. A peer in an
+// earlier era knows nothing that matters, one in a later era knows that the store was
+// restored.
+func (p *Position) Hint(change platform.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if change <= p.known || time.Since(p.hintedAt) < hintInterval {
+	known := change.Era < p.known.Era || change.Era == p.known.Era && change.Number <= p.known.Number
+	if known || time.Since(p.hintedAt) < hintInterval {
 		return
 	}
 	p.hintedAt = time.Now()
@@ -51,17 +54,17 @@
 
 // read records the rows of the whole table at a version of the store. Versions may be
 // lower than before.
-func (p *Position) read(rows []platform.Row, version uint64) {
+func (p *Position) read(rows []platform.Row, version platform.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.change, p.known = latestChange(rows), version
+	p.change, p.known = platform.Version{Era: version.Era, Number: latestChange(rows)}, version
 }
 
 // fed records changed rows and the version up to which all changes are known.
-func (p *Position) fed(rows []platform.Row, version uint64) {
+func (p *Position) fed(rows []platform.Row, version platform.Version) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.change, p.known = max(p.change, latestChange(rows)), version
+	p.change.Number, p.known = max(p.change.Number, latestChange(rows)), version
 }
 
 func latestChange(rows []platform.Row) uint64 {
--- a/daemon/follow/position_test.go
+++ b/daemon/follow/position_test.go
@@ -30,7 +30,7 @@
 func TestHintRevealsChangeMissedByLostPoll(t *testing.T) {
 	for _, hinted := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
-			store, observer := &fakeStore{version: 1}, &recorder{}
+			store, observer := &fakeStore{version: at(1)}, &recorder{}
 			cfg := newConfig(store, "t", observer)
 			go func() {
 				time.Sleep(time.Second)
@@ -38,10 +38,10 @@
 				time.Sleep(100 * time.Millisecond)
 				store.set(func(s *fakeStore) {
 					s.unresponsive = false
-					s.rows, s.version = []platform.Row{{Key: "a", Version: 2}}, 2
+					s.rows, s.version = []platform.Row{{Key: "a", Version: 2}}, at(2)
 				})
 				if hinted {
-					cfg.Position.Hint(2)
+					cfg.Position.Hint(at(2))
 				}
 			}()
 			followFor(t, cfg, 2*time.Second)
@@ -59,19 +59,19 @@
 // peer, be it that the hinted change is known already or that the table has none.
 func TestHintsCauseFewPolls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := &fakeStore{version: 9, rows: []platform.Row{{Key: "a", Version: 7}}}
+		store := &fakeStore{version: at(9), rows: []platform.Row{{Key: "a", Version: 7}}}
 		cfg := newConfig(store, "t", &recorder{})
 		go func() {
 			time.Sleep(100 * time.Millisecond)
 			for range 100 {
-				cfg.Position.Hint(7)
+				cfg.Position.Hint(at(7))
 				time.Sleep(10 * time.Millisecond)
 			}
 			require.Equal(t, 1, store.feedCount())
-			require.Equal(t, uint64(7), cfg.Position.Change())
-			store.set(func(s *fakeStore) { s.version = 12 })
+			require.Equal(t, at(7), cfg.Position.Change())
+			store.set(func(s *fakeStore) { s.version = at(12) })
 			for range 300 {
-				cfg.Position.Hint(11)
+				cfg.Position.Hint(at(11))
 				time.Sleep(10 * time.Millisecond)
 			}
 			// The abandoned poll, a short one and the next long one.
@@ -80,3 +80,32 @@
 		followFor(t, cfg, 5*time.Second)
 	})
 }
+
+// TestHintsAreComparedWithinAnEra guards against hints of peers that have not noticed that the
+// store was restored, and against a restored store that goes unnoticed because its versions
+// are lower.
+func TestHintsAreComparedWithinAnEra(t *testing.T) {
+	for _, c := range []struct {
+		desc   string
+		change platform.Version
+		polls  bool
+	}{
+		{"later change", platform.Version{Era: 1, Number: 8}, true},
+		{"known change", platform.Version{Era: 1, Number: 7}, false},
+		{"later number of an earlier era", platform.Version{Number: 100}, false},
+		{"lower number of a later era", platform.Version{Era: 2, Number: 1}, true},
+	} {
+		t.Run(c.desc, func(t *testing.T) {
+			position := NewPosition()
+			position.read(nil, platform.Version{Era: 1, Number: 7})
+			hinted := position.hinted.next()
+			position.Hint(c.change)
+			select {
+			case <-hinted:
+				require.True(t, c.polls)
+			default:
+				require.False(t, c.polls)
+			}
+		})
+	}
+}
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -63,6 +63,9 @@
 	// the operator's table and of the table of targets that the process knows.
 	OperatorChange uint64 `cbor:"1,keyasint"`
 	TargetsChange  uint64 `cbor:"2,keyasint"`
+	// OperatorEra and TargetsEra are the eras of these versions.
+	OperatorEra uint64 `cbor:"4,keyasint,omitempty"`
+	TargetsEra  uint64 `cbor:"5,keyasint,omitempty"`
 	// Lost is set while the process cannot read the store.
 	Lost bool `cbor:"3,keyasint,omitempty"`
 }
