--- /dev/null
+++ b/request/forward/suspect.go
@@ -0,0 +1,49 @@
+package forward
+
+import (
+	"time"
+
+	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/poison"
+)
+
+// trialRetryAfter is the Retry-After of a suspected request that this entry may not run
+// on trial. By then another entry may have found out whether it crashes targets.
+const trialRetryAfter = 2 * time.Second
+
+// refuseSuspect returns the failure of a call that must not run now according to the
+// crash evidence, or nil if it may.
+func (h *Handler) refuseSuspect(c *call) *failure.Error {
+	assessment := h.poison.Assess(c.fingerprint)
+	if refusal := assessment.Failure(h.clock.Now()); refusal != nil {
+		return refusal
+	}
+	if assessment.Level == poison.OnTrial && h.trialAllowance(c) == 0 {
+		return newTrialRefusal()
+	}
+	return nil
+}
+
+// refuseBeforeAttempt is refuseSuspect for a call that is about to be sent to a target.
+// A suspect that may run is on trial from then on.
+func (h *Handler) refuseBeforeAttempt(c *call) *failure.Error {
+	refusal := h.refuseSuspect(c)
+	if refusal == nil && h.poison.Assess(c.fingerprint).Level == poison.OnTrial {
+		if c.onTrial = h.poison.BeginTrial(c.fingerprint, h.trialAllowance(c)); !c.onTrial {
+			refusal = newTrialRefusal()
+		}
+	}
+	if refusal != nil {
+		refusal.Outcome = c.attempts.Outcome()
+	}
+	return refusal
+}
+
+func newTrialRefusal() *failure.Error {
+	return failure.New(failure.Overloaded, failure.NotRun, "the request is suspected of crashing targets and on trial elsewhere").
+		WithRetryAfter(trialRetryAfter)
+}
+
+func (h *Handler) trialAllowance(c *call) int {
+	return poison.TrialAllowance(h.trialRank(c.fingerprint))
+}
