Count crashes of targets that restart faster than they register

Cause: a crash was identified by the target and the incarnation of its registration. A target that is back after 0.5 s and crashes again before its next registration arrives (0.8 s in the simulation) is still known by the old one, so that the second crash was merged into the first. A trace of the case shows it three times: 4 crashes counted as 2.

Change: the requests that a target interrupts carry the time at which they were sent. One that was sent 300 ms or more after a known crash can only have run in a later process, so its crash gets a number of its own. Older builds ignore the number and merge the crashes as before.

Failed before: both new tests of crashes between registrations.

--- a/request/poison/crash.go
+++ b/request/poison/crash.go
@@ -10,6 +10,9 @@
 type Crash struct {
 	// Target and Incarnation identify the engine incarnation that ended.
 	Target, Incarnation string
+	// Restart tells apart the crashes of a target that restarts faster than it registers:
+	// it is how many crashes of the same registered incarnation came before.
+	Restart int
 	// Group identifies the incarnation of the lock-step group that the engine belongs
 	// to. The engines of a group end together and count as one crash. It is empty for
 	// an engine that is not in a group.
@@ -23,11 +26,23 @@
 	At time.Time
 }
 
-type crashID struct {
+// minRestart is the least time from a crash until the target can run requests again. A
+// request that is sent sooner may have met a connection whose end was not known yet.
+const minRestart = 300 * time.Millisecond
+
+// incarnationID identifies an incarnation by its registration.
+type incarnationID struct {
 	target, incarnation string
 }
 
-func (c *Crash) id() crashID { return crashID{c.Target, c.Incarnation} }
+type crashID struct {
+	incarnationID
+	restart int
+}
+
+func (c *Crash) id() crashID {
+	return crashID{incarnationID{c.Target, c.Incarnation}, c.Restart}
+}
 
 // compareCrashes orders crashes by time and then by ID, so that all processes use the
 // same order.
--- a/request/poison/detector.go
+++ b/request/poison/detector.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,32 +60,33 @@
 
 	// mu guards interrupted; the Tracker's lock is not taken under it.
 	mu          sync.Mutex
-	interrupted map[crashID][]interruptedRequest
+	interrupted map[incarnationID][]interruptedRequest
 }
 
 // interruptedRequest is a request that a target may have run but did not complete.
 type interruptedRequest struct {
 	fingerprint uint64
 	onTrial     bool
-	at          time.Time
+	sent, at    time.Time
 }
 
 // NewCrashDetector returns a CrashDetector that adds the crashes it detects to a Tracker.
 func NewCrashDetector(config DetectorConfig) *CrashDetector {
-	return &CrashDetector{config: config, interrupted: map[crashID][]interruptedRequest{}}
+	return &CrashDetector{config: config, interrupted: map[incarnationID][]interruptedRequest{}}
 }
 
-// RequestInterrupted records that a target interrupted a request that it may have run.
-func (d *CrashDetector) RequestInterrupted(target, incarnation string, fingerprint uint64, onTrial bool) {
+// RequestInterrupted records that a target interrupted a request that was sent at the given
+// time and that it may have run.
+func (d *CrashDetector) RequestInterrupted(target, incarnation string, fingerprint uint64, onTrial bool, sent time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Clock.Now()
-	id := crashID{target, incarnation}
+	id := incarnationID{target, incarnation}
 	requests := d.interrupted[id]
 	for len(requests) > 0 && (now.Sub(requests[0].at) > interruptedTTL || len(requests) >= maxInterrupted) {
 		requests = requests[1:]
 	}
-	d.interrupted[id] = append(requests, interruptedRequest{fingerprint, onTrial, now})
+	d.interrupted[id] = append(requests, interruptedRequest{fingerprint, onTrial, sent, now})
 	d.interruptedCount.Store(int64(len(d.interrupted)))
 }
 
@@ -97,7 +99,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	id := crashID{target, incarnation}
+	id := incarnationID{target, incarnation}
 	requests := d.interrupted[id]
 	for len(requests) > 0 && !requests[0].at.After(sent) {
 		requests = requests[1:]
@@ -115,32 +117,52 @@
 	if d.interruptedCount.Load() == 0 {
 		return false
 	}
-	crash := Crash{Target: target, Incarnation: incarnation}
 	now := d.config.Clock.Now()
-	first := now
-	d.mu.Lock()
-	for _, request := range d.interrupted[crash.id()] {
+	added := false
+	for _, crash := range d.crashesOf(incarnationID{target, incarnation}, now) {
+		age := now.Sub(crash.At)
+		added = d.config.Tracker.Crashed(crash, age) || added
+		d.logCrash(crash, sign, age)
+	}
+	if added {
+		d.config.Share()
+	}
+	return added
+}
+
+// crashesOf returns the crashes that the interrupted requests of an ended incarnation show,
+// and forgets these requests. There are several if the target has restarted since it
+// registered: a request that was sent after a crash can only have run in a later process.
+func (d *CrashDetector) crashesOf(id incarnationID, now time.Time) []Crash {
+	var crashes []Crash
+	for _, request := range d.takeInterrupted(id) {
 		if now.Sub(request.at) > interruptedTTL {
 			continue
 		}
+		restart := d.config.Tracker.Restarts(id.target, id.incarnation, request.sent)
+		n := slices.IndexFunc(crashes, func(c Crash) bool { return c.Restart == restart })
+		if n < 0 {
+			n = len(crashes)
+			crashes = append(crashes, Crash{Target: id.target, Incarnation: id.incarnation, Restart: restart, At: request.at})
+		}
+		crash := &crashes[n]
 		crash.Fingerprints = append(crash.Fingerprints, request.fingerprint)
 		if request.onTrial {
 			crash.OnTrial = append(crash.OnTrial, request.fingerprint)
 		}
-		first = earlier(first, request.at)
 	}
-	delete(d.interrupted, crash.id())
+	return crashes
+}
+
+// takeInterrupted returns the interrupted requests of an incarnation, in the order in which
+// they were interrupted, and forgets them.
+func (d *CrashDetector) takeInterrupted(id incarnationID) []interruptedRequest {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	requests := d.interrupted[id]
+	delete(d.interrupted, id)
 	d.interruptedCount.Store(int64(len(d.interrupted)))
-	d.mu.Unlock()
-	if len(crash.Fingerprints) == 0 {
-		return false
-	}
-	added := d.config.Tracker.Crashed(crash, now.Sub(first))
-	d.logCrash(crash, sign, now.Sub(first))
-	if added {
-		d.config.Share()
-	}
-	return added
+	return requests
 }
 
 // TargetLeft records that a target has ended as it had announced, which is no crash.
@@ -150,7 +172,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.interrupted, crashID{target, incarnation})
+	delete(d.interrupted, incarnationID{target, incarnation})
 	d.interruptedCount.Store(int64(len(d.interrupted)))
 }
 
@@ -165,14 +187,7 @@
 		}
 	}
 	d.config.Log.WithFields(logrus.Fields{
-		"target": crash.Target, "incarnation": crash.Incarnation, "sign": sign, "age_ms": age.Milliseconds(),
+		"target": crash.Target, "incarnation": crash.Incarnation, "restart": crash.Restart, "sign": sign, "age_ms": age.Milliseconds(),
 		"in_flight": len(crash.Fingerprints), "on_trial": len(crash.OnTrial), "restricted": restricted,
 	}).Warn("target crashed")
 }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/request/poison/detector_test.go
+++ b/request/poison/detector_test.go
@@ -33,7 +33,7 @@
 	detector, tracker, clock := newDetector()
 	for n, target := range []string{"a", "b", "c"} {
 		require.NotEqual(t, Refused, tracker.Assess(1).Level, "before crash %d", n+1)
-		detector.RequestInterrupted(target, "1", 1, false)
+		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
 		clock.Advance(20 * time.Millisecond)
 		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		require.False(t, detector.TargetEnded(target, "1", ConnectionRefused), "one crash counts once")
@@ -45,18 +45,46 @@
 
 func TestTargetThatRespondsAgainHasNotCrashed(t *testing.T) {
 	detector, _, clock := newDetector()
-	detector.RequestInterrupted("a", "1", 1, false)
+	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
 	detector.TargetResponded("a", "1", clock.Now())
 	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
 }
 
+// TestCrashesBetweenRegistrationsCountSeparately guards against a request that goes on
+// crashing a target, because the target is back before its registration shows the last crash.
+func TestCrashesBetweenRegistrationsCountSeparately(t *testing.T) {
+	detector, tracker, clock := newDetector()
+	peer := NewTracker(refuseAfterThree, clock)
+	for range 3 {
+		detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+		require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
+		peer.Merge(tracker.Evidence())
+		clock.Advance(500 * time.Millisecond)
+	}
+	clock.Advance(DefaultRefusalHold)
+	require.Equal(t, Refused, tracker.Assess(1).Level)
+	require.Equal(t, Refused, peer.Assess(1).Level)
+}
+
+// TestRequestSentToBrokenConnectionAddsNoCrash guards against a crash that counts twice, as
+// a request is sent before the entry sees that the connection has ended.
+func TestRequestSentToBrokenConnectionAddsNoCrash(t *testing.T) {
+	detector, tracker, clock := newDetector()
+	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
+	clock.Advance(minRestart / 2)
+	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
+	require.Len(t, tracker.Evidence().Crashes, 1)
+}
+
 // TestResponseOnItsWayDoesNotHideCrash guards against a crash that goes unnoticed because
 // the target's last responses are read after the requests that it interrupted.
 func TestResponseOnItsWayDoesNotHideCrash(t *testing.T) {
 	detector, _, clock := newDetector()
 	sent := clock.Now()
 	clock.Advance(10 * time.Millisecond)
-	detector.RequestInterrupted("a", "1", 1, false)
+	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
 	detector.TargetResponded("a", "1", sent)
 	require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
 }
@@ -64,8 +92,8 @@
 // TestTargetThatLeftHasNotCrashed guards against requests that are suspected because targets
 // that leave, as announced, end with them in flight.
 func TestTargetThatLeftHasNotCrashed(t *testing.T) {
-	detector, _, _ := newDetector()
-	detector.RequestInterrupted("a", "1", 1, false)
+	detector, _, clock := newDetector()
+	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
 	detector.TargetLeft("a", "1")
 	require.False(t, detector.TargetEnded("a", "1", RegistrationDeleted))
 	require.Empty(t, detector.interrupted)
@@ -73,24 +101,24 @@
 
 func TestRequestsInterruptedLongBeforeAreNotPartOfACrash(t *testing.T) {
 	detector, _, clock := newDetector()
-	detector.RequestInterrupted("a", "1", 1, false)
+	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
 	clock.Advance(interruptedTTL + time.Second)
 	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
 	require.False(t, detector.TargetEnded("b", "1", ConnectionRefused), "a target without interrupted requests")
 }
 
 func TestInterruptedRequestsPerTargetAreBounded(t *testing.T) {
-	detector, _, _ := newDetector()
+	detector, _, clock := newDetector()
 	for fingerprint := range uint64(3 * maxInterrupted) {
-		detector.RequestInterrupted("a", "1", fingerprint, false)
+		detector.RequestInterrupted("a", "1", fingerprint, false, clock.Now())
 	}
-	require.Len(t, detector.interrupted[crashID{"a", "1"}], maxInterrupted)
+	require.Len(t, detector.interrupted[incarnationID{"a", "1"}], maxInterrupted)
 }
 
 func TestRequestThatCompletesBetweenCrashesIsNotRefused(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for n, target := range []string{"a", "b", "c", "d"} {
-		detector.RequestInterrupted(target, "1", 1, false)
+		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
 		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		clock.Advance(3 * time.Second)
 		if n == 1 {
@@ -106,7 +134,7 @@
 func TestRecentReturnsTheNewestCrashesFirst(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for _, target := range []string{"a", "b", "c"} {
-		detector.RequestInterrupted(target, "1", 1, false)
+		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
 		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		clock.Advance(time.Minute)
 	}
--- a/request/poison/entries_sim_test.go
+++ b/request/poison/entries_sim_test.go
@@ -235,14 +235,14 @@
 		if r.target != t {
 			return false
 		}
-		s.interrupted(r.entry, t, r.fingerprint, r.onTrial)
+		s.interrupted(r.entry, t, r.fingerprint, r.onTrial, r.sent)
 		return true
 	})
 }
 
-// interrupted lets an entry see that a target interrupted a request.
-func (s *entriesSim) interrupted(e *simEntry, t *simTarget, fingerprint uint64, onTrial bool) {
-	e.detector.RequestInterrupted(t.known.id, t.known.incarnation, fingerprint, onTrial)
+// interrupted lets an entry see that a target interrupted a request sent at the given time.
+func (s *entriesSim) interrupted(e *simEntry, t *simTarget, fingerprint uint64, onTrial bool, sent time.Time) {
+	e.detector.RequestInterrupted(t.known.id, t.known.incarnation, fingerprint, onTrial, sent)
 	if s.scenario.fault != targetsNotChecked {
 		e.detector.TargetEnded(t.known.id, t.known.incarnation, ConnectionRefused)
 	}
@@ -301,7 +301,7 @@
 		s.thirdCrash = now
 	}
 	s.crash(t)
-	s.interrupted(e, t, crashingFingerprint, onTrial)
+	s.interrupted(e, t, crashingFingerprint, onTrial, now)
 }
 
 // sendHarmless sends a harmless request; half of them are the popular one.
--- a/request/poison/entries_test.go
+++ b/request/poison/entries_test.go
@@ -53,6 +53,17 @@
 	})
 }
 
+// TestRequestThatCrashesTargetsBetweenRegistrationsIsRefused is a generated case in which
+// targets are back, and crash again, before the entries see their next registration.
+func TestRequestThatCrashesTargetsBetweenRegistrationsIsRefused(t *testing.T) {
+	sim := newEntriesSim(entriesScenario{
+		entries: 2, targets: 3, resendEvery: 1897678447, attempts: 2, copies: 1, turnedAwayShare: 0.4178800285023406,
+		harmlessPerSecond: 12.659137725830078, restart: 500000013, otherCrashes: 500000001, lossShare: 0.024710237979888916,
+	}, 3)
+	sim.run()
+	require.LessOrEqual(t, sim.laterSends, maxLaterSends)
+}
+
 // usualScenario is a service of few targets, one of which crashes now and then for other
 // reasons, while entries are restarted.
 var usualScenario = entriesScenario{
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -21,6 +21,8 @@
 	OnTrial      []uint64 `cbor:"5,keyasint,omitempty"`
 	// AgeMillis is how long ago the engine ended, by the sender's clock.
 	AgeMillis int64 `cbor:"6,keyasint"`
+	// Restart is that of Crash. Builds that do not know it merge the crashes it tells apart.
+	Restart int `cbor:"7,keyasint,omitempty"`
 }
 
 // Clearance reports the completion of a request with a suspected fingerprint.
@@ -45,6 +47,7 @@
 	return CrashEvidence{
 		Target:       c.Target,
 		Incarnation:  c.Incarnation,
+		Restart:      c.Restart,
 		Group:        c.Group,
 		Fingerprints: c.Fingerprints,
 		OnTrial:      c.OnTrial,
@@ -135,6 +138,7 @@
 		crash := Crash{
 			Target:       c.Target,
 			Incarnation:  c.Incarnation,
+			Restart:      c.Restart,
 			Group:        c.Group,
 			Fingerprints: slices.Clone(c.Fingerprints),
 			OnTrial:      slices.Clone(c.OnTrial),
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -63,6 +63,18 @@
 	return true
 }
 
+// Restarts returns how many crashes of a target's registered incarnation came before a
+// request was sent to it.
+func (l *Ledger) Restarts(target, incarnation string, sent time.Time) int {
+	restarts := 0
+	for id, crash := range l.crashes {
+		if id.incarnationID == (incarnationID{target, incarnation}) && sent.Sub(crash.At) >= minRestart {
+			restarts++
+		}
+	}
+	return restarts
+}
+
 // Suspected reports whether there is a crash with the fingerprint in flight that no
 // later completion has cleared.
 func (l *Ledger) Suspected(fingerprint uint64) bool { return l.suspects[fingerprint] != nil }
