--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -71,15 +71,6 @@
 	return p.output.String()
 }
 
-// freeAddress returns the address of a free port on a loopback host.
-func freeAddress(t *testing.T, host string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", host+":0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func serve(t *testing.T, address string, handler http.Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
