Tell other entries of trials, so that restarted ones do not begin them again

Cause: trials of a suspected request were counted by the process that began them alone. An entry that had started since the latest crash began none, but the next crash on trial, at another entry, moved that limit past its start, and it began its two trials again.

Change: the trials begun by processes of each rank are evidence. A trial is told at once, before the request runs, and again with the crashes of restricted requests; a process counts on from there and begins none in its first 2 s. A popular request is no longer refused for 10 minutes because the entries that may try it have restarted.

The simulation catches entries that keep trials to themselves and entries that merge crashes until the next registration.

--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -100,7 +100,7 @@
 		h.restrictedSent = now
 		evidence.Append(h.entry.poison.Restricted(maxRestrictedCrashes))
 	}
-	if len(evidence.Crashes) == 0 && len(evidence.Clearances) == 0 {
+	if evidence.IsEmpty() {
 		return nil
 	}
 	return &evidence
--- a/request/forward/suspect.go
+++ b/request/forward/suspect.go
@@ -18,7 +18,7 @@
 	if refusal := assessment.Failure(h.clock.Now()); refusal != nil {
 		return refusal
 	}
-	if assessment.Level == poison.OnTrial && h.trialAllowance(c) == 0 {
+	if assessment.Level == poison.OnTrial && poison.TrialAllowance(h.trialRank(c.fingerprint)) == 0 {
 		return newTrialRefusal()
 	}
 	return nil
@@ -29,7 +29,7 @@
 func (h *Handler) refuseBeforeAttempt(c *call) *failure.Error {
 	refusal := h.refuseSuspect(c)
 	if refusal == nil && h.poison.Assess(c.fingerprint).Level == poison.OnTrial {
-		if c.onTrial = h.poison.BeginTrial(c.fingerprint, h.trialAllowance(c)); !c.onTrial {
+		if c.onTrial = h.crashes.BeginTrial(c.fingerprint, h.trialRank(c.fingerprint)); !c.onTrial {
 			refusal = newTrialRefusal()
 		}
 	}
@@ -43,7 +43,3 @@
 	return failure.New(failure.Overloaded, failure.NotRun, "the request is suspected of crashing targets and on trial elsewhere").
 		WithRetryAfter(trialRetryAfter)
 }
-
-func (h *Handler) trialAllowance(c *call) int {
-	return poison.TrialAllowance(h.trialRank(c.fingerprint))
-}
--- a/request/forward/suspect_test.go
+++ b/request/forward/suspect_test.go
@@ -26,7 +26,8 @@
 		tracker.Crashed(poison.Crash{Target: fmt.Sprint(n), Incarnation: "1", Fingerprints: []uint64{suspectFingerprint}}, 0)
 	}
 	clock.Advance(poison.DefaultRefusalHold)
-	return &Handler{poison: tracker, clock: clock, trialRank: func(uint64) int { return rank }}
+	crashes := poison.NewCrashDetector(poison.DetectorConfig{Tracker: tracker, Clock: clock, Share: func() {}})
+	return &Handler{poison: tracker, crashes: crashes, clock: clock, trialRank: func(uint64) int { return rank }}
 }
 
 func newSuspect() *call {
--- a/request/poison/detector.go
+++ b/request/poison/detector.go
@@ -44,7 +44,8 @@
 	Clock   clockwork.Clock
 	Metrics *metrics.Metrics
 	Log     *logrus.Entry
-	// Share sends new evidence to peers at once, before this process can be lost with it.
+	// Share sends new evidence and trials to peers at once, before this process can be lost
+	// with them.
 	Share func()
 }
 
@@ -165,6 +166,15 @@
 	return requests
 }
 
+// BeginTrial is Tracker.BeginTrial. It shares the trial with peers before the request runs.
+func (d *CrashDetector) BeginTrial(fingerprint uint64, rank int) bool {
+	begun := d.config.Tracker.BeginTrial(fingerprint, rank)
+	if begun {
+		d.config.Share()
+	}
+	return begun
+}
+
 // TargetLeft records that a target has ended as it had announced, which is no crash.
 func (d *CrashDetector) TargetLeft(target, incarnation string) {
 	if d.interruptedCount.Load() == 0 {
--- a/request/poison/detector_test.go
+++ b/request/poison/detector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strconv"
 	"testing"
 	"time"
 
@@ -78,6 +79,42 @@
 	require.Len(t, tracker.Evidence().Crashes, 1)
 }
 
+// TestRestartedProcessCountsTrialsOfEarlierOnes guards against a request that reaches targets
+// without end, because each process that restarts may run it on trial as often as before.
+func TestRestartedProcessCountsTrialsOfEarlierOnes(t *testing.T) {
+	_, first, clock := newDetector()
+	peer := NewTracker(refuseAfterThree, clock)
+	clock.Advance(trialInterval)
+	crashAtOnce := func(round int) {
+		for n := range DefaultMassCrashTargets {
+			first.Crashed(Crash{Target: string(rune('a' + n)), Incarnation: strconv.Itoa(round), Fingerprints: []uint64{1}}, 0)
+		}
+	}
+	for round := range TrialAllowance(0) {
+		crashAtOnce(round)
+		clock.Advance(trialInterval)
+		require.True(t, first.BeginTrial(1, 0))
+		require.False(t, first.BeginTrial(1, 0), "one at a time")
+		peer.Merge(first.Evidence())
+	}
+	crashAtOnce(TrialAllowance(0))
+	peer.Merge(first.Evidence())
+	restarted := NewTracker(refuseAfterThree, clock)
+	require.False(t, restarted.BeginTrial(1, 0))
+	restarted.Merge(peer.Restricted(1))
+	clock.Advance(trialInterval)
+	require.False(t, restarted.BeginTrial(1, 0), "earlier processes have begun all of them")
+	require.False(t, restarted.BeginTrial(1, trialRanks))
+	require.True(t, peer.BeginTrial(1, 1))
+	clock.Advance(trialInterval)
+	require.False(t, peer.BeginTrial(1, 1))
+
+	require.True(t, first.Completed(1))
+	crashAtOnce(TrialAllowance(0) + 1)
+	clock.Advance(trialInterval)
+	require.True(t, first.BeginTrial(1, 0), "crashes after a completion count anew")
+}
+
 // TestResponseOnItsWayDoesNotHideCrash guards against a crash that goes unnoticed because
 // the target's last responses are read after the requests that it interrupted.
 func TestResponseOnItsWayDoesNotHideCrash(t *testing.T) {
--- a/request/poison/entries_sim_test.go
+++ b/request/poison/entries_sim_test.go
@@ -54,6 +54,11 @@
 	// massCrashesCountOnce lets suspects run freely until they were in flight in three
 	// incidents, of which a mass crash is one.
 	massCrashesCountOnce
+	// crashesMergedUntilRegistered takes all crashes of a target for one until its next
+	// registration.
+	crashesMergedUntilRegistered
+	// trialsNotShared keeps the trials that an entry has begun to itself.
+	trialsNotShared
 )
 
 const (
@@ -242,6 +247,9 @@
 
 // interrupted lets an entry see that a target interrupted a request sent at the given time.
 func (s *entriesSim) interrupted(e *simEntry, t *simTarget, fingerprint uint64, onTrial bool, sent time.Time) {
+	if s.scenario.fault == crashesMergedUntilRegistered {
+		sent = time.Time{}
+	}
 	e.detector.RequestInterrupted(t.known.id, t.known.incarnation, fingerprint, onTrial, sent)
 	if s.scenario.fault != targetsNotChecked {
 		e.detector.TargetEnded(t.known.id, t.known.incarnation, ConnectionRefused)
@@ -259,7 +267,7 @@
 	case assessment.Level == OnTrial && s.scenario.fault == trialsUnlimited:
 		return true, true
 	case assessment.Level == OnTrial:
-		return e.tracker.BeginTrial(fingerprint, TrialAllowance(e.rank)), true
+		return e.detector.BeginTrial(fingerprint, e.rank), true
 	default:
 		return true, false
 	}
@@ -358,6 +366,9 @@
 			evidence.Append(from.tracker.Restricted(simRestrictedCrashes))
 		}
 	}
+	if s.scenario.fault == trialsNotShared {
+		evidence.Trials = nil
+	}
 	for _, to := range s.entries {
 		if to != from && s.random.Float64() >= s.scenario.lossShare {
 			to.tracker.Merge(evidence)
--- a/request/poison/entries_test.go
+++ b/request/poison/entries_test.go
@@ -53,13 +53,32 @@
 	})
 }
 
-// TestRequestThatCrashesTargetsBetweenRegistrationsIsRefused is a generated case in which
-// targets are back, and crash again, before the entries see their next registration.
+// fastRestartScenario has targets that are back, and crash again, before the entries see
+// their next registration.
+var fastRestartScenario = entriesScenario{
+	entries: 2, targets: 3, resendEvery: 1897678447, attempts: 2, copies: 1, turnedAwayShare: 0.4178800285023406,
+	harmlessPerSecond: 12.659137725830078, restart: 500000013, otherCrashes: 500000001, lossShare: 0.024710237979888916,
+}
+
+// entryRestartsScenario has entries that are restarted again and again while a suspect
+// crashes targets on trial.
+var entryRestartsScenario = entriesScenario{
+	entries: 5, targets: 12, resendEvery: 30 * time.Millisecond, attempts: 3, copies: 2, turnedAwayShare: 0.5571257365048208,
+	harmlessPerSecond: 18.5, restart: 500000063, otherCrashes: 500 * time.Millisecond, entryRestarts: 10000000730, lossShare: 0.05,
+}
+
+// TestRequestThatCrashesTargetsBetweenRegistrationsIsRefused is a generated case of
+// fastRestartScenario.
 func TestRequestThatCrashesTargetsBetweenRegistrationsIsRefused(t *testing.T) {
-	sim := newEntriesSim(entriesScenario{
-		entries: 2, targets: 3, resendEvery: 1897678447, attempts: 2, copies: 1, turnedAwayShare: 0.4178800285023406,
-		harmlessPerSecond: 12.659137725830078, restart: 500000013, otherCrashes: 500000001, lossShare: 0.024710237979888916,
-	}, 3)
+	sim := newEntriesSim(fastRestartScenario, 3)
+	sim.run()
+	require.LessOrEqual(t, sim.laterSends, maxLaterSends)
+}
+
+// TestRequestIsNotTriedAgainByEachRestartedEntry is a generated case of
+// entryRestartsScenario.
+func TestRequestIsNotTriedAgainByEachRestartedEntry(t *testing.T) {
+	sim := newEntriesSim(entryRestartsScenario, 0x9643)
 	sim.run()
 	require.LessOrEqual(t, sim.laterSends, maxLaterSends)
 }
@@ -71,16 +90,30 @@
 	restart: 4 * time.Second, otherCrashes: 3 * time.Second, entryRestarts: 6 * time.Second, lossShare: 0.02,
 }
 
+// trialsScenario is a crashing request that keeps coming while entries are restarted often,
+// and is mostly turned away, so that its trials show nothing.
+var trialsScenario = entriesScenario{
+	entries: 2, targets: 12, resendEvery: 50 * time.Millisecond, attempts: 3, copies: 2, turnedAwayShare: 0.95, harmlessPerSecond: 0.5,
+	restart: 500 * time.Millisecond, entryRestarts: 10 * time.Second, lossShare: 0.02,
+}
+
 // TestSimulationCatchesFaults checks that the simulation notices broken entries.
 func TestSimulationCatchesFaults(t *testing.T) {
 	const seeds = 40
-	for name, fault := range map[string]simFault{
-		"targets not checked": targetsNotChecked, "only newest crashes": onlyNewestCrashes,
-		"trials unlimited": trialsUnlimited, "mass crashes count once": massCrashesCountOnce,
+	for name, broken := range map[string]struct {
+		fault    simFault
+		scenario entriesScenario
+	}{
+		"targets not checked":             {targetsNotChecked, usualScenario},
+		"only newest crashes":             {onlyNewestCrashes, usualScenario},
+		"trials unlimited":                {trialsUnlimited, usualScenario},
+		"mass crashes count once":         {massCrashesCountOnce, usualScenario},
+		"crashes merged until registered": {crashesMergedUntilRegistered, fastRestartScenario},
+		"trials not shared":               {trialsNotShared, trialsScenario},
 	} {
 		t.Run(name, func(t *testing.T) {
-			scenario := usualScenario
-			scenario.fault = fault
+			scenario := broken.scenario
+			scenario.fault = broken.fault
 			caught := 0
 			for seed := range uint64(seeds) {
 				sim := newEntriesSim(scenario, seed)
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -1,6 +1,8 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -10,6 +12,12 @@
 type Evidence struct {
 	Crashes    []CrashEvidence `cbor:"1,keyasint,omitempty"`
 	Clearances []Clearance     `cbor:"2,keyasint,omitempty"`
+	Trials     []TrialEvidence `cbor:"3,keyasint,omitempty"`
+}
+
+// IsEmpty reports whether there is nothing to send.
+func (e *Evidence) IsEmpty() bool {
+	return len(e.Crashes) == 0 && len(e.Clearances) == 0 && len(e.Trials) == 0
 }
 
 // CrashEvidence is the wire format of a Crash.
@@ -31,6 +39,13 @@
 	AgeMillis   int64  `cbor:"2,keyasint"`
 }
 
+// TrialEvidence reports the trials of a suspected fingerprint.
+type TrialEvidence struct {
+	Fingerprint uint64 `cbor:"1,keyasint"`
+	// Begun counts the trials that processes of each rank have begun; see TrialAllowance.
+	Begun []int `cbor:"2,keyasint"`
+}
+
 // Evidence returns all evidence, to be sent to a peer.
 func (l *Ledger) Evidence(now time.Time) Evidence {
 	var evidence Evidence
@@ -40,9 +55,27 @@
 	for fingerprint := range l.cleared {
 		evidence.Clearances = append(evidence.Clearances, l.clearance(fingerprint, now))
 	}
+	evidence.Trials = l.trialEvidence(len(l.trials), time.Time{})
 	return evidence
 }
 
+// trialEvidence returns the trials of at most limit suspects, those with the latest trials
+// first and none whose latest trial was before since.
+func (l *Ledger) trialEvidence(limit int, since time.Time) []TrialEvidence {
+	newestFirst := slices.SortedFunc(maps.Keys(l.trials), func(a, b uint64) int {
+		return cmp.Or(l.trials[b].last.Compare(l.trials[a].last), cmp.Compare(a, b))
+	})
+	var all []TrialEvidence
+	for _, fingerprint := range newestFirst[:min(limit, len(newestFirst))] {
+		trials := l.trials[fingerprint]
+		if trials.last.Before(since) {
+			break
+		}
+		all = append(all, TrialEvidence{Fingerprint: fingerprint, Begun: trials.begun[:]})
+	}
+	return all
+}
+
 func (c *Crash) evidence(now time.Time) CrashEvidence {
 	return CrashEvidence{
 		Target:       c.Target,
@@ -60,8 +93,8 @@
 	return Clearance{Fingerprint: fingerprint, AgeMillis: now.Sub(l.cleared[fingerprint]).Milliseconds()}
 }
 
-// Recent returns at most limit of the newest crashes, and at most limit clearances,
-// none of them older than span.
+// Recent returns at most limit of the newest crashes, at most limit clearances and the
+// trials of at most limit suspects, none of them older than span.
 func (l *Ledger) Recent(limit int, span time.Duration, now time.Time) Evidence {
 	all := l.Evidence(now)
 	slices.Reverse(all.Crashes)
@@ -76,6 +109,7 @@
 			recent.Clearances = append(recent.Clearances, clearance)
 		}
 	}
+	recent.Trials = l.trialEvidence(limit, now.Add(-span))
 	return recent
 }
 
@@ -98,8 +132,9 @@
 }
 
 // Restricted returns at most limit of the newest crashes with fingerprints whose requests
-// do not run freely, and of their fingerprints only those. It is all that a peer without
-// evidence needs to treat these requests alike, however many targets have crashed since.
+// do not run freely, of their fingerprints only those, and the trials of at most limit
+// suspects. It is all that a peer without evidence needs to treat these requests alike,
+// however many targets have crashed since.
 func (l *Ledger) Restricted(limit int, now time.Time) Evidence {
 	restricted := map[uint64]bool{}
 	for fingerprint, suspect := range l.suspects {
@@ -120,13 +155,15 @@
 			evidence.Crashes = append(evidence.Crashes, reported)
 		}
 	}
+	evidence.Trials = l.trialEvidence(limit, time.Time{})
 	return evidence
 }
 
-// Append adds the crashes and clearances of other to e.
+// Append adds the evidence of other to e.
 func (e *Evidence) Append(other Evidence) {
 	e.Crashes = append(e.Crashes, other.Crashes...)
 	e.Clearances = append(e.Clearances, other.Clearances...)
+	e.Trials = append(e.Trials, other.Trials...)
 }
 
 // Merge adds a peer's evidence and reports whether it changed anything. Ages do not
@@ -156,6 +193,19 @@
 	if changed {
 		l.recompute(now)
 	}
+	return l.mergeTrials(evidence.Trials, now) || changed
+}
+
+// mergeTrials adds the trials that a peer knows of, for the suspects of this process.
+func (l *Ledger) mergeTrials(reported []TrialEvidence, now time.Time) bool {
+	changed := false
+	for _, t := range reported {
+		trials := l.trials[t.Fingerprint]
+		if l.Suspected(t.Fingerprint) && trials.merge(t.Begun, now) {
+			l.trials[t.Fingerprint] = trials
+			changed = true
+		}
+	}
 	return changed
 }
 
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -20,8 +20,8 @@
 	// suspects is derived from crashes and cleared. It is replaced as a whole and
 	// never modified.
 	suspects map[uint64]*suspectState
-	// trials holds the trials of suspects that this process has begun.
-	trials map[uint64]trialCount
+	// trials holds the trials of suspects, of this process and of others.
+	trials map[uint64]trialCounts
 	// nextCrash is the position of the crash that NextCrash returned last.
 	nextCrash int
 }
@@ -33,7 +33,7 @@
 		started: started,
 		crashes: map[crashID]*Crash{},
 		cleared: map[uint64]time.Time{},
-		trials:  map[uint64]trialCount{},
+		trials:  map[uint64]trialCounts{},
 	}
 }
 
@@ -110,19 +110,23 @@
 	return suspect.assess(l.config, now)
 }
 
-// BeginTrial reports whether this process may run a suspect on trial now, and if so,
-// counts the trial. allowance is how many trials of the suspect the process may begin. A
-// process that has started since the latest crash begins none: it does not know which it
-// began before.
-func (l *Ledger) BeginTrial(fingerprint uint64, allowance int, now time.Time) bool {
-	suspect, trials := l.suspects[fingerprint], l.trials[fingerprint]
-	if suspect == nil || suspect.lastAt.Before(l.started) {
+// BeginTrial reports whether this process, which has the given rank among all processes,
+// may run a suspect on trial now, and if so, counts the trial, which should then be shared
+// with peers. A process that has just started begins none: it does not know yet which
+// trials processes of its rank began before.
+func (l *Ledger) BeginTrial(fingerprint uint64, rank int, now time.Time) bool {
+	trials := l.trials[fingerprint]
+	switch {
+	case !l.Suspected(fingerprint) || now.Sub(l.started) < trialInterval:
 		return false
-	}
-	if trials.begun >= allowance || now.Sub(trials.last) < trialInterval {
+	case rank >= trialRanks || trials.begun[rank] >= TrialAllowance(rank):
+		return false
+	case now.Sub(trials.last) < trialInterval:
 		return false
 	}
-	l.trials[fingerprint] = trialCount{begun: trials.begun + 1, last: now}
+	trials.begun[rank]++
+	trials.last = now
+	l.trials[fingerprint] = trials
 	return true
 }
 
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -90,11 +90,11 @@
 
 // BeginTrial reports whether this process may run a suspect on trial now; see
 // Ledger.BeginTrial.
-func (t *Tracker) BeginTrial(fingerprint uint64, allowance int) bool {
+func (t *Tracker) BeginTrial(fingerprint uint64, rank int) bool {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ledger.BeginTrial(fingerprint, allowance, now)
+	return t.ledger.BeginTrial(fingerprint, rank, now)
 }
 
 // Evidence returns all evidence, to be sent to a peer.
@@ -105,8 +105,7 @@
 	return t.ledger.Evidence(now)
 }
 
-// Recent returns the newest evidence, to be sent to a peer: at most limit crashes and
-// limit clearances, none older than span.
+// Recent returns the newest evidence, to be sent to a peer; see Ledger.Recent.
 func (t *Tracker) Recent(limit int, span time.Duration) Evidence {
 	now := t.clock.Now()
 	t.mu.Lock()
--- a/request/poison/trial.go
+++ b/request/poison/trial.go
@@ -36,22 +36,40 @@
 	return xxhash.Sum64(append(key, target...))
 }
 
-// trialInterval is the least time between two trials of a suspect by one process. It is
-// longer than the evidence of a crash on trial takes to arrive.
+// trialInterval is the least time between two trials of a suspect, and from the start of a
+// process to its first one. It is longer than evidence takes to arrive.
 const trialInterval = 2 * time.Second
 
-// trialCount counts the trials of one suspect that this process has begun.
-type trialCount struct {
-	begun int
-	// last is when the latest trial began.
+// trialRanks is the number of ranks whose processes may begin trials.
+const trialRanks = 2
+
+// trialCounts counts the trials of one suspect that all processes have begun.
+type trialCounts struct {
+	// begun counts them by the rank of the process. A process counts on from what earlier
+	// processes of its rank began.
+	begun [trialRanks]int
+	// last is when this process began, or heard of, the latest trial.
 	last time.Time
 }
 
-// TrialAllowance returns how many trials of a suspect a process may begin that has the
+// TrialAllowance returns how many trials of a suspect processes may begin that have the
 // given rank, from 0, among all processes. The allowances add up to 3, so that a
 // request that crashes every target is not tried without end by processes that see
 // different evidence; that of the second rank is for the time when the first one is down.
-func TrialAllowance(rank int) int { return max(2-rank, 0) }
+func TrialAllowance(rank int) int { return max(trialRanks-rank, 0) }
+
+// merge takes over the counts that a peer reports, and reports whether any was higher.
+func (c *trialCounts) merge(begun []int, now time.Time) bool {
+	changed := false
+	for rank, count := range begun[:min(len(begun), trialRanks)] {
+		if count > c.begun[rank] {
+			c.begun[rank] = count
+			c.last = now
+			changed = true
+		}
+	}
+	return changed
+}
 
 // Trial limits a target to one suspect at a time; each agent has one. It is not safe
 // for concurrent use.
