--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -196,8 +196,8 @@
 			continue
 		}
 		now := h.entry.clock.Now()
-		if received.SlowdownReport != nil {
-			h.applySlowdown(*received.SlowdownReport, now)
+		if received.TargetReport != nil {
+			h.applyTargetReport(*received.TargetReport, now)
 			continue
 		}
 		if received.Evidence != nil && h.entry.poison.Merge(*received.Evidence) {
@@ -222,9 +222,13 @@
 	}
 }
 
-// applySlowdown applies the slowdown that an agent reports for the target on its host.
-func (h *heartbeater) applySlowdown(report presence.SlowdownReport, now time.Time) {
+// applyTargetReport applies what an agent reports of the target on its host.
+func (h *heartbeater) applyTargetReport(report presence.TargetReport, now time.Time) {
 	if h.entry.dispatcher.SetSlowdown(report.Address, report.Slowdown, now) {
 		h.log.WithFields(logrus.Fields{"address": report.Address, "pace": report.Slowdown}).Info("target's pace changed")
 	}
+	if report.Leaving {
+		leaving := h.entry.dispatcher.TargetsAt(report.Address, time.UnixMilli(report.StartedAtMillis))
+		h.mergeLeavings("agent of "+report.Address, leaving, now)
+	}
 }
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -14,6 +14,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/process/target"
 	"verbenaseam.example/verbenaseam/request/dispatch"
@@ -84,6 +85,53 @@
 	require.Nil(t, receiver.entry.poison.Assess(200).Failure(time.Now()))
 }
 
+// TestPauseOfOneEntryLeavesTargetToOthers guards against a target that no entry uses because
+// it has turned away one of them.
+func TestPauseOfOneEntryLeavesTargetToOthers(t *testing.T) {
+	receiver := newHeartbeater(t, "a", nil)
+	go receiver.receive()
+	sender := newHeartbeater(t, "b", receiver)
+	now := time.Now()
+	work := dispatch.Request{Service: "s", QueueDeadline: now.Add(time.Second)}
+	for _, h := range []*heartbeater{receiver, sender} {
+		h.entry.dispatcher.Register(target.Registration{ID: "t", Service: "s", Address: "127.0.0.1:1", Capacity: 1}, now)
+	}
+	paused, _ := sender.entry.dispatcher.Acquire(work, now)
+	sender.entry.dispatcher.Pause(paused, time.Minute, now)
+	sender.entry.dispatcher.Release(paused, dispatch.Full, now)
+	sender.send()
+	require.Eventually(t, func() bool { return len(receiver.entry.peers.Names()) > 0 }, 2*time.Second, 10*time.Millisecond)
+	to, _ := sender.entry.dispatcher.Acquire(work, now)
+	require.Nil(t, to)
+	to, _ = receiver.entry.dispatcher.Acquire(work, now)
+	require.NotNil(t, to)
+}
+
+// TestEntryLearnsOfLeavingTargetFromItsAgent guards against requests to a target that told
+// only the agent on its host that it leaves. A later incarnation at the address is free of it.
+func TestEntryLearnsOfLeavingTargetFromItsAgent(t *testing.T) {
+	h := newHeartbeater(t, "a", nil)
+	now := time.Now()
+	registration := target.Registration{ID: "t", Service: "s", Address: "127.0.0.1:1", Capacity: 1, StartedAt: time.UnixMilli(5)}
+	report := presence.TargetReport{Address: registration.Address, Slowdown: 1, Leaving: true, StartedAtMillis: 5}
+	taken := func() bool {
+		to, waiter := h.entry.dispatcher.Acquire(dispatch.Request{Service: "s", QueueDeadline: now.Add(time.Second)}, now)
+		require.Nil(t, waiter)
+		if to != nil {
+			h.entry.dispatcher.Release(to, dispatch.Abandoned, now)
+		}
+		return to != nil
+	}
+	h.entry.dispatcher.Register(registration, now)
+	require.True(t, taken())
+	h.applyTargetReport(report, now)
+	require.False(t, taken())
+	registration.StartedAt = time.UnixMilli(6)
+	h.entry.dispatcher.Register(registration, now)
+	h.applyTargetReport(report, now)
+	require.True(t, taken())
+}
+
 // TestEntriesLearnOfLeavingTargetsFromEachOther guards against entries that send requests to a
 // target which told another entry that it leaves, while the store is away.
 func TestEntriesLearnOfLeavingTargetsFromEachOther(t *testing.T) {
--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -91,8 +91,12 @@
 	reportReadAt     time.Time
 	reportReadFailed bool
 	// slowdown is the target's slowdown in the engine's latest report.
-	slowdown         float64
-	slowdownReporter slowdownReporter
+	slowdown float64
+	// targetStartedAt identifies the target's incarnation, targetLeaving is set once it
+	// said that it leaves.
+	targetStartedAt time.Time
+	targetLeaving   bool
+	targetReporter  targetReporter
 	// strayHoldSince is when the engine was first seen to hold the group for no proposal;
 	// zero if it does not.
 	strayHoldSince time.Time
@@ -150,8 +154,8 @@
 		registry: registry, metrics: placement.NewMetrics(registry),
 		settings: cfg.Settings, file: cfg.File, store: cfg.Store, clock: cfg.Clock, log: logs.Component(cfg.Logger, "rank"),
 		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxCapacity), dropped: newDroppedDatagrams(registry, logs.Component(cfg.Logger, "rank")),
-		slowdownReporter: slowdownReporter{entryReads: make(chan []netip.AddrPort, 1)},
-		storeReads:       make(chan storeData, 1), remoteTargets: map[string]*platform.RankClient{}, engine: expertmap.NewCommandEngine(engineCommands{target}), formedAt: now,
+		targetReporter: targetReporter{entryReads: make(chan []netip.AddrPort, 1)},
+		storeReads:     make(chan storeData, 1), remoteTargets: map[string]*platform.RankClient{}, engine: expertmap.NewCommandEngine(engineCommands{target}), formedAt: now,
 	}
 }
 
--- a/daemon/rank/slowdown.go
+++ b/daemon/rank/notify.go
@@ -12,58 +12,69 @@
 )
 
 const (
-	// slowdownReportInterval is the time between two reports to the entries while the
-	// target is slow, recoveryReports the number of reports sent after it has recovered.
-	slowdownReportInterval = 500 * time.Millisecond
-	recoveryReports        = 3
+	// targetReportInterval is the time between two reports to the entries while the
+	// target is slow or leaves, recoveryReports the number of reports sent after that.
+	targetReportInterval = 500 * time.Millisecond
+	recoveryReports      = 3
 	// entriesReadInterval is the shortest time between two reads of the entries'
 	// addresses from the store.
 	entriesReadInterval = 5 * time.Second
 )
 
-// slowdownReporter is the state of the reports of the target's slowdown to the entries.
-type slowdownReporter struct {
+// targetReporter is the state of the reports on the target to the entries.
+type targetReporter struct {
 	entries []netip.AddrPort
 	// entriesReadAt is when the last read of the entries started, sentAt when the last
 	// report was sent.
 	entriesReadAt, sentAt time.Time
-	// remaining is the number of reports still to be sent once the target has recovered.
+	// remaining is the number of reports still to be sent once there is nothing to report.
 	remaining int
 	// entryReads receives the results of readEntries.
 	entryReads chan []netip.AddrPort
 }
 
-// notifyEntries notifies the entries of a slow target, so that they send it fewer
-// requests, and of its recovery.
+// notifyEntries notifies the entries of a slow or leaving target, so that they send it fewer
+// requests or none, and of its recovery.
 func (a *Agent) notifyEntries(ctx context.Context, now time.Time) {
-	s := &a.slowdownReporter
-	if a.slowdown >= presence.SlowdownThreshold {
-		s.remaining = recoveryReports
-	}
-	if s.remaining == 0 || now.Sub(s.sentAt) < slowdownReportInterval {
-		return
-	}
+	s := &a.targetReporter
 	select {
 	case s.entries = <-s.entryReads:
 	default:
 	}
-	if now.Sub(s.entriesReadAt) >= entriesReadInterval {
+	noteworthy := a.slowdown >= presence.SlowdownThreshold || a.targetLeaving
+	if noteworthy {
+		s.remaining = recoveryReports
+	}
+	// The addresses must be known before there is anything to report, since the store may
+	// be away by then. Entries that start together with the agent have not registered yet.
+	if s.entriesReadAt.IsZero() && !noteworthy {
+		s.entriesReadAt = now
+	}
+	if (len(s.entries) == 0 || s.remaining > 0) && now.Sub(s.entriesReadAt) >= entriesReadInterval {
 		s.entriesReadAt = now
 		go a.readEntries(ctx)
 	}
-	if len(s.entries) == 0 {
+	if s.remaining == 0 || len(s.entries) == 0 || now.Sub(s.sentAt) < targetReportInterval {
 		return
 	}
 	s.sentAt = now
-	if a.slowdown < presence.SlowdownThreshold {
+	if !noteworthy {
 		s.remaining--
 	}
-	message, err := cbor.Marshal(presence.Datagram{SlowdownReport: &presence.SlowdownReport{Address: a.settings.TargetAddress, Slowdown: a.slowdown}})
+	a.sendTargetReport()
+}
+
+func (a *Agent) sendTargetReport() {
+	report := presence.TargetReport{Address: a.settings.TargetAddress, Slowdown: a.slowdown}
+	if a.targetLeaving {
+		report.Leaving, report.StartedAtMillis = true, a.targetStartedAt.UnixMilli()
+	}
+	message, err := cbor.Marshal(presence.Datagram{TargetReport: &report})
 	if err != nil {
 		a.log.WithError(err).Error("message cannot be encoded")
 		return
 	}
-	for _, entry := range s.entries {
+	for _, entry := range a.targetReporter.entries {
 		a.write(entry, message)
 	}
 }
@@ -89,7 +100,7 @@
 		}
 	}
 	select {
-	case a.slowdownReporter.entryReads <- entries:
+	case a.targetReporter.entryReads <- entries:
 	case <-ctx.Done():
 	}
 }
--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -35,6 +35,7 @@
 		a.log.Info("target's report available again")
 	}
 	a.updateSlowdown(report.Slowdown)
+	a.updateLeaving(report)
 	if a.driver != nil && a.identity != identityOf(report) {
 		a.resetForGroup(report, now)
 	}
@@ -51,6 +52,18 @@
 	a.log.WithFields(logrus.Fields{"pace": slowdown, "before": before}).Info("target's pace changed")
 }
 
+// updateLeaving stores whether the target said that it leaves. One report that says so holds
+// until the target is another incarnation.
+func (a *Agent) updateLeaving(report expertmap.RankReport) {
+	if !report.StartedAt.Equal(a.targetStartedAt) {
+		a.targetStartedAt, a.targetLeaving = report.StartedAt, false
+	}
+	if report.Leaving && !a.targetLeaving {
+		a.targetLeaving = true
+		a.log.WithField("target", a.settings.TargetAddress).Info("target leaves")
+	}
+}
+
 // ErrGroupUnnamed reports an engine whose group has no name. Its agent takes part in no
 // votes, since it could not tell the messages of its group from those of others.
 var ErrGroupUnnamed = eris.New("the engine's group has no name")
--- a/internal/systemtest/platformnotices_test.go
+++ b/internal/systemtest/platformnotices_test.go
@@ -75,6 +75,33 @@
 	require.Greater(t, arrivals(s.ranks[2]), before[2])
 }
 
+// TestAgentsTellEntriesOfLeavingTargetsWithoutTheStore lets two of three targets say only to
+// their agents that they leave, while the store is away. No request may reach them.
+func TestAgentsTellEntriesOfLeavingTargetsWithoutTheStore(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts programs")
+	}
+	const (
+		// agentsKnowEntries is more than the time after which agents read the entries.
+		agentsKnowEntries = 7 * time.Second
+		// reported is more than the time between two reports of an agent.
+		reported = time.Second
+	)
+	s := startPlatformSystem(t)
+	s.awaitBothEntries()
+	time.Sleep(agentsKnowEntries)
+	s.store.SetFaults(standin.StoreFaults{Status: http.StatusServiceUnavailable})
+	for _, fake := range s.ranks[:2] {
+		fake.SetFaults(standin.TargetFaults{Leaving: true})
+	}
+	time.Sleep(reported)
+	for _, entry := range s.entries {
+		s.burst(entry, 4, time.Second)
+	}
+	require.Zero(t, arrivals(s.ranks[0])+arrivals(s.ranks[1]))
+	require.Positive(t, arrivals(s.ranks[2]))
+}
+
 // TestPausingTargetsGetNoRequestsAcrossAFreeze lets targets refuse a burst and ask for a
 // pause, during which their entry is frozen for a while.
 func TestPausingTargetsGetNoRequestsAcrossAFreeze(t *testing.T) {
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -73,20 +73,24 @@
 // SlowdownThreshold is the slowdown at and above which a target counts as slow.
 const SlowdownThreshold = 1.2
 
-// SlowdownReport is the report that a target's agent sends to entries while the target is
-// slow, and again when it no longer is.
-type SlowdownReport struct {
+// TargetReport is the report that a target's agent sends to entries while the target is
+// slow or leaves, and again when it is neither.
+type TargetReport struct {
 	// Address is the address of the target.
 	Address string `cbor:"1,keyasint"`
 	// Slowdown is the time that the target takes divided by its usual time; 1 is usual.
 	Slowdown float64 `cbor:"2,keyasint"`
+	// Leaving is set if the target said that it leaves. StartedAtMillis, in milliseconds
+	// since the Unix epoch, is when the incarnation that said so started.
+	Leaving         bool  `cbor:"3,keyasint,omitempty"`
+	StartedAtMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
-// Datagram is a message to an entry: the report of an agent if SlowdownReport is set,
+// Datagram is a message to an entry: the report of an agent if TargetReport is set,
 // otherwise a heartbeat.
 type Datagram struct {
 	Heartbeat
-	SlowdownReport *SlowdownReport `cbor:"7,keyasint,omitempty"`
+	TargetReport *TargetReport `cbor:"7,keyasint,omitempty"`
 }
 
 // peerState is a peer and its last heartbeat.
--- a/request/dispatch/leaving.go
+++ b/request/dispatch/leaving.go
@@ -66,6 +66,22 @@
 	return t.registration.Leaving || t.saidLeaving
 }
 
+// TargetsAt returns the leaving reports of the targets that have registered with an address
+// and a time of their start, for an agent that knows its target by these only.
+func (d *Dispatcher) TargetsAt(address string, startedAt time.Time) []presence.TargetLeaving {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var reports []presence.TargetLeaving
+	for _, pool := range d.pools {
+		for _, t := range pool.targets {
+			if t.registration.Address == address && t.registration.StartedAt.Equal(startedAt) {
+				reports = append(reports, presence.NewTargetLeaving(t.ID(), t.incarnation, 0))
+			}
+		}
+	}
+	return reports
+}
+
 // MergeLeavings records the targets that told another process that they leave. It returns
 // those that were not known.
 func (d *Dispatcher) MergeLeavings(reported []presence.TargetLeaving, now time.Time) []presence.TargetLeaving {
--- a/request/forward/notice.go
+++ b/request/forward/notice.go
@@ -26,15 +26,15 @@
 	if got := header.Get(h.Instance); status == http.StatusMisdirectedRequest && got != "" && got != id {
 		return notice{}
 	}
-	n := notice{leaving: header.Get(h.Leaving) == leavingValue}
+	n := notice{leaving: header.Get(h.Leaving) == LeavingValue}
 	if status == http.StatusServiceUnavailable {
 		n.pause = parsePause(header.Get(h.RetryAfter))
 	}
 	return n
 }
 
-// leavingValue is the value of Headers.Leaving in the responses of a leaving target.
-const leavingValue = "1"
+// LeavingValue is the value of Headers.Leaving in the responses of a leaving target.
+const LeavingValue = "1"
 
 // parsePause parses a number of seconds, capped at dispatch.MaxPause. Anything that is not
 // a positive number means no pause, also a date: clocks differ by seconds.
--- a/version/expertmap/rank_report.go
+++ b/version/expertmap/rank_report.go
@@ -26,6 +26,8 @@
 	StartedAt time.Time
 	// Slowdown is the factor by which the engine is slower than usual; 1 is normal.
 	Slowdown float64
+	// Leaving is set if the engine said that it leaves.
+	Leaving bool
 	// Active and Queued are the numbers of running and waiting requests.
 	Active, Queued int
 }
