State builds and wire versions, agree on the version of a link, drop unknown versions

Processes of neighbouring releases could read each other only as long as nothing but additions was made: a link refused any other protocol number than its own, an agent's datagram had no version at all, and nobody could see which builds run.

- Links: the dialling side offers its versions as WebSocket subprotocols, the accepting side chooses the highest that both speak; releases that name none speak version 1.
Both name their builds in the headers of the handshake.
`verbenaseam status` shows builds and versions.
A pair goes up when the second side is replaced and its link is dialled again, and down in the same way.
- Datagrams of entries and agents carry build and versions (about 15 bytes); the planner of a group and each entry log the builds that they hear when these change, and export verbenaseam_builds and verbenaseam_common_version.
- An agent's datagram may name its version.
One that this build does not speak is dropped and counted (reason `version`) instead of being misread.

--- a/api/gen/operatorapi/oas_json_gen.go
+++ b/api/gen/operatorapi/oas_json_gen.go
@@ -1157,6 +1157,12 @@
 			s.Platform.Encode(e)
 		}
 	}
+	{
+		if s.Build.Set {
+			e.FieldStart("build")
+			s.Build.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("targets")
 		e.ArrStart()
@@ -1175,14 +1181,15 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [7]string{
+var jsonFieldsNameOfStatus = [8]string{
 	0: "name",
 	1: "role",
 	2: "failure_domain",
 	3: "version",
 	4: "platform",
-	5: "targets",
-	6: "peers",
+	5: "build",
+	6: "targets",
+	7: "peers",
 }
 
 // Decode decodes Status from json.
@@ -1252,8 +1259,18 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"platform\"")
 			}
+		case "build":
+			if err := func() error {
+				s.Build.Reset()
+				if err := s.Build.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"build\"")
+			}
 		case "targets":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				s.Targets = make([]StatusTargetsItem, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1271,7 +1288,7 @@
 				return errors.Wrap(err, "decode field \"targets\"")
 			}
 		case "peers":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				s.Peers = make([]StatusPeersItem, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -1298,7 +1315,7 @@
 	// Validate required fields.
 	var failures []validate.FieldError
 	for i, mask := range [1]uint8{
-		0b01101111,
+		0b11001111,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
@@ -1365,12 +1382,26 @@
 		e.FieldStart("state")
 		e.Str(s.State)
 	}
+	{
+		if s.Build.Set {
+			e.FieldStart("build")
+			s.Build.Encode(e)
+		}
+	}
+	{
+		if s.Protocol.Set {
+			e.FieldStart("protocol")
+			s.Protocol.Encode(e)
+		}
+	}
 }
 
-var jsonFieldsNameOfStatusPeersItem = [3]string{
+var jsonFieldsNameOfStatusPeersItem = [5]string{
 	0: "name",
 	1: "version",
 	2: "state",
+	3: "build",
+	4: "protocol",
 }
 
 // Decode decodes StatusPeersItem from json.
@@ -1418,6 +1449,26 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"state\"")
 			}
+		case "build":
+			if err := func() error {
+				s.Build.Reset()
+				if err := s.Build.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"build\"")
+			}
+		case "protocol":
+			if err := func() error {
+				s.Protocol.Reset()
+				if err := s.Protocol.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"protocol\"")
+			}
 		default:
 			return d.Skip()
 		}
--- a/api/gen/operatorapi/oas_schemas_gen.go
+++ b/api/gen/operatorapi/oas_schemas_gen.go
@@ -571,13 +571,15 @@
 
 // Ref: #/components/schemas/Status
 type Status struct {
-	Name          string              `json:"name"`
-	Role          string              `json:"role"`
-	FailureDomain string              `json:"failure_domain"`
-	Version       int64               `json:"version"`
-	Platform      OptString           `json:"platform"`
-	Targets       []StatusTargetsItem `json:"targets"`
-	Peers         []StatusPeersItem   `json:"peers"`
+	Name          string    `json:"name"`
+	Role          string    `json:"role"`
+	FailureDomain string    `json:"failure_domain"`
+	Version       int64     `json:"version"`
+	Platform      OptString `json:"platform"`
+	// The build that the entry runs; missing for releases that do not tell.
+	Build   OptString           `json:"build"`
+	Targets []StatusTargetsItem `json:"targets"`
+	Peers   []StatusPeersItem   `json:"peers"`
 }
 
 // GetName returns the value of Name.
@@ -605,6 +607,11 @@
 	return s.Platform
 }
 
+// GetBuild returns the value of Build.
+func (s *Status) GetBuild() OptString {
+	return s.Build
+}
+
 // GetTargets returns the value of Targets.
 func (s *Status) GetTargets() []StatusTargetsItem {
 	return s.Targets
@@ -640,6 +647,11 @@
 	s.Platform = val
 }
 
+// SetBuild sets the value of Build.
+func (s *Status) SetBuild(val OptString) {
+	s.Build = val
+}
+
 // SetTargets sets the value of Targets.
 func (s *Status) SetTargets(val []StatusTargetsItem) {
 	s.Targets = val
@@ -654,6 +666,10 @@
 	Name    string `json:"name"`
 	Version int64  `json:"version"`
 	State   string `json:"state"`
+	// The build that the peer runs; missing for releases that do not tell.
+	Build OptString `json:"build"`
+	// The version of the link protocol that both speak.
+	Protocol OptInt `json:"protocol"`
 }
 
 // GetName returns the value of Name.
@@ -671,6 +687,16 @@
 	return s.State
 }
 
+// GetBuild returns the value of Build.
+func (s *StatusPeersItem) GetBuild() OptString {
+	return s.Build
+}
+
+// GetProtocol returns the value of Protocol.
+func (s *StatusPeersItem) GetProtocol() OptInt {
+	return s.Protocol
+}
+
 // SetName sets the value of Name.
 func (s *StatusPeersItem) SetName(val string) {
 	s.Name = val
@@ -686,6 +712,16 @@
 	s.State = val
 }
 
+// SetBuild sets the value of Build.
+func (s *StatusPeersItem) SetBuild(val OptString) {
+	s.Build = val
+}
+
+// SetProtocol sets the value of Protocol.
+func (s *StatusPeersItem) SetProtocol(val OptInt) {
+	s.Protocol = val
+}
+
 type StatusTargetsItem struct {
 	Name          string `json:"name"`
 	FailureDomain string `json:"failure_domain"`
--- a/connection/link/acceptor.go
+++ b/connection/link/acceptor.go
@@ -38,7 +38,8 @@
 			WriteBufferSize:  socketWriteBufferBytes,
 			WriteBufferPool:  &socketWriteBuffers,
 			// Only browsers send Origin, and a browser is never a peer.
-			CheckOrigin: func(r *http.Request) bool { return r.Header.Get("Origin") == "" },
+			CheckOrigin:  func(r *http.Request) bool { return r.Header.Get("Origin") == "" },
+			Subprotocols: subprotocols(config.Versions),
 		},
 	}
 }
@@ -77,12 +78,19 @@
 }
 
 func (a *Acceptor) open(w http.ResponseWriter, r *http.Request) (*Link, error) {
-	socket, err := a.upgrader.Upgrade(w, r, nil)
+	header := http.Header{}
+	nameBuild(header, "Server")
+	socket, err := a.upgrader.Upgrade(w, r, header)
 	if err != nil {
 		return nil, &TransportError{Operation: "accept", Cause: err}
 	}
+	version, err := agreedVersion(a.config.Versions, socket.Subprotocol(), websocket.Subprotocols(r))
+	if err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
 	_ = socket.NetConn().SetDeadline(time.Now().Add(a.config.HandshakeTimeout))
-	l, err := establish(a.config, socket, false)
+	l, err := establish(a.config, socket, agreement{version: version, peerBuild: namedBuild(r.Header, "User-Agent")}, false)
 	if err != nil {
 		_ = socket.Close()
 		return nil, err
--- a/connection/link/config.go
+++ b/connection/link/config.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/release"
 )
 
 // Path is the HTTP path at which an Acceptor is served.
@@ -71,6 +72,9 @@
 	// OnEstablished is called with every new link, dialled or accepted, before any
 	// of its frames is handled. It may be nil.
 	OnEstablished func(*Link)
+	// Versions is the versions of the protocol that this process speaks; the zero value
+	// means Versions of this package.
+	Versions release.Range
 	// TLS is the configuration for mutual TLS; nil means plaintext TCP.
 	TLS *tls.Config
 	// AllowPlaintext permits plaintext TCP to addresses other than loopback.
@@ -124,6 +128,9 @@
 	if c.OnLost == nil {
 		c.OnLost = func(*Link) {}
 	}
+	if c.Versions == (release.Range{}) {
+		c.Versions = Versions
+	}
 	c.Logger = logs.OrDefault(c.Logger)
 	if c.Handler == nil {
 		c.Handler = refusingHandler{}
--- a/connection/link/dial.go
+++ b/connection/link/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/gorilla/websocket"
@@ -16,12 +17,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, config.HandshakeTimeout)
 	defer cancel()
-	socket, err := dialSocket(ctx, address, config)
+	socket, agreed, err := dialSocket(ctx, address, config)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
-	l, err := establish(config, socket, true)
+	l, err := establish(config, socket, agreed, true)
 	if !stop() && err == nil {
 		err = &TransportError{Operation: "dial", Cause: ctx.Err()}
 	}
@@ -33,7 +34,7 @@
 	return l, nil
 }
 
-func dialSocket(ctx context.Context, address string, config Config) (*websocket.Conn, error) {
+func dialSocket(ctx context.Context, address string, config Config) (*websocket.Conn, agreement, error) {
 	scheme := "ws://"
 	if config.TLS != nil {
 		scheme = "wss://"
@@ -44,14 +45,22 @@
 		ReadBufferSize:   socketReadBufferBytes,
 		WriteBufferSize:  socketWriteBufferBytes,
 		WriteBufferPool:  &socketWriteBuffers,
+		Subprotocols:     subprotocols(config.Versions),
 	}
-	socket, response, err := dialer.DialContext(ctx, scheme+address+Path, nil)
+	header := http.Header{}
+	nameBuild(header, "User-Agent")
+	socket, response, err := dialer.DialContext(ctx, scheme+address+Path, header)
 	if response != nil && response.Body != nil {
 		_ = response.Body.Close()
 	}
 	if err != nil {
-		return nil, &TransportError{Operation: "dial", Cause: err}
+		return nil, agreement{}, &TransportError{Operation: "dial", Cause: err}
+	}
+	version, err := agreedVersion(config.Versions, socket.Subprotocol(), nil)
+	if err != nil {
+		_ = socket.Close()
+		return nil, agreement{}, err
 	}
 	_ = socket.NetConn().SetDeadline(time.Time{})
-	return socket, nil
+	return socket, agreement{version: version, peerBuild: namedBuild(response.Header, "Server")}, nil
 }
--- a/connection/link/frame.go
+++ b/connection/link/frame.go
@@ -78,7 +78,8 @@
 // hello is the first message of each side, sent as the Head of a frameHello. It is
 // encoded as a CBOR array.
 type hello struct {
-	_                 struct{} `cbor:",toarray"`
+	_ struct{} `cbor:",toarray"`
+	// Protocol is the version of the protocol that both sides have agreed on; see versions.go.
 	Protocol          uint64
 	Name              string
 	Role              string
@@ -89,10 +90,6 @@
 	MaxStreams        uint64
 }
 
-// protocolVersion is the version of the link protocol. Every incompatible change of
-// the frames increments it. It is unrelated to frame.Version.
-const protocolVersion = 1
-
 var (
 	encodeMode = mustEncodeMode()
 	decodeMode = mustDecodeMode()
--- a/connection/link/handshake.go
+++ b/connection/link/handshake.go
@@ -24,7 +24,7 @@
 
 // receiveHello reads and validates the peer's hello; it returns the hello and the
 // peer's configuration version.
-func receiveHello(config Config, t transport) (hello, uint64, error) {
+func receiveHello(config Config, t transport, protocol uint8) (hello, uint64, error) {
 	message, err := t.readMessage()
 	if err != nil {
 		return hello{}, 0, err
@@ -40,12 +40,12 @@
 	if err := Unmarshal(f.Head, &remote); err != nil {
 		return hello{}, 0, err
 	}
-	return remote, f.Version, remote.check()
+	return remote, f.Version, remote.check(protocol)
 }
 
-func sendHello(config Config, t transport) error {
+func sendHello(config Config, t transport, protocol uint8) error {
 	local := hello{
-		Protocol:          protocolVersion,
+		Protocol:          uint64(protocol),
 		Name:              config.Identity.Name,
 		Role:              config.Identity.Role,
 		FailureDomain:     config.Identity.FailureDomain,
@@ -66,10 +66,10 @@
 	return t.writeMessage(message.Bytes())
 }
 
-func (h hello) check() error {
+func (h hello) check(protocol uint8) error {
 	switch {
-	case h.Protocol != protocolVersion:
-		return &ProtocolError{Detail: "link protocol version not supported"}
+	case h.Protocol != uint64(protocol):
+		return &ProtocolError{Detail: "hello has another version than was agreed on"}
 	case h.Name == "" || h.Incarnation == "":
 		return &ProtocolError{Detail: "hello without name or incarnation"}
 	case h.MaxFrameBytes < minFrameLimitBytes:
@@ -84,15 +84,15 @@
 // establish performs the handshake on a new WebSocket and returns the link without
 // starting it. The dialling side sends its hello first. The accepting side replies
 // only after it has verified the peer's identity, so a refused peer sees the
-// refusal as a failed dial.
-func establish(config Config, socket *websocket.Conn, dialled bool) (*Link, error) {
+// refusal as a failed dial. agreed is what the sides have found out of each other before.
+func establish(config Config, socket *websocket.Conn, agreed agreement, dialled bool) (*Link, error) {
 	t := newSocketTransport(socket, config.MaxFrameBytes)
 	if dialled {
-		if err := sendHello(config, t); err != nil {
+		if err := sendHello(config, t, agreed.version); err != nil {
 			return nil, err
 		}
 	}
-	remote, version, err := receiveHello(config, t)
+	remote, version, err := receiveHello(config, t, agreed.version)
 	if err != nil {
 		return nil, err
 	}
@@ -100,11 +100,12 @@
 		return nil, err
 	}
 	if !dialled {
-		if err := sendHello(config, t); err != nil {
+		if err := sendHello(config, t, agreed.version); err != nil {
 			return nil, err
 		}
 	}
 	l := newLink(config, t, remote, dialled)
+	l.agreed = agreed
 	l.observeVersion(version)
 	return l, nil
 }
--- a/connection/link/link.go
+++ b/connection/link/link.go
@@ -24,6 +24,7 @@
 	config    Config
 	transport transport
 	peer      Identity
+	agreed    agreement
 	// peerMaxFrameBytes, peerWindowBytes and peerMaxStreams are the limits announced
 	// by the peer. The window is capped at maxWindowBytes, the others at the limits of
 	// config.
--- a/connection/link/pipe_test.go
+++ b/connection/link/pipe_test.go
@@ -49,7 +49,7 @@
 func helloOf(config Config) hello {
 	config = config.withDefaults()
 	return hello{
-		Protocol:          protocolVersion,
+		Protocol:          firstVersion,
 		Name:              config.Identity.Name,
 		Role:              config.Identity.Role,
 		FailureDomain:     config.Identity.FailureDomain,
--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -1,20 +1,53 @@
 package direct
 
 import (
+	"os"
 	"testing"
+	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"verbenaseam.example/verbenaseam/internal/corpus"
+	"verbenaseam.example/verbenaseam/process/presence"
+	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/poison"
 )
 
-// TestDatagramsOfEarlierReleasesAreRead guards against entries that do not understand each
+const corpusFolder = "testdata/wire"
+
+// TestMessagesOfEarlierReleasesAreRead guards against entries that do not understand each
 // other while a release is rolled out: a field that was renumbered, dropped or retyped.
-func TestDatagramsOfEarlierReleasesAreRead(t *testing.T) {
-	files, err := corpus.Files("testdata/wire", "datagram.cbor")
-	require.NoError(t, err)
-	require.NotEmpty(t, files)
+func TestMessagesOfEarlierReleasesAreRead(t *testing.T) {
+	require.NoError(t, corpus.Check(corpusFolder, map[string]any{"datagram": new(datagram)}))
+}
+
+// FuzzDatagram guards against datagrams, of any release or of none, that stop an entry.
+func FuzzDatagram(f *testing.F) {
+	files, err := corpus.Files(corpusFolder, "datagram.cbor")
+	require.NoError(f, err)
 	for _, file := range files {
-		require.NoError(t, corpus.CheckCBOR(file, new(datagram)), file)
+		data, err := os.ReadFile(file)
+		require.NoError(f, err)
+		f.Add(data)
 	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var received datagram
+		if cbor.Unmarshal(data, &received) != nil {
+			return
+		}
+		clock := clockwork.NewFakeClock()
+		now := clock.Now()
+		peers := presence.NewPeerTable("self", time.Second)
+		peers.RecordHeartbeat(received.Heartbeat, now)
+		require.LessOrEqual(t, len(peers.Releases(now)), 1)
+		dispatch.New(dispatch.Config{}).MergeLeavings(received.Leavings, now)
+		if received.Evidence != nil {
+			tracker := poison.NewTracker(poison.Config{}, clock)
+			tracker.Merge(*received.Evidence)
+			_, err := cbor.Marshal(tracker.Evidence())
+			require.NoError(t, err)
+		}
+	})
 }
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -14,6 +14,7 @@
 	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/process/presence"
+	"verbenaseam.example/verbenaseam/process/release"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/forward"
@@ -61,8 +62,11 @@
 	logger *logrus.Logger
 	log    *logrus.Entry
 
-	self       presence.Peer
-	peers      *presence.PeerTable
+	self  presence.Peer
+	peers *presence.PeerTable
+	// release is what this process states in its heartbeats, builds observes what all do.
+	release    release.Info
+	builds     *release.Observer
 	dispatcher *dispatch.Dispatcher
 	targets    *targetObserver
 	storeWatch *storeWatch
@@ -102,6 +106,7 @@
 			Name: s.Name, Incarnation: rand.Uint64(), CallerAddress: s.CallerAddress,
 			PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain,
 		},
+		release:         release.NewInfo(presence.Versions),
 		peers:           presence.NewPeerTable(s.Name, peerTimeout),
 		evidenceChanged: make(chan struct{}, 1),
 		dispatcher: dispatch.New(dispatch.Config{
@@ -115,6 +120,7 @@
 	e.budgets = newRetryBudgets(s.Bounds)
 	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
+	e.builds = release.NewObserver(e.metrics.Registry(), logs.Component(cfg.Logger, "peers"))
 	e.poison = poison.NewTracker(poison.Config{TrialAfterCrashes: refuseAfterCrashes, RefuseAfterCrashes: refuseAfterCrashes}, e.clock)
 	crashes := poison.NewCrashDetector(poison.DetectorConfig{
 		Tracker: e.poison, Clock: e.clock, Metrics: e.metrics, Log: logs.Component(cfg.Logger, "poison"), Share: e.shareEvidence,
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -12,6 +12,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/presence"
+	"verbenaseam.example/verbenaseam/process/release"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/poison"
 )
@@ -146,7 +147,7 @@
 	encoded, err := cbor.Marshal(datagram{
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
-			Leavings: e.dispatcher.Leavings(e.clock.Now()),
+			Leavings: e.dispatcher.Leavings(e.clock.Now()), Release: e.release,
 		}},
 		Evidence: h.evidence(e.clock.Now()),
 	})
@@ -169,6 +170,7 @@
 		e.dispatcher.SetPeerLoad(name, nil, now)
 	}
 	e.setProcesses()
+	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
 	e.storeWatch.update(e.peers.Ready(now))
 }
 
--- a/daemon/entry/status.go
+++ b/daemon/entry/status.go
@@ -6,6 +6,7 @@
 	"verbenaseam.example/verbenaseam/api/gen/operatorapi"
 	"verbenaseam.example/verbenaseam/connection/link"
 	"verbenaseam.example/verbenaseam/daemon/node"
+	"verbenaseam.example/verbenaseam/process/release"
 )
 
 // operatorMux serves the health and metrics paths, which need no key, next to the
@@ -21,7 +22,7 @@
 func (e *Entry) status() *operatorapi.Status {
 	status := &operatorapi.Status{
 		Name: e.settings.Name, Role: link.RoleEntry, FailureDomain: e.settings.FailureDomain,
-		Version: int64(e.node.Version()),
+		Version: int64(e.node.Version()), Build: operatorapi.NewOptString(release.Build()),
 		Targets: []operatorapi.StatusTargetsItem{},
 		Peers:   []operatorapi.StatusPeersItem{},
 	}
@@ -33,9 +34,14 @@
 	}
 	for _, l := range e.node.Peers.Links() {
 		peer := l.Peer()
-		status.Peers = append(status.Peers, operatorapi.StatusPeersItem{
+		item := operatorapi.StatusPeersItem{
 			Name: peer.Name, Version: int64(l.PeerVersion()), State: e.node.Membership.State(peer.Name).String(),
-		})
+			Protocol: operatorapi.NewOptInt(int(l.Protocol())),
+		}
+		if l.PeerBuild() != "" {
+			item.Build.SetTo(l.PeerBuild())
+		}
+		status.Peers = append(status.Peers, item)
 	}
 	return status
 }
--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -16,6 +16,7 @@
 	"verbenaseam.example/verbenaseam/daemon/command"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/release"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/version/config"
 	"verbenaseam.example/verbenaseam/version/expertmap"
@@ -122,6 +123,12 @@
 	remoteTargets   map[string]*platform.RankClient
 	storeReadAt     time.Time
 
+	// release is what this agent states in its statuses. builds observes what all agents of
+	// the group do, while this one plans.
+	release          release.Info
+	builds           *release.Observer
+	buildsObservedAt time.Time
+
 	// host is the address of this agent's host, port the UDP port of all agents.
 	host netip.Addr
 	port uint16
@@ -152,6 +159,7 @@
 	registry := prometheus.NewRegistry()
 	return &Agent{
 		registry: registry, metrics: placement.NewMetrics(registry),
+		release: release.NewInfo(rebalance.Versions), builds: release.NewObserver(registry, logs.Component(cfg.Logger, "rank")),
 		settings: cfg.Settings, file: cfg.File, store: cfg.Store, clock: cfg.Clock, log: logs.Component(cfg.Logger, "rank"),
 		target: target, incarnation: newIncarnation(now), inbox: make(chan datagram, inboxCapacity), dropped: newDroppedDatagrams(registry, logs.Component(cfg.Logger, "rank")),
 		targetReporter: targetReporter{entryReads: make(chan []netip.AddrPort, 1)},
@@ -177,7 +185,7 @@
 	if a.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(address)); err != nil {
 		return err
 	}
-	a.log.WithFields(logrus.Fields{"name": a.settings.Name, "target": a.settings.TargetAddress}).Info("started")
+	a.log.WithFields(logrus.Fields{"name": a.settings.Name, "target": a.settings.TargetAddress, "build": a.release.Build}).Info("started")
 	go a.receiveDatagrams()
 	stop, err := a.serveMetrics()
 	if err != nil {
@@ -253,6 +261,19 @@
 		a.sendStatus(ctx, now)
 	}
 	a.runPlanner(now)
+	a.observeBuilds(now)
+}
+
+// buildsInterval is the time between two counts of the builds in a planner's group.
+const buildsInterval = time.Second
+
+// observeBuilds logs and exports the builds of the agents of the group, if this agent plans.
+func (a *Agent) observeBuilds(now time.Time) {
+	if a.planner == nil || now.Sub(a.buildsObservedAt) < buildsInterval {
+		return
+	}
+	a.buildsObservedAt = now
+	a.builds.Update(release.NewCensus(a.planner.Releases()))
 }
 
 // roundCount returns the number of rounds in which each rank of a group receives one
--- a/daemon/rank/dropped.go
+++ b/daemon/rank/dropped.go
@@ -23,6 +23,8 @@
 	// dropNoGroup means that the datagram names no group: its sender runs a release
 	// without group names.
 	dropNoGroup dropReason = "no_group"
+	// dropVersion means that the datagram has a version that this build does not speak.
+	dropVersion dropReason = "version"
 	// dropOtherGroup means that the sender belongs to another group of the service, or
 	// to another incarnation of this group.
 	dropOtherGroup dropReason = "other_group"
@@ -34,8 +36,12 @@
 
 // dropReasonOf returns the reason for dropping a datagram that rebalance.Decode refused.
 func dropReasonOf(err error) dropReason {
-	if errors.Is(err, rebalance.ErrNoGroup) {
+	var version *rebalance.VersionError
+	switch {
+	case errors.Is(err, rebalance.ErrNoGroup):
 		return dropNoGroup
+	case errors.As(err, &version):
+		return dropVersion
 	}
 	return dropUndecodable
 }
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -18,7 +18,7 @@
 	}
 	return rebalance.Status{
 		Rank: report.Rank, Size: report.Size, AgentIncarnation: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.Armed,
-		RunningKnown: a.assembly.Knows(report.Running), Refused: a.preparing.refusedMap, Slowdown: report.Slowdown, Epoch: epoch,
+		RunningKnown: a.assembly.Knows(report.Running), Refused: a.preparing.refusedMap, Slowdown: report.Slowdown, Epoch: epoch, Release: a.release,
 	}
 }
 
--- a/daemon/tool/show.go
+++ b/daemon/tool/show.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"text/tabwriter"
 
 	"verbenaseam.example/verbenaseam/api/gen/operatorapi"
@@ -36,17 +37,24 @@
 func (c *statusShow) print(response *operatorapi.Status) {
 	table := tabwriter.NewWriter(c.tool.out, 0, 0, 2, ' ', 0)
 	defer func() { _ = table.Flush() }()
-	_, _ = fmt.Fprintf(table, "%s\t%s\tversion %d\n\n", response.Name, response.FailureDomain, response.Version)
+	_, _ = fmt.Fprintf(table, "%s\t%s\tversion %d\tbuild %s\n\n", response.Name, response.FailureDomain, response.Version, response.Build.Or(unknown))
 	_, _ = fmt.Fprintln(table, "TARGET\tFAILURE DOMAIN\tSTATE\tIN FLIGHT\tLIMIT")
 	for _, target := range response.Targets {
 		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\n", target.Name, target.FailureDomain, target.State, target.InFlight, target.Limit)
 	}
-	_, _ = fmt.Fprintln(table, "\nPEER\tSTATE\tVERSION")
+	_, _ = fmt.Fprintln(table, "\nPEER\tSTATE\tVERSION\tBUILD\tPROTOCOL")
 	for _, peer := range response.Peers {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\n", peer.Name, peer.State, peer.Version)
+		protocol := unknown
+		if version, ok := peer.Protocol.Get(); ok {
+			protocol = strconv.Itoa(version)
+		}
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%d\t%s\t%s\n", peer.Name, peer.State, peer.Version, peer.Build.Or(unknown), protocol)
 	}
 }
 
+// unknown stands for what a process of an earlier release does not tell.
+const unknown = "unknown"
+
 type orderShow struct {
 	tool     *tool
 	Argument struct {
--- a/internal/corpus/corpus.go
+++ b/internal/corpus/corpus.go
@@ -1,6 +1,6 @@
 // Package corpus supports tests that messages of earlier releases are still read. A corpus
 // file is one encoded message of a release in which every field is set; the folder is named
-// after the release's commit.
+// after the release's commit. RecordVariable records those of a release.
 package corpus
 
 import (
@@ -29,7 +29,10 @@
 		v.SetBool(true)
 	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
 		v.SetInt(int64(*next % 100))
-	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
+	case reflect.Uint8:
+		// Versions and enumerations; 1 is valid for all of them.
+		v.SetUint(1)
+	case reflect.Uint, reflect.Uint16, reflect.Uint32, reflect.Uint64:
 		v.SetUint(uint64(*next % 100))
 	case reflect.Float32, reflect.Float64:
 		v.SetFloat(float64(*next) + 0.5)
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -10,6 +10,8 @@
 	"sort"
 	"sync"
 	"time"
+
+	"verbenaseam.example/verbenaseam/process/release"
 )
 
 // Peer is the registration of a process. It is immutable.
@@ -37,8 +39,13 @@
 	Store StoreStatus `cbor:"8,keyasint"`
 	// Leavings are targets that told the process that they leave.
 	Leavings []TargetLeaving `cbor:"9,keyasint,omitempty"`
+	// Release is the build of the process and the versions of datagrams that it speaks.
+	Release release.Info `cbor:"10,keyasint,omitempty"`
 }
 
+// Versions is the versions of the datagrams between entries that this build speaks.
+var Versions = release.Range{Min: 1, Max: 1}
+
 // TargetLeaving reports that an incarnation of a target said that it leaves.
 type TargetLeaving struct {
 	Target      string `cbor:"1,keyasint"`
@@ -207,6 +214,19 @@
 	return names
 }
 
+// Releases returns what the live peers state of their releases, in no particular order.
+func (t *PeerTable) Releases(now time.Time) []release.Info {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []release.Info
+	for _, state := range t.peers {
+		if t.alive(state, now) {
+			all = append(all, state.lastHeartbeat.Release)
+		}
+	}
+	return all
+}
+
 // Names returns the names of all known peers, including dead ones, sorted.
 func (t *PeerTable) Names() []string {
 	t.mu.Lock()
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -1,12 +1,14 @@
 package rebalance
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"verbenaseam.example/verbenaseam/process/release"
 	"verbenaseam.example/verbenaseam/version/expertmap"
 )
 
@@ -54,8 +56,13 @@
 	Epoch uint64 `cbor:"14,keyasint,omitempty"`
 	// Slowdown is the factor by which the rank is slower than usual; 1 is normal speed.
 	Slowdown float64 `cbor:"13,keyasint,omitempty"`
+	// Release is the build of the agent and the versions of datagrams that it speaks.
+	Release release.Info `cbor:"16,keyasint,omitempty"`
 }
 
+// Versions is the versions of the datagrams between agents that this build speaks.
+var Versions = release.Range{Min: 1, Max: 1}
+
 // Counts is how often the requests of a rank have recently selected some of the
 // experts. Lost counts are not sent again.
 type Counts struct {
@@ -95,6 +102,9 @@
 	Part             *MapPart           `cbor:"5,keyasint,omitempty"`
 	Delta            *Delta             `cbor:"6,keyasint,omitempty"`
 	Relay            *Relay             `cbor:"8,keyasint,omitempty"`
+	// Version is the version of the datagram, 0 for 1. Receivers drop those of versions
+	// that they do not speak, which would have another meaning than they know.
+	Version uint8 `cbor:"9,keyasint,omitempty"`
 }
 
 // Relay asks the receiver to process a datagram and to forward it to the agents of the
@@ -120,6 +130,17 @@
 // without group names send them.
 var ErrNoGroup = eris.New("datagram does not name a group")
 
+// VersionError reports a datagram of a version that this build does not speak.
+type VersionError struct {
+	Version uint8
+	Spoken  release.Range
+}
+
+// Error implements error.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("datagram has version %d, want %d to %d", e.Version, e.Spoken.Min, e.Spoken.Max)
+}
+
 // FitsWithStatus reports whether the counts fit into one datagram with the status.
 func (c *Counts) FitsWithStatus(status *Status) bool {
 	return status.Held == nil && 2*reservedBytes+len(c.Levels) <= maxDatagramSize
@@ -135,12 +156,15 @@
 func Encode(envelope Envelope) ([]byte, error) { return cbor.Marshal(envelope) }
 
 // Decode decodes an envelope. It fails with DecodeError, whose cause is the codec's error
-// or ErrNoGroup.
+// ErrNoGroup or VersionError.
 func Decode(data []byte) (Envelope, error) {
 	var envelope Envelope
 	if err := cbor.Unmarshal(data, &envelope); err != nil {
 		return Envelope{}, &DecodeError{Cause: err}
 	}
+	if version := max(envelope.Version, 1); !Versions.Contains(version) {
+		return Envelope{}, &DecodeError{Cause: &VersionError{Version: version, Spoken: Versions}}
+	}
 	if envelope.Group.Name == "" {
 		return Envelope{}, &DecodeError{Cause: ErrNoGroup}
 	}
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"verbenaseam.example/verbenaseam/process/release"
 	"verbenaseam.example/verbenaseam/version/config"
 	"verbenaseam.example/verbenaseam/version/expertmap"
 	"verbenaseam.example/verbenaseam/version/placement"
@@ -146,6 +147,17 @@
 	return nil
 }
 
+// Releases returns what the agents of the group state of their releases, as far as known.
+func (p *Planner) Releases() []release.Info {
+	var all []release.Info
+	for _, m := range p.members {
+		if m != nil {
+			all = append(all, m.status.Release)
+		}
+	}
+	return all
+}
+
 // HandleCounts processes the expert selections counted at a rank of the group.
 func (p *Planner) HandleCounts(counts Counts, now time.Time) {
 	p.demand.add(counts.Offset, counts.Levels, now)
