--- a/process/release/census.go
+++ b/process/release/census.go
@@ -45,7 +45,7 @@
 	return strings.Join(parts, ", ")
 }
 
-func (i Info) name() string { return cmp.Or(i.Build, unknownBuild) }
+func (i Info) name() string { return cmp.Or(i.Build, unstatedBuild) }
 
 func (i Info) versions() string {
 	versions := i.Versions()
--- a/process/release/release.go
+++ b/process/release/release.go
@@ -48,6 +48,8 @@
 const (
 	// unknownBuild is the build of a program that was built outside a repository.
 	unknownBuild = "unknown"
+	// unstatedBuild stands for the build of a process that states none.
+	unstatedBuild = "unstated"
 	// buildLength is the number of digits of a revision that a build is named by.
 	buildLength = 7
 )
--- a/process/release/release_test.go
+++ b/process/release/release_test.go
@@ -59,12 +59,12 @@
 		common    float64
 		logged    string
 	}{
-		{[]Info{{}, {}}, 1, "unknown (versions 1-1): 2"},
-		{[]Info{{}, next}, 1, "unknown (versions 1-1): 1, b (versions 1-2): 1"},
+		{[]Info{{}, {}}, 1, "unstated (versions 1-1): 2"},
+		{[]Info{{}, next}, 1, "unstated (versions 1-1): 1, b (versions 1-2): 1"},
 		{[]Info{next, {}}, 1, ""},
 		{[]Info{next, next}, 2, "b (versions 1-2): 2"},
-		{[]Info{next, {}}, 1, "unknown (versions 1-1): 1, b (versions 1-2): 1"},
-		{[]Info{{Build: "c", Min: 2, Max: 2}, {}}, 0, "unknown (versions 1-1): 1, c (versions 2-2): 1"},
+		{[]Info{next, {}}, 1, "unstated (versions 1-1): 1, b (versions 1-2): 1"},
+		{[]Info{{Build: "c", Min: 2, Max: 2}, {}}, 0, "unstated (versions 1-1): 1, c (versions 2-2): 1"},
 	} {
 		hook.Reset()
 		o.Update(NewCensus(step.processes))
