Wait less for unanswered commands, propose switches no later because of them

- An agent waited 60 ms for each unanswered command, in which it does nothing else, also for votes.
The engine is on its host and answers within a few ms: 20 ms now.
Commands to other hosts keep 60 ms.
- A proposal whose command to hold the group stays unanswered is aborted within 65 ms, and each abort doubled the number of steps by which the next one is proposed ahead.
That is meant for votes which end too late; it now happens only if the group had come close to the step.
TestAbortedSwitchProposedAgainForLaterStep expected a greater lead after any abort; it is replaced by one test for either case.

--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -155,7 +155,7 @@
 // New returns an agent. It opens no sockets and makes no calls; Run does.
 func New(cfg Config) *Agent {
 	now := cfg.Clock.Now()
-	target := platform.NewRankClient(cfg.Settings.TargetAddress)
+	target := platform.NewRankClient(cfg.Settings.TargetAddress, platform.LocalCommandTimeout)
 	registry := prometheus.NewRegistry()
 	return &Agent{
 		registry: registry, metrics: placement.NewMetrics(registry),
--- a/daemon/rank/engine_commands_test.go
+++ b/daemon/rank/engine_commands_test.go
@@ -26,7 +26,7 @@
 	t.Cleanup(server.Close)
 	group := standin.NewGroup(2, 4, targets...)
 	group.SetCommandCounting(false)
-	target := platform.NewRankClient(strings.TrimPrefix(server.URL, "http://"))
+	target := platform.NewRankClient(strings.TrimPrefix(server.URL, "http://"), platform.LocalCommandTimeout)
 
 	to := expertmap.MapID{Epoch: 1, Version: expertmap.NextVersion(0)}
 	ok, err := target.Prepare(t.Context(), platform.CommandPrecondition{Incarnation: 1}, to.Number(), [][][]int{{{0, 2, 1}, {1, 3}}, {{0, 2}, {1, 3}}})
--- a/daemon/rank/plan.go
+++ b/daemon/rank/plan.go
@@ -202,7 +202,7 @@
 // use.
 func (a *Agent) remoteTarget(address string) *platform.RankClient {
 	if a.remoteTargets[address] == nil {
-		a.remoteTargets[address] = platform.NewRankClient(address)
+		a.remoteTargets[address] = platform.NewRankClient(address, platform.RemoteCommandTimeout)
 	}
 	return a.remoteTargets[address]
 }
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -87,10 +87,12 @@
 	phase      phase
 	phaseStart time.Time
 	// lead is the least number of steps ahead for which a switch is proposed. It
-	// doubles after an aborted proposal and decreases by one after a commit.
+	// doubles after a proposal that was aborted too late and decreases by one after a
+	// commit.
 	lead uint64
-	// proposedStep is the latest step for which the next map was proposed.
-	proposedStep uint64
+	// proposedStep is the latest step for which the next map was proposed, latestStep the
+	// last step that the planner's own rank has started.
+	proposedStep, latestStep uint64
 	// retryAt is the earliest time of another proposal after an abort.
 	retryAt   time.Time
 	stepTimer stepTimer
@@ -286,6 +288,7 @@
 // to make, or nil. step is the last step that the planner's own rank has started.
 func (p *Planner) Step(step uint64, now time.Time) (*Decision, *expertmap.Proposal) {
 	p.stepTimer.record(step, now)
+	p.latestStep = step
 	switch p.phase {
 	case idle:
 		return p.planNext(now), nil
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -118,11 +118,14 @@
 	h.tickUntil(InUse)
 }
 
-func TestAbortedSwitchProposedAgainForLaterStep(t *testing.T) {
+// TestSwitchAbortedTooLateIsProposedFurtherAhead guards against votes that never end before
+// the step for which they are held.
+func TestSwitchAbortedTooLateIsProposedFurtherAhead(t *testing.T) {
 	h := newHarness(t)
 	decision, _ := h.tickUntil(Prepare)
 	h.setPrepared(decision.Map.Number())
 	_, first := h.tickUntil(Propose)
+	h.planner.Step(first.Step-1, h.now)
 	require.NotNil(t, h.planner.HandleOutcome(expertmap.Outcome{ID: first.ID, Decision: expertmap.Abort}, h.now))
 	_, second := h.tickUntil(Propose)
 	require.Equal(t, first.To, second.To, "the same map")
@@ -131,6 +134,20 @@
 	require.Nil(t, h.planner.HandleOutcome(expertmap.Outcome{ID: expertmap.ProposalID{Epoch: 99}, Decision: expertmap.Commit}, h.now), "outcome of another proposal")
 }
 
+// TestSwitchAbortedForUnansweredCommandIsNotProposedFurtherAhead replays an engine that leaves
+// the command to hold the group unanswered, again and again. It guards against switches that
+// come ever later because of that.
+func TestSwitchAbortedForUnansweredCommandIsNotProposedFurtherAhead(t *testing.T) {
+	h := newHarness(t)
+	decision, _ := h.tickUntil(Prepare)
+	h.setPrepared(decision.Map.Number())
+	for range 5 {
+		_, proposal := h.tickUntil(Propose)
+		require.Equal(t, DefaultPolicy().MinLead, proposal.Step-h.step)
+		require.NotNil(t, h.planner.HandleOutcome(expertmap.Outcome{ID: proposal.ID, Decision: expertmap.Abort}, h.now))
+	}
+}
+
 func TestAbortedProposalsStayWithinMaxLead(t *testing.T) {
 	h := newHarness(t)
 	decision, _ := h.tickUntil(Prepare)
--- a/version/rebalance/switch.go
+++ b/version/rebalance/switch.go
@@ -68,9 +68,13 @@
 		p.lead = max(p.policy.MinLead, p.lead-1)
 		return &Decision{Kind: Agreed, Map: to, Plan: p.plan, Took: p.enterPhase(switching, now)}
 	}
-	// The same map is proposed again for a later step.
+	// The same map is proposed again for a later step. If the group had not come close to
+	// the step, the abort had another reason than a vote that ended too late, such as an
+	// unanswered command, and a greater lead would only delay the switch.
 	p.retryAt = now.Add(retryDelay)
-	p.lead = min(2*p.lead, maxLead)
+	if p.latestStep+1 >= p.proposedStep {
+		p.lead = min(2*p.lead, maxLead)
+	}
 	return &Decision{Kind: Aborted, Map: to, Took: p.enterPhase(preparing, now)}
 }
 
