Compare revisions within an era in the product's own interface, keep epochs from going back

When the platform's store returns from an older copy, it gives out numbers again. The product's own interface compared numbers alone: a transaction could replace another row than the one it was read from, a lease could be taken while its holder went on, its epoch could be given out twice, and a call that waited for another call's attempt took the lost record for an order that nobody had sent, and ran it again.

platform.Revision is now the pair of era and number. A lease counts as held only once it is confirmed in the new era; epochs have the era in their upper bits; a fence that starts does not trust a copied row; an attempt whose record is lost is `unknown`.

Not done: records of orders are not written again (docs/design/081-restored-store.md).

Encoded rows keep their format; the mutant of request/order that marks a write as done names a revision now, and breaks the same rule.

--- a/internal/measure/rollout/memory_table.go
+++ b/internal/measure/rollout/memory_table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -13,12 +14,14 @@
 // replaces the platform in measurements and tests.
 type MemoryTable struct {
 	// mu guards the fields below.
-	mu       sync.Mutex
-	rows     map[string]platform.Row
-	revision int64
-	reads    int
-	writes   int
-	down     bool
+	mu   sync.Mutex
+	rows map[string]platform.Row
+	// era and number are those of the latest revision.
+	era    uint64
+	number int64
+	reads  int
+	writes int
+	down   bool
 	// loseReplies is the number of further commits that take effect but return
 	// UnknownEffectError. dropWrites is the number of further commits that return it
 	// without effect, as if the request were lost.
@@ -154,14 +157,14 @@
 	var result platform.TxnResult
 	for _, condition := range txn.Conditions {
 		row := m.rows[condition.Key]
-		if row.Revision != condition.Revision {
+		if !condition.Holds(row) {
 			row.Key = condition.Key
 			result.Conflicts = append(result.Conflicts, row)
 		}
 	}
 	if len(result.Conflicts) == 0 {
 		m.write(txn)
-		result.Committed, result.Revision = true, m.revision
+		result.Committed, result.Revision = true, m.revision()
 	}
 	if m.loseReplies > 0 {
 		m.loseReplies--
@@ -170,10 +173,47 @@
 	return result, nil
 }
 
+func (m *MemoryTable) revision() platform.Revision {
+	return platform.Revision{Era: m.era, Number: m.number}
+}
+
+// Era implements platform.Table.
+func (m *MemoryTable) Era() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.era
+}
+
+// Copy returns a copy of the table's contents, for Restore.
+func (m *MemoryTable) Copy() TableCopy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return TableCopy{rows: maps.Clone(m.rows), number: m.number}
+}
+
+// Restore makes the table return from an older copy, in a new era. Rows keep their numbers.
+func (m *MemoryTable) Restore(older TableCopy) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.era++
+	m.number = older.number
+	m.rows = maps.Clone(older.rows)
+	for key, row := range m.rows {
+		row.Revision.Era = m.era
+		m.rows[key] = row
+	}
+}
+
+// TableCopy is the contents of a MemoryTable at some time.
+type TableCopy struct {
+	rows   map[string]platform.Row
+	number int64
+}
+
 func (m *MemoryTable) write(txn platform.Txn) {
-	m.revision++
+	m.number++
 	for _, put := range txn.Puts {
-		m.rows[put.Key] = platform.Row{Key: put.Key, Value: slices.Clone(put.Value), Revision: m.revision}
+		m.rows[put.Key] = platform.Row{Key: put.Key, Value: slices.Clone(put.Value), Revision: m.revision()}
 		m.maxRowBytes = max(m.maxRowBytes, len(put.Value))
 	}
 	for _, key := range txn.Deletes {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -71,7 +71,7 @@
 	rows     map[string]platform.Row
 	// keys holds the keys of rows in ascending order.
 	keys     []string
-	revision int64
+	revision platform.Revision
 	// hostLists holds the host list that Hosts returns, followed by the ones that
 	// are not visible yet.
 	hostLists []timedHostList
@@ -204,6 +204,13 @@
 	return out, nil
 }
 
+// Era implements platform.Table. This stand-in never returns from an older copy.
+func (s *InMemory) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision.Era
+}
+
 // readLocked returns a copy of the row and counts the bytes read.
 func (s *InMemory) readLocked(row platform.Row) platform.Row {
 	s.counters.BytesRead += int64(len(row.Value))
@@ -233,7 +240,7 @@
 	var conflicts []platform.Row
 	for _, condition := range txn.Conditions {
 		row := s.rows[condition.Key]
-		if row.Revision != condition.Revision {
+		if !condition.Holds(row) {
 			row.Key = condition.Key
 			conflicts = append(conflicts, s.readLocked(row))
 		}
@@ -241,7 +248,7 @@
 	if len(conflicts) > 0 {
 		return platform.TxnResult{Conflicts: conflicts}
 	}
-	s.revision++
+	s.revision.Number++
 	for _, put := range txn.Puts {
 		s.counters.BytesWritten += int64(len(put.Value))
 		s.putLocked(platform.Row{Key: put.Key, Value: append([]byte{}, put.Value...), Revision: s.revision})
--- a/process/lease/errors.go
+++ b/process/lease/errors.go
@@ -9,6 +9,9 @@
 // ErrNotHeld means that this process does not currently hold the lease.
 var ErrNotHeld = eris.New("lease is not held")
 
+// ErrRowCopied means that the lease row may come from an older copy of the platform.
+var ErrRowCopied = eris.New("lease row may come from an older copy of the platform")
+
 // StaleEpochError means that an order carries a lower epoch than an earlier order or
 // the lease row, so its sender no longer holds the lease.
 type StaleEpochError struct {
--- a/process/lease/fence.go
+++ b/process/lease/fence.go
@@ -11,7 +11,8 @@
 // Fence is the fencing check in front of an engine: it rejects orders whose epoch
 // is lower than the highest one seen for the lease. Before it checks the first order
 // for a lease, it reads the lease's epoch from the table, so that a restart does not
-// admit stale orders. It is safe for concurrent use.
+// admit stale orders; after a restoration of the platform it waits until the holder has
+// written there. It is safe for concurrent use.
 type Fence struct {
 	table platform.Table
 
@@ -27,6 +28,9 @@
 	mu     sync.Mutex
 	loaded bool
 	epoch  uint64
+	// copied is the revision of a row that may come from an older copy of the platform,
+	// once one was read.
+	copied *platform.Revision
 }
 
 // NewFence returns a Fence that reads initial epochs from table.
@@ -68,7 +72,10 @@
 	if fence.loaded {
 		return nil
 	}
-	row, _, err := readRow(ctx, f.table, name)
+	row, revision, err := readRow(ctx, f.table, name)
+	if err == nil && !fence.isCurrent(row, revision, f.table.Era()) {
+		err = ErrRowCopied
+	}
 	if err != nil {
 		unavailable := failure.New(failure.PlatformUnavailable, failure.NotRun, "the lease's epoch is not known yet")
 		return unavailable.WithCause(err)
@@ -76,3 +83,16 @@
 	fence.loaded, fence.epoch = true, row.Epoch
 	return nil
 }
+
+// isCurrent reports whether a row was written since the platform last returned from an older
+// copy, which its epoch shows, or a change since it was first read. A copy may show an epoch
+// lower than one that was used before.
+func (f *leaseFence) isCurrent(row Row, revision platform.Revision, era uint64) bool {
+	if eraOf(row.Epoch) >= era {
+		return true
+	}
+	if f.copied == nil {
+		f.copied = &revision
+	}
+	return *f.copied != revision
+}
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -40,8 +40,8 @@
 	config Config
 	log    *logrus.Entry
 
-	// mu guards machine. It is a leaf lock; the table is not accessed and nothing is
-	// logged while it is held.
+	// mu guards machine. It is a leaf lock; the table is not called and nothing is logged
+	// while it is held. Table.Era makes no call.
 	mu      sync.Mutex
 	machine *Machine
 }
@@ -61,7 +61,9 @@
 func (l *Lease) Epoch() (uint64, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	epoch, held := l.machine.Held(l.config.Clock.Now())
+	now := l.config.Clock.Now()
+	l.machine.ObserveEra(now, l.config.Table.Era())
+	epoch, held := l.machine.Held(now)
 	if !held {
 		return 0, ErrNotHeld
 	}
@@ -96,7 +98,9 @@
 
 func (l *Lease) step(ctx context.Context) {
 	l.mu.Lock()
-	step := l.machine.Next(l.config.Clock.Now())
+	now := l.config.Clock.Now()
+	l.machine.ObserveEra(now, l.config.Table.Era())
+	step := l.machine.Next(now)
 	row, revision := l.machine.Pending()
 	l.mu.Unlock()
 	switch step {
@@ -116,15 +120,15 @@
 	l.machine.ReadDone(l.config.Clock.Now(), row, revision, err)
 }
 
-func readRow(ctx context.Context, table platform.Table, name string) (Row, int64, error) {
+func readRow(ctx context.Context, table platform.Table, name string) (Row, platform.Revision, error) {
 	found, err := table.Get(ctx, Key(name))
 	if err != nil {
-		return Row{}, 0, err
+		return Row{}, platform.Revision{}, err
 	}
 	return decodeRow(name, found)
 }
 
-func (l *Lease) write(ctx context.Context, row Row, expectedRevision int64) {
+func (l *Lease) write(ctx context.Context, row Row, expectedRevision platform.Revision) {
 	ctx, cancel := context.WithTimeout(ctx, l.config.TTL)
 	defer cancel()
 	txn, err := encodeTxn(l.config.Name, row, expectedRevision)
--- a/process/lease/machine.go
+++ b/process/lease/machine.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"verbenaseam.example/verbenaseam/process/platform"
 )
 
 const (
@@ -41,7 +43,7 @@
 	// the first read and after a write conflict. seenAt is when this revision was
 	// first observed: the end of the read that found it or of the write that made it.
 	row      Row
-	revision int64
+	revision platform.Revision
 	known    bool
 	seenAt   time.Time
 
@@ -49,6 +51,11 @@
 	// not held.
 	validUntil time.Time
 	epoch      uint64
+	// era is the latest era of the platform that is known. confirmUntil is set if the lease
+	// was held when the platform returned from an older copy: until then the lease may be
+	// confirmed in the new era, since no other process can have acquired it.
+	era          uint64
+	confirmUntil time.Time
 	// releasing is set when the lease is to be released and not acquired again.
 	releasing bool
 
@@ -73,12 +80,43 @@
 	return m.epoch, !m.validUntil.IsZero() && now.Before(m.validUntil)
 }
 
+// eraShift is the number of bits of an epoch below those of its era.
+const eraShift = 40
+
+// eraOf returns the era in which an epoch was given out.
+func eraOf(epoch uint64) uint64 { return epoch >> eraShift }
+
+// nextEpoch returns an epoch above all that any process has had. After a restoration the row
+// may come from an older copy, or from a write of an earlier era that took effect late; the
+// era and the revision of the row do not go back.
+func (m *Machine) nextEpoch() uint64 {
+	if m.era == 0 {
+		return m.row.Epoch + 1
+	}
+	return max(m.row.Epoch, m.era<<eraShift|uint64(m.revision.Number)) + 1
+}
+
+// ObserveEra takes the platform's era. After a restoration the lease does not count as held
+// until it is confirmed, and nothing that was known of the row holds any more.
+func (m *Machine) ObserveEra(now time.Time, era uint64) {
+	if era <= m.era {
+		return
+	}
+	m.era = era
+	if _, held := m.Held(now); held {
+		m.confirmUntil = m.validUntil
+	}
+	m.validUntil = time.Time{}
+	m.known, m.unresolved = false, false
+	m.nextRead = now
+}
+
 // ValidUntil returns when this process stops relying on the lease unless it renews it;
 // zero while it is not held.
 func (m *Machine) ValidUntil() time.Time { return m.validUntil }
 
 // Pending returns the row to write and the revision that the stored row must have.
-func (m *Machine) Pending() (Row, int64) { return m.pending, m.revision }
+func (m *Machine) Pending() (Row, platform.Revision) { return m.pending, m.revision }
 
 // Release makes the machine release the lease and not acquire it again.
 func (m *Machine) Release() { m.releasing = true }
@@ -107,20 +145,22 @@
 		return m.write(now, m.rowForEpoch(m.epoch))
 	case held || m.releasing:
 		return StepNone
-	case m.available(now):
-		return m.write(now, m.rowForEpoch(m.row.Epoch+1))
+	case now.Before(m.confirmUntil) || m.available(now):
+		return m.write(now, m.rowForEpoch(m.nextEpoch()))
 	default:
 		return m.readIfDue(now)
 	}
 }
 
 // available reports whether the lease may be acquired: it has no holder, or its
-// row has been unchanged for longer than the TTL on the clock of any holder.
+// row has been unchanged for longer than the TTL on the clock of any holder. A row of an
+// earlier era may come from an older copy and not name the holder.
 func (m *Machine) available(now time.Time) bool {
-	if m.revision == 0 || m.row.Holder == "" {
+	fromCopy := eraOf(m.row.Epoch) < m.era
+	if !fromCopy && (m.revision.IsAbsent() || m.row.Holder == "") {
 		return true
 	}
-	return now.Sub(m.seenAt) > scale(m.row.TTL(), 1+ClockMargin)
+	return now.Sub(m.seenAt) > scale(max(m.ttl, m.row.TTL()), 1+ClockMargin)
 }
 
 func (m *Machine) rowForEpoch(epoch uint64) Row {
@@ -143,11 +183,11 @@
 	return StepWrite
 }
 
-// ReadDone reports the result of StepRead; revision 0 means the row is absent.
-func (m *Machine) ReadDone(now time.Time, row Row, revision int64, err error) {
+// ReadDone reports the result of StepRead; the revision of an absent row is absent.
+func (m *Machine) ReadDone(now time.Time, row Row, revision platform.Revision, err error) {
 	m.stepInFlight = false
 	m.nextRead = now.Add(scale(m.ttl, renewAfter*(0.5+m.random.Float64())))
-	if err != nil {
+	if err != nil || m.ofEarlierEra(revision) {
 		return
 	}
 	if !m.known || revision != m.revision {
@@ -165,7 +205,7 @@
 // process as holder although this process does not consider itself the holder; that
 // is safe and only delays the next acquisition, also one by this process.
 func (m *Machine) resolvePendingWrite(row Row) {
-	if row == m.pending {
+	if row == m.pending && eraOf(row.Epoch) == m.era {
 		m.startTerm()
 		return
 	}
@@ -177,13 +217,13 @@
 // WriteDone reports the result of StepWrite: whether it was committed and at
 // which revision. effectUnknown means that the write failed or its reply was lost, so
 // that it may or may not have taken effect.
-func (m *Machine) WriteDone(now time.Time, committed bool, revision int64, effectUnknown bool) {
+func (m *Machine) WriteDone(now time.Time, committed bool, revision platform.Revision, effectUnknown bool) {
 	m.stepInFlight = false
 	switch {
 	case effectUnknown:
 		m.unresolved = true
 		m.nextRead = now
-	case committed:
+	case committed && !m.ofEarlierEra(revision):
 		m.row, m.revision, m.seenAt = m.pending, revision, now
 		m.startTerm()
 	default:
@@ -202,9 +242,16 @@
 		return
 	}
 	m.epoch = m.pending.Epoch
+	m.confirmUntil = time.Time{}
 	m.validUntil = m.pendingAt.Add(scale(m.ttl, 1-ClockMargin-safetyMargin))
 }
 
+// ofEarlierEra reports whether a row was read or written before the platform returned from
+// an older copy.
+func (m *Machine) ofEarlierEra(revision platform.Revision) bool {
+	return !revision.IsAbsent() && revision.Era < m.era
+}
+
 func scale(d time.Duration, factor float64) time.Duration {
 	return time.Duration(float64(d) * factor)
 }
--- a/process/lease/machine_test.go
+++ b/process/lease/machine_test.go
@@ -33,6 +33,13 @@
 	// applied holds the epochs of the orders that took effect, in order.
 	applied  []uint64
 	rejected int
+	// copies are the latest copies of the table, and restores counts the times that it has
+	// returned from one.
+	copies   []measure.TableCopy
+	copiedAt time.Duration
+	restores int
+	// holders maps each epoch to the process that held the lease under it.
+	holders map[uint64]*Machine
 	// started counts replacement processes; it makes their names unique.
 	started int
 }
@@ -48,6 +55,20 @@
 	clockRate   float64
 	clockOffset time.Duration
 	pausedUntil time.Duration
+	// era is the latest era of the platform in a response to this process.
+	era uint64
+}
+
+// respond delivers the response of a call that the table has carried out, of which the era
+// is given. It reports false for a response of an era before the latest known one, which the
+// platform's client drops.
+func (c *candidate) respond(now time.Duration, era uint64) bool {
+	if era < c.era {
+		return false
+	}
+	c.era = era
+	c.machine.ObserveEra(c.localTime(now), era)
+	return true
 }
 
 // localTime returns the reading of the candidate's clock at a true time.
@@ -128,7 +149,13 @@
 	m := c.machine
 	s.schedule(s.messageDelay(), func() {
 		row, revision, err := readRow(context.Background(), s.table, "x")
-		s.scheduleStep(c, s.messageDelay(), func() { m.ReadDone(c.localTime(s.now), row, revision, err) })
+		era := s.table.Era()
+		s.scheduleStep(c, s.messageDelay(), func() {
+			if err == nil && !c.respond(s.now, era) {
+				err = &platform.UnavailableError{}
+			}
+			m.ReadDone(c.localTime(s.now), row, revision, err)
+		})
 	})
 }
 
@@ -139,16 +166,33 @@
 	require.NoError(s.t, err)
 	if !s.faultsOff && s.random.IntN(10) == 0 {
 		// The reply is lost at once, but the write takes effect much later.
-		s.scheduleStep(c, s.messageDelay(), func() { m.WriteDone(c.localTime(s.now), false, 0, true) })
-		s.schedule(s.randomDelay(2*testTTL), func() { _, _ = s.table.Commit(context.Background(), txn) })
+		s.scheduleStep(c, s.messageDelay(), func() { m.WriteDone(c.localTime(s.now), false, platform.Revision{}, true) })
+		s.schedule(s.randomDelay(2*testTTL), func() { _, _ = s.commit(txn) })
 		return
 	}
 	s.schedule(s.messageDelay(), func() {
-		result, err := s.table.Commit(context.Background(), txn)
-		s.scheduleStep(c, s.messageDelay(), func() { m.WriteDone(c.localTime(s.now), result.Committed, result.Revision, err != nil) })
+		result, err := s.commit(txn)
+		era := s.table.Era()
+		s.scheduleStep(c, s.messageDelay(), func() {
+			if err == nil && (!c.respond(s.now, era) || !revision.IsAbsent() && revision.Era != era) {
+				err = &platform.UnknownEffectError{}
+			}
+			m.WriteDone(c.localTime(s.now), result.Committed, result.Revision, err != nil)
+		})
 	})
 }
 
+// commit carries out a transaction as the platform's store does, which compares only the
+// numbers of revisions.
+func (s *simulation) commit(txn platform.Txn) (platform.TxnResult, error) {
+	for i := range txn.Conditions {
+		if !txn.Conditions[i].Revision.IsAbsent() {
+			txn.Conditions[i].Revision.Era = s.table.Era()
+		}
+	}
+	return s.table.Commit(context.Background(), txn)
+}
+
 // deliverOrder delivers an order to the fencing check in front of the engine.
 func (s *simulation) deliverOrder(epoch uint64) {
 	err := s.fence.Do(context.Background(), "x", epoch, func() error {
@@ -166,11 +210,18 @@
 		s.events = s.events[1:]
 		s.now = next.at
 		next.run()
+		s.takeCopy()
 		holders := 0
 		for _, c := range s.candidates {
-			if _, held := c.machine.Held(c.localTime(s.now)); held {
-				holders++
+			epoch, held := c.machine.Held(c.localTime(s.now))
+			if !held {
+				continue
 			}
+			holders++
+			if s.holders[epoch] == nil {
+				s.holders[epoch] = c.machine
+			}
+			require.Same(s.t, s.holders[epoch], c.machine, "epoch %d given out twice", epoch)
 		}
 		require.LessOrEqual(s.t, holders, 1, "two holders at %s", s.now)
 	}
@@ -182,10 +233,18 @@
 // outages, lost replies, late writes and restarts of the process that runs the fencing
 // check.
 func TestSingleHolderAndNoStaleOrderApplied(t *testing.T) {
-	epochs, rejected := uint64(0), 0
+	epochs, rejected, _ := simulate(t, false)
+	require.Greater(t, epochs, uint64(600), "too few changes of holder")
+	require.Positive(t, rejected)
+}
+
+// simulate runs the simulation with many seeds. It returns the sum of the last epochs, how
+// many orders the fence has rejected, and how often the table was restored.
+func simulate(t *testing.T, restored bool) (epochs uint64, rejected, restores int) {
+	t.Helper()
 	for seed := range 60 {
 		table := measure.NewMemoryTable()
-		s := &simulation{t: t, random: rand.New(rand.NewPCG(uint64(seed), 3)), table: table, fence: NewFence(table)}
+		s := &simulation{holders: map[uint64]*Machine{}, t: t, random: rand.New(rand.NewPCG(uint64(seed), 3)), table: table, fence: NewFence(table)}
 		for i, rate := range []float64{0.99, 1, 1.01} {
 			c := &candidate{clockRate: rate, clockOffset: s.randomDelay(time.Hour)}
 			c.machine = NewMachine(fmt.Sprintf("first%d", i), testTTL, rand.New(rand.NewPCG(uint64(seed), uint64(i))))
@@ -196,6 +255,9 @@
 			s.run(s.now + 3*testTTL)
 			s.fence = NewFence(table)
 			table.SetDown(s.random.IntN(4) == 0)
+			if restored && s.random.IntN(2) == 0 {
+				s.restore()
+			}
 		}
 		table.SetDown(false)
 		s.faultsOff = true
@@ -208,14 +270,14 @@
 		require.Greater(t, len(s.applied), before, "seed %d: no process acquired the lease after the faults ended", seed)
 		epochs += s.applied[len(s.applied)-1]
 		rejected += s.rejected
+		restores += s.restores
 	}
-	require.Greater(t, epochs, uint64(600), "too few changes of holder")
-	require.Positive(t, rejected)
+	return epochs, rejected, restores
 }
 
 func TestFenceRejectsStaleAndUnreadableEpochs(t *testing.T) {
 	table := measure.NewMemoryTable()
-	txn, err := encodeTxn("x", Row{Holder: "h", Epoch: 5}, 0)
+	txn, err := encodeTxn("x", Row{Holder: "h", Epoch: 5}, platform.Revision{})
 	require.NoError(t, err)
 	_, err = table.Commit(t.Context(), txn)
 	require.NoError(t, err)
@@ -273,17 +335,18 @@
 	random := rand.New(rand.NewPCG(1, 1))
 	slow.machine, fast.machine = NewMachine("slow", testTTL, random), NewMachine("fast", testTTL, random)
 	require.Equal(t, StepRead, slow.machine.Next(slow.localTime(0)))
-	slow.machine.ReadDone(slow.localTime(0), Row{}, 0, nil)
+	slow.machine.ReadDone(slow.localTime(0), Row{}, platform.Revision{}, nil)
 	require.Equal(t, StepWrite, slow.machine.Next(slow.localTime(0)))
 	row, _ := slow.machine.Pending()
-	slow.machine.WriteDone(slow.localTime(0), true, 1, false)
+	written := platform.Revision{Number: 1}
+	slow.machine.WriteDone(slow.localTime(0), true, written, false)
 	fast.machine.Next(fast.localTime(0))
-	fast.machine.ReadDone(fast.localTime(0), row, 1, nil)
+	fast.machine.ReadDone(fast.localTime(0), row, written, nil)
 	for now := time.Duration(0); ; now += time.Millisecond {
 		_, held := slow.machine.Held(slow.localTime(now))
 		step := fast.machine.Next(fast.localTime(now))
 		if step == StepRead {
-			fast.machine.ReadDone(fast.localTime(now), row, 1, nil)
+			fast.machine.ReadDone(fast.localTime(now), row, written, nil)
 		}
 		if step == StepWrite {
 			require.False(t, held, "lease acquired while another process holds it")
--- a/process/lease/row.go
+++ b/process/lease/row.go
@@ -15,7 +15,8 @@
 type Row struct {
 	// Holder identifies the holding process; empty after the lease was released.
 	Holder string `cbor:"1,keyasint"`
-	// Epoch increases by one each time the holder changes.
+	// Epoch increases each time the holder changes. Its upper bits are the era of the
+	// platform in which it was given out, so that no epoch is given out twice.
 	Epoch uint64 `cbor:"2,keyasint"`
 	// TTLMillis is how long the row is valid after its last write, in ms.
 	TTLMillis int64 `cbor:"3,keyasint"`
@@ -29,24 +30,24 @@
 func Key(name string) string { return keyPrefix + name }
 
 // decodeRow finds and decodes the lease's row among rows and returns it with its
-// revision; an absent row has revision 0. It fails with RowCodecError.
-func decodeRow(name string, rows []platform.Row) (Row, int64, error) {
+// revision; that of an absent row is absent. It fails with RowCodecError.
+func decodeRow(name string, rows []platform.Row) (Row, platform.Revision, error) {
 	var row Row
 	for _, found := range rows {
 		if found.Key != Key(name) {
 			continue
 		}
 		if err := cbor.Unmarshal(found.Value, &row); err != nil {
-			return Row{}, 0, &RowCodecError{Key: found.Key, Cause: err}
+			return Row{}, platform.Revision{}, &RowCodecError{Key: found.Key, Cause: err}
 		}
 		return row, found.Revision, nil
 	}
-	return row, 0, nil
+	return row, platform.Revision{}, nil
 }
 
 // encodeTxn builds the transaction that writes row if the stored row is at
 // expectedRevision.
-func encodeTxn(name string, row Row, expectedRevision int64) (platform.Txn, error) {
+func encodeTxn(name string, row Row, expectedRevision platform.Revision) (platform.Txn, error) {
 	value, err := cbor.Marshal(row)
 	if err != nil {
 		return platform.Txn{}, &RowCodecError{Key: Key(name), Cause: err}
--- a/process/platform/platform.go
+++ b/process/platform/platform.go
@@ -5,18 +5,39 @@
 
 import "context"
 
+// Revision is the version of a row. The platform may return from an older copy, after which
+// it gives out numbers again, so revisions of different eras are never equal.
+type Revision struct {
+	// Era counts the times that the platform has returned from an older copy.
+	Era uint64
+	// Number increases with every write of an era; 0 means the row is absent.
+	Number int64
+}
+
+// IsAbsent reports whether it is the revision of an absent row, in any era.
+func (r Revision) IsAbsent() bool { return r.Number == 0 }
+
 // Row is one row of the table.
 type Row struct {
 	Key   string
 	Value []byte
-	// Revision increases with every write of the row; 0 means the row is absent.
-	Revision int64
+	// Revision is absent if the row is.
+	Revision Revision
 }
 
-// Condition requires a row to be at a revision; revision 0 requires its absence.
+// Condition requires a row to be at a revision; the zero revision requires its absence. A
+// revision of an earlier era holds for no row.
 type Condition struct {
 	Key      string
-	Revision int64
+	Revision Revision
+}
+
+// Holds reports whether the condition holds for the row, which may be absent.
+func (c Condition) Holds(row Row) bool {
+	if c.Revision.IsAbsent() {
+		return row.Revision.IsAbsent()
+	}
+	return row.Revision == c.Revision
 }
 
 // Put writes one row.
@@ -42,9 +63,9 @@
 	// Committed is set if the puts and deletes took effect.
 	Committed bool
 	// Revision is the revision of the written rows.
-	Revision int64
+	Revision Revision
 	// Conflicts holds the current rows of the conditions that failed; an absent
-	// row has revision 0.
+	// row has an absent revision.
 	Conflicts []Row
 }
 
@@ -59,6 +80,8 @@
 	Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error)
 	// Commit runs a transaction; it counts as one write.
 	Commit(ctx context.Context, txn Txn) (TxnResult, error)
+	// Era returns the latest era that a response has shown, without a call.
+	Era() uint64
 }
 
 // Host is one host of the live list.
--- a/request/order/call.go
+++ b/request/order/call.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/platform"
 )
 
 // versionedRecord is a record with the revision of its row.
 type versionedRecord struct {
 	record   Record
-	revision int64
+	revision platform.Revision
 }
 
 // call is the processing of one request for an order at one entry.
--- a/request/order/committer.go
+++ b/request/order/committer.go
@@ -30,7 +30,7 @@
 	// Key is the row's key.
 	Key string
 	// Revision is the required revision; 0 requires that the row is absent.
-	Revision int64
+	Revision platform.Revision
 	// Content is the new content. It contains the attempt's nonce, so equal
 	// content proves that this write took effect.
 	Content []byte
@@ -39,7 +39,7 @@
 // WriteResult is the result of a Write.
 type WriteResult struct {
 	Effect   Effect
-	Revision int64
+	Revision platform.Revision
 	// Row is the row's current content with EffectConflict.
 	Row platform.Row
 	// Cause is the reason for EffectNone and EffectUnknown.
@@ -147,7 +147,7 @@
 }
 
 // markWritten sets the result of all pending writes to EffectWritten.
-func (b *batch) markWritten(revision int64) {
+func (b *batch) markWritten(revision platform.Revision) {
 	for _, i := range b.pending {
 		b.results[i] = WriteResult{Effect: EffectWritten, Revision: revision}
 	}
@@ -173,7 +173,7 @@
 // resultFromRow returns the result of a write whose row is not at the required
 // revision.
 func resultFromRow(write Write, row platform.Row) WriteResult {
-	if row.Revision != 0 && bytes.Equal(row.Value, write.Content) {
+	if !row.Revision.IsAbsent() && bytes.Equal(row.Value, write.Content) {
 		return WriteResult{Effect: EffectWritten, Revision: row.Revision}
 	}
 	return WriteResult{Effect: EffectConflict, Row: row}
@@ -207,7 +207,7 @@
 	}
 	b.resolvePending(func(write Write) (WriteResult, bool) {
 		row := byKey[write.Key]
-		if row.Revision == write.Revision {
+		if (platform.Condition{Revision: write.Revision}).Holds(row) {
 			return WriteResult{}, false
 		}
 		return resultFromRow(write, row), true
--- a/request/order/existing.go
+++ b/request/order/existing.go
@@ -12,9 +12,8 @@
 // the write was rejected.
 func (c *call) handleExisting(ctx context.Context, row platform.Row) step {
 	c.recordKnown, c.confirmedNotRun = false, false
-	if row.Revision == 0 {
-		c.current = versionedRecord{} // deleted by a sweep in the meantime
-		return proceed
+	if row.Revision.IsAbsent() {
+		return c.handleAbsent()
 	}
 	if !c.loadRow(row) {
 		return fail(failure.New(failure.Internal, failure.Unknown, "the order record cannot be read"))
@@ -39,6 +38,17 @@
 	}
 }
 
+// handleAbsent continues a call whose row is gone. A sweep deletes only expired records; any
+// other one was lost with an older copy of the platform, and its attempt may have run.
+func (c *call) handleAbsent() step {
+	lost := c.current.record
+	c.current = versionedRecord{}
+	if lost.State == StateDispatched && !lost.Expired(c.clock.Now()) {
+		return unknownStep()
+	}
+	return proceed
+}
+
 // waitForAttempt waits for the end of an attempt made by another call. While the
 // record does not change, it queries the agent from QueryAfter on; from
 // OrphanAfter on it requests a tombstone if the agent has not seen the attempt.
--- a/request/order/outcome.go
+++ b/request/order/outcome.go
@@ -90,7 +90,7 @@
 // loadRow decodes a row into c.current; it returns false if the row is absent or
 // corrupt.
 func (c *call) loadRow(row platform.Row) bool {
-	if row.Revision == 0 {
+	if row.Revision.IsAbsent() {
 		return false
 	}
 	record, err := Decode(row.Value)
--- a/request/order/scenario_test.go
+++ b/request/order/scenario_test.go
@@ -133,7 +133,7 @@
 		{File: "execution.go", Old: "	tracked.reply = reply\n", New: "	if reply.State == ExecutionOutcomeUnknown {\n		reply.State = ExecutionNeverStarts\n	}\n	tracked.reply = reply\n"},
 	}},
 	{"recorder treats a lost reply as success", []mutant.Edit{
-		{File: "committer.go", Old: "	b.uncertain = true\n	return b.readBack(ctx, err)\n", New: "	b.markWritten(0)\n	return nil\n"},
+		{File: "committer.go", Old: "	b.uncertain = true\n	return b.readBack(ctx, err)\n", New: "	b.markWritten(platform.Revision{})\n	return nil\n"},
 	}},
 	{"recorder writes without conditions", []mutant.Edit{
 		{File: "committer.go", Old: "		txn.Conditions = append(txn.Conditions, platform.Condition{Key: write.Key, Revision: write.Revision})\n", New: ""},
--- a/request/order/sim_net_test.go
+++ b/request/order/sim_net_test.go
@@ -123,6 +123,8 @@
 	return rows[0], true, nil
 }
 
+func (t simTable) Era() uint64 { return t.e.sim.table.Era() }
+
 func (t simTable) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
 	return t.e.sim.table.Scan(ctx, prefix, after, limit)
 }
--- a/version/rollout/checkpoint.go
+++ b/version/rollout/checkpoint.go
@@ -46,7 +46,7 @@
 
 // writeCheckpoint writes the parts first and the checkpoint row last, so that
 // the checkpoint row never refers to missing parts.
-func (l *Log) writeCheckpoint(ctx context.Context, t *table.Table, previous checkpointRow, revision int64) error {
+func (l *Log) writeCheckpoint(ctx context.Context, t *table.Table, previous checkpointRow, revision platform.Revision) error {
 	body, err := EncodeTable(t)
 	if err != nil {
 		return err
--- a/version/rollout/load.go
+++ b/version/rollout/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"verbenaseam.example/verbenaseam/process/platform"
 	"verbenaseam.example/verbenaseam/version/table"
 )
 
@@ -97,11 +98,11 @@
 
 // readCheckpoint returns the checkpoint row and its revision; both are zero if
 // there is no checkpoint.
-func (l *Log) readCheckpoint(ctx context.Context) (checkpointRow, int64, error) {
+func (l *Log) readCheckpoint(ctx context.Context) (checkpointRow, platform.Revision, error) {
 	var checkpoint checkpointRow
 	rows, err := l.store.Get(ctx, checkpointKey)
 	if err != nil || len(rows) == 0 {
-		return checkpoint, 0, err
+		return checkpoint, platform.Revision{}, err
 	}
 	return checkpoint, rows[0].Revision, decodeRow(checkpointKey, rows[0].Value, &checkpoint)
 }
--- a/version/rollout/log.go
+++ b/version/rollout/log.go
@@ -63,19 +63,19 @@
 	return head.Version, err
 }
 
-func (l *Log) head(ctx context.Context) (headRow, int64, error) {
+func (l *Log) head(ctx context.Context) (headRow, platform.Revision, error) {
 	rows, err := l.store.Get(ctx, headKey)
 	if err != nil {
-		return headRow{}, 0, err
+		return headRow{}, platform.Revision{}, err
 	}
 	return decodeHead(rows)
 }
 
-func decodeHead(rows []platform.Row) (headRow, int64, error) {
+func decodeHead(rows []platform.Row) (headRow, platform.Revision, error) {
 	var head headRow
 	row, found := findRow(rows, headKey)
 	if !found {
-		return head, 0, nil
+		return head, platform.Revision{}, nil
 	}
 	return head, row.Revision, decodeRow(headKey, row.Value, &head)
 }
--- a/version/rollout/propose.go
+++ b/version/rollout/propose.go
@@ -56,7 +56,7 @@
 	// acceptedVersion is the version of the change if it was accepted before,
 	// otherwise 0.
 	acceptedVersion uint64
-	headRevision    int64
+	headRevision    platform.Revision
 	delta           table.Delta
 	next            *table.Table
 }
@@ -179,7 +179,7 @@
 
 // entryTxn returns the transaction that writes an entry if the head row is at the
 // given revision and neither the version nor the change exists.
-func entryTxn(entry Entry, headRevision int64) (platform.Txn, error) {
+func entryTxn(entry Entry, headRevision platform.Revision) (platform.Txn, error) {
 	head, err := encodeRow(headKey, headRow{Version: entry.Version, ChangeID: entry.ChangeID})
 	if err != nil {
 		return platform.Txn{}, err
