--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 SITE ?= petal-dry
 DAY ?= quiet-1
 
-.PHONY: all build test demo bench lint fuzz generate faults platform-day bench-sites tools
+.PHONY: all build test demo bench lint fuzz generate faults platform-day bench-sites soak tools
 
 all: build
 
@@ -59,6 +59,13 @@
 	done; \
 	exit $$status
 
+# SEEDS days of the fault soak, from seed SEED on, JOBS at once.
+SEED ?= 100
+SEEDS ?= 50
+
+soak:
+	$(GO) run ./internal/soakrun --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --report build/soak/report.json
+
 generate:
 	$(GO) generate ./api/...
 
--- /dev/null
+++ b/internal/soak/day.go
@@ -0,0 +1,136 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// FaultKind is a kind of fault.
+type FaultKind string
+
+// Kinds of faults. All but the first of a group end after Fault.For.
+const (
+	// KillEntry kills an entry and starts it again, StopEntry lets it shut down first,
+	// FreezeEntry stops its process for a time, ReloadEntry makes it read its settings.
+	KillEntry   FaultKind = "kill entry"
+	StopEntry   FaultKind = "stop entry"
+	FreezeEntry FaultKind = "freeze entry"
+	ReloadEntry FaultKind = "reload entry"
+	// KillAgent and FreezeAgent are the same for an agent.
+	KillAgent   FaultKind = "kill agent"
+	FreezeAgent FaultKind = "freeze agent"
+	// StoreDown makes the store refuse all calls, StoreSilent leave them unanswered,
+	// StoreSlow delay them, StoreLosesResponses carry out writes without a response.
+	StoreDown           FaultKind = "store down"
+	StoreSilent         FaultKind = "store silent"
+	StoreSlow           FaultKind = "store slow"
+	StoreLosesResponses FaultKind = "store loses responses"
+	// StoreRestored makes the store return from a copy that is Fault.For old.
+	StoreRestored FaultKind = "store restored"
+	// CutFromStore silences the link between a process and the store.
+	CutFromStore FaultKind = "cut from store"
+	// TargetPauses makes a target refuse with a time, TargetHangs leave requests
+	// unanswered, TargetBreaks cut off responses, TargetFails respond with a failure.
+	TargetPauses FaultKind = "target pauses"
+	TargetHangs  FaultKind = "target hangs"
+	TargetBreaks FaultKind = "target breaks off"
+	TargetFails  FaultKind = "target fails"
+	// TargetCrashes ends a target and starts another incarnation, TargetReplaced lets it
+	// say that it leaves first.
+	TargetCrashes  FaultKind = "target crashes"
+	TargetReplaced FaultKind = "target replaced"
+	// LateCommands makes a rank's engine leave commands unanswered and carry them out late.
+	LateCommands FaultKind = "late commands"
+	// LinkReset resets the connections to a target, LinkDelayed delays them, LinkSilent
+	// holds back all bytes.
+	LinkReset   FaultKind = "link reset"
+	LinkDelayed FaultKind = "link delayed"
+	LinkSilent  FaultKind = "link silent"
+	// NewConfiguration gives out a later version of the configuration.
+	NewConfiguration FaultKind = "new configuration"
+)
+
+var faultKinds = []FaultKind{
+	KillEntry, StopEntry, FreezeEntry, ReloadEntry, KillAgent, FreezeAgent,
+	StoreDown, StoreSilent, StoreSlow, StoreLosesResponses, StoreRestored, CutFromStore,
+	TargetPauses, TargetHangs, TargetBreaks, TargetFails, TargetCrashes, TargetReplaced,
+	LateCommands, LinkReset, LinkDelayed, LinkSilent, NewConfiguration,
+}
+
+// Fault is a fault that begins at a time of the day and lasts for a time. Subject selects
+// the process, target or link that it concerns; it is taken modulo their number.
+type Fault struct {
+	At, For time.Duration
+	Kind    FaultKind
+	Subject int
+}
+
+// String describes the fault.
+func (f Fault) String() string {
+	return fmt.Sprintf("%5.2f s: %s %d for %.2f s", f.At.Seconds(), f.Kind, f.Subject, f.For.Seconds())
+}
+
+// Day is a plan of faults. It begins with warmup and ends with recovery and judged, which are
+// free of faults.
+type Day struct {
+	Seed uint64
+	// Trouble is the time in which faults begin.
+	Trouble time.Duration
+	Faults  []Fault
+}
+
+const (
+	// warmup is the time before the first fault.
+	warmup = 2 * time.Second
+	// recovery is the time after the last fault in which the system may still recover; it
+	// is the platform's bound.
+	recovery = 12 * time.Second
+	// judged is the time at the end in which every lookup must be served.
+	judged = 3 * time.Second
+	// grace is the grace period of the settings, in which a process shuts down.
+	grace = 6 * time.Second
+	// maxFaultTime is the longest time that a fault lasts.
+	maxFaultTime = 4 * time.Second
+	// minFaultTime is the shortest.
+	minFaultTime = 100 * time.Millisecond
+	// faultsPerSecond is the mean number of faults that begin in a second.
+	faultsPerSecond = 1.2
+)
+
+// DrawDay draws a day from a seed, with faults that begin within the given time.
+func DrawDay(seed uint64, trouble time.Duration) Day {
+	random := rand.New(rand.NewPCG(seed, 1))
+	day := Day{Seed: seed, Trouble: trouble}
+	count := max(int(trouble.Seconds()*faultsPerSecond), 1)
+	for range count {
+		day.Faults = append(day.Faults, Fault{
+			At:      warmup + time.Duration(random.Int64N(int64(trouble))),
+			For:     minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime))),
+			Kind:    faultKinds[random.IntN(len(faultKinds))],
+			Subject: random.IntN(maxSubjects),
+		})
+	}
+	slices.SortFunc(day.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return day
+}
+
+// maxSubjects is a multiple of the number of entries, agents and targets.
+const maxSubjects = 12
+
+// LastFaultEnds returns when the last fault has ended, which may be a shutdown.
+func (d Day) LastFaultEnds() time.Duration { return warmup + d.Trouble + maxFaultTime + grace }
+
+// Length returns the length of the day.
+func (d Day) Length() time.Duration { return d.LastFaultEnds() + recovery + judged }
+
+// String lists the day in full.
+func (d Day) String() string {
+	var lines []string
+	for _, fault := range d.Faults {
+		lines = append(lines, fault.String())
+	}
+	return fmt.Sprintf("seed %d\n%s", d.Seed, strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/internal/soak/records.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"verbenaseam.example/verbenaseam/platform/standin"
+)
+
+// Promise is a promise of the system that the soak checks.
+type Promise string
+
+// Promises.
+const (
+	// OrderRunsOnce: an order runs at most once per attempt.
+	OrderRunsOnce Promise = "an order runs at most once"
+	// RefusalIsTrue: a request that was refused as not run has not run, and never will.
+	RefusalIsTrue Promise = "a refused request has not run"
+	// AnswerIsWhole: a successful answer is signed, whole and the caller's own.
+	AnswerIsWhole Promise = "an answer is whole and the caller's own"
+	// StreamIsWhole: a stream has all its events in order, or visibly ends early.
+	StreamIsWhole Promise = "a stream is whole or visibly cut"
+	// RequestIsUnchanged: targets run what callers sent, without the callers' keys.
+	RequestIsUnchanged Promise = "a target runs what the caller sent"
+	// OneMapPerStep: all ranks of a group use one expert map in each step.
+	OneMapPerStep Promise = "one expert map in each step"
+	// LookupsAreServed: after faults have ended and recovery has passed, every lookup is.
+	LookupsAreServed Promise = "lookups are served after recovery"
+	// StandinsWork: the stand-ins of the soak start again. It is no promise of the system, but
+	// a run without them says nothing.
+	StandinsWork Promise = "the stand-ins of the soak work"
+	// ProcessesStay: no process ends by itself, and none takes too long to shut down.
+	ProcessesStay Promise = "processes end when told to, and only then"
+)
+
+// Violation is a broken promise.
+type Violation struct {
+	Promise Promise
+	// At is the time of the day.
+	At     time.Duration
+	Detail string
+}
+
+// String describes the violation.
+func (v Violation) String() string {
+	return fmt.Sprintf("%5.2f s: %s: %s", v.At.Seconds(), v.Promise, v.Detail)
+}
+
+// requestKind is a kind of request.
+type requestKind string
+
+const (
+	lookup requestKind = "lookup"
+	order  requestKind = "order"
+	chat   requestKind = "chat"
+)
+
+// attempt is one request that a caller has sent.
+type attempt struct {
+	id   string
+	kind requestKind
+	path string
+}
+
+// maxViolations bounds the violations that are kept.
+const maxViolations = 50
+
+// records holds what callers and targets have seen. It is safe for concurrent use.
+type records struct {
+	started time.Time
+
+	// mu guards the fields below; it is a leaf lock.
+	mu sync.Mutex
+	// sent holds all attempts by ID, refused the status of those that were refused as not
+	// run.
+	sent       map[string]attempt
+	refused    map[string]int
+	violations []Violation
+	// outcomes counts requests by kind and outcome.
+	outcomes map[requestKind]map[string]int
+}
+
+func newRecords() *records {
+	return &records{started: time.Now(), sent: map[string]attempt{}, refused: map[string]int{}, outcomes: map[requestKind]map[string]int{}}
+}
+
+// begin records an attempt and gives it an ID.
+func (r *records) begin(kind requestKind, path string) attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sent := attempt{id: fmt.Sprintf("%s-%d", kind, len(r.sent)), kind: kind, path: path}
+	r.sent[sent.id] = sent
+	return sent
+}
+
+// refusedAsNotRun records that an attempt was refused with a status that promises that it
+// has not run.
+func (r *records) refusedAsNotRun(sent attempt, status int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused[sent.id] = status
+}
+
+// count counts the outcome of a request.
+func (r *records) count(kind requestKind, outcome string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.outcomes[kind] == nil {
+		r.outcomes[kind] = map[string]int{}
+	}
+	r.outcomes[kind][outcome]++
+}
+
+// broken records a broken promise.
+func (r *records) broken(promise Promise, format string, arguments ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.violations) < maxViolations {
+		r.violations = append(r.violations, Violation{promise, time.Since(r.started), fmt.Sprintf(format, arguments...)})
+	}
+}
+
+// promisesNotRun reports whether a status promises that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// checkExecuted compares what targets have run with what callers have sent and were told.
+func (r *records) checkExecuted(executed []standin.ExecutedRequest) {
+	runs := map[string]int{}
+	for _, request := range executed {
+		runs[request.AttemptID]++
+		r.checkUnchanged(request)
+	}
+	for id, count := range runs {
+		sent := r.sentAttempt(id)
+		if sent.kind == order && count > 1 {
+			r.broken(OrderRunsOnce, "%s ran %d times", id, count)
+		}
+		if status := r.refusalOf(id); status != 0 && sent.kind == order {
+			r.broken(RefusalIsTrue, "%s was refused with %d and ran", id, status)
+		}
+	}
+}
+
+func (r *records) sentAttempt(id string) attempt {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent[id]
+}
+
+func (r *records) refusalOf(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refused[id]
+}
+
+// checkUnchanged checks that a target has run a request as it was sent.
+func (r *records) checkUnchanged(request standin.ExecutedRequest) {
+	sent := r.sentAttempt(request.AttemptID)
+	switch {
+	case sent.id == "":
+		r.broken(RequestIsUnchanged, "nobody has sent %q", request.AttemptID)
+	case request.Path != sent.path || request.Body != requestBody || request.Method != http.MethodPost:
+		r.broken(RequestIsUnchanged, "%s ran as %s %s %q", sent.id, request.Method, request.Path, request.Body)
+	case request.Organisation != standin.Organisation || request.Key != "":
+		r.broken(RequestIsUnchanged, "%s ran for organisation %q with key %q", sent.id, request.Organisation, request.Key)
+	}
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"time"
+)
+
+// Config configures a run.
+type Config struct {
+	Day Day
+	// Entries and Targets are the numbers of entries and of targets of the plain service.
+	Entries, Targets int
+	// Binaries is the directory of the compiled programs, Directory that for settings and
+	// logs.
+	Binaries, Directory string
+}
+
+// Result is the result of a run.
+type Result struct {
+	Seed       uint64
+	Violations []Violation
+	// Outcomes counts requests by kind and outcome.
+	Outcomes map[string]map[string]int
+}
+
+// BuildError means that the programs could not be built.
+type BuildError struct {
+	Output string
+	Cause  error
+}
+
+// Error implements error.
+func (e *BuildError) Error() string {
+	return fmt.Sprintf("building the programs failed: %v\n%s", e.Cause, e.Output)
+}
+
+// Unwrap returns the error of the command.
+func (e *BuildError) Unwrap() error { return e.Cause }
+
+// Build builds the programs into a directory. It fails with BuildError.
+func Build(directory string) error {
+	command := exec.Command("go", "build", "-o", directory+string(filepath.Separator), "verbenaseam.example/verbenaseam/cmd/...")
+	if output, err := command.CombinedOutput(); err != nil {
+		return &BuildError{Output: string(output), Cause: err}
+	}
+	return nil
+}
+
+// startTimeout is how long the system may take to become ready.
+const startTimeout = 15 * time.Second
+
+// Run plays a day. It ends all processes that it has started, also after an error, which
+// means that the system did not start.
+func Run(ctx context.Context, config Config) (Result, error) {
+	if err := os.MkdirAll(config.Directory, 0o755); err != nil {
+		return Result{}, err
+	}
+	r := newRecords()
+	s, err := startSystem(config.Directory, config.Binaries, config.Entries, config.Targets, r)
+	defer s.close()
+	if err != nil {
+		return Result{}, err
+	}
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := s.awaitReady(starting); err != nil {
+		return Result{}, err
+	}
+	s.play(ctx, config.Day)
+	s.check()
+	result := Result{Seed: config.Day.Seed, Violations: r.violations, Outcomes: map[string]map[string]int{}}
+	for kind, outcomes := range r.outcomes {
+		result.Outcomes[string(kind)] = outcomes
+	}
+	return result, nil
+}
+
+// play lets callers send requests while the faults of a day happen, until the day has ended.
+func (s *system) play(ctx context.Context, day Day) {
+	ctx, cancel := context.WithTimeout(ctx, day.Length())
+	defer cancel()
+	started := time.Now()
+	judging := func() bool { return time.Since(started) > day.LastFaultEnds()+recovery }
+	var running sync.WaitGroup
+	running.Go(func() { s.runGroup(ctx) })
+	for n, kind := range []requestKind{lookup, order, chat} {
+		for i := range callersPerKind {
+			c := newCaller(kind, s.records, day.Seed+uint64(n*callersPerKind+i), s.directories, judging)
+			running.Go(func() { c.run(ctx) })
+		}
+	}
+	for _, fault := range day.Faults {
+		running.Go(func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Until(started.Add(fault.At))):
+				s.inject(fault)
+			}
+		})
+	}
+	running.Wait()
+}
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaseam.example/verbenaseam/internal/freeport"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/platform/standin"
 )
@@ -71,6 +72,14 @@
 	return p.output.String()
 }
 
+// freeAddress returns the address of a free port on a loopback host.
+func freeAddress(t *testing.T, host string) string {
+	t.Helper()
+	address, err := freeport.Address(host)
+	require.NoError(t, err)
+	return address
+}
+
 func serve(t *testing.T, address string, handler http.Handler) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
