Count a crash once however late it is noticed, clear requests that completed elsewhere

A target that is down behind a proxy, or cut off, goes on interrupting requests, and its end shows seconds later, by its registration; each entry then took what was interrupted after its peers' time of the crash for another crash. Besides, completions in the meantime were not recorded, since nobody suspected the request yet.

Change: a restart is counted only if the target accepted a connection after the crash and refuses them now (Pool.LastDial). A completed request is forgotten as a cause of earlier interruptions. Failed before: TestOneCrashNoticedLateCountsOnce, TestRequestThatCompletesElsewhereIsNoCauseOfCrashNoticedLater (does not compile there).

--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -49,6 +49,8 @@
 	// open counts all connections: idle, in use and being dialled.
 	open   int
 	closed bool
+	// lastDial is when the latest connection was made.
+	lastDial time.Time
 }
 
 // conn is a connection that carries one exchange at a time.
@@ -127,6 +129,9 @@
 		p.unreserve()
 		return nil, err
 	}
+	p.mu.Lock()
+	p.lastDial = time.Now()
+	p.mu.Unlock()
 	if p.onDial != nil {
 		p.onDial()
 	}
@@ -148,6 +153,14 @@
 	return nil
 }
 
+// LastDial returns when the latest connection was made; zero before the first one. Something
+// accepted connections at the address then.
+func (p *Pool) LastDial() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lastDial
+}
+
 // reserve counts a connection to be dialled. It returns false if the limit is reached.
 func (p *Pool) reserve() bool {
 	p.mu.Lock()
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -23,6 +23,8 @@
 	storeDelay = 300 * time.Millisecond
 	// pauseSeconds is the pause that a target asks for.
 	pauseSeconds = "0.5"
+	// breakAfter is the number of events after which a target cuts off a stream.
+	breakAfter = 5
 	// staleRegistration is how long the registration of a crashed target stays.
 	staleRegistration = 500 * time.Millisecond
 )
@@ -110,7 +112,7 @@
 	target := s.plain[f.Subject%len(s.plain)]
 	faults := map[FaultKind]standin.TargetFaults{
 		TargetPauses: {Refuse: true, RetryAfter: pauseSeconds}, TargetHangs: {Hang: true},
-		TargetBreaks: {BreakAfter: 1}, TargetFails: {Status: http.StatusInternalServerError},
+		TargetBreaks: {BreakAfter: breakAfter}, TargetFails: {Status: http.StatusInternalServerError},
 	}
 	switch f.Kind {
 	case TargetCrashes:
@@ -127,13 +129,23 @@
 		during(target.link, linkSilent, f.For)
 	default:
 		if chosen, isTargetFault := faults[f.Kind]; isTargetFault {
-			target.setFaults(chosen)
+			setFaults := s.faultSetter(f.Subject)
+			setFaults(chosen)
 			time.Sleep(f.For)
-			target.setFaults(standin.TargetFaults{})
+			setFaults(standin.TargetFaults{})
 		}
 	}
 }
 
+// faultSetter returns the function that sets the faults of a target, of either service.
+func (s *system) faultSetter(subject int) func(standin.TargetFaults) {
+	n := subject % (len(s.plain) + len(s.rankTargets))
+	if n < len(s.plain) {
+		return s.plain[n].setFaults
+	}
+	return s.rankTargets[n-len(s.plain)].SetFaults
+}
+
 // replace ends a target's incarnation and starts the next one after a pause. The platform
 // removes the registration of the one that ended after a while.
 func (s *system) replace(target *plainTarget, pause time.Duration) {
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -152,7 +152,7 @@
 // deadline: the response is sent to the caller even if that has passed meanwhile.
 func (h *Handler) recordSuccess(c *call) {
 	c.attempts.Succeeded(h.clock.Now())
-	h.poison.Completed(c.fingerprint)
+	h.crashes.Completed(c.fingerprint)
 }
 
 // class returns the value of the metrics label "class".
--- a/request/poison/crash.go
+++ b/request/poison/crash.go
@@ -26,8 +26,8 @@
 	At time.Time
 }
 
-// minRestart is the least time from a crash until the target can run requests again. A
-// request that is sent sooner may have met a connection whose end was not known yet.
+// minRestart is the least time from a crash until the target accepts connections again. One
+// that was accepted sooner may have been accepted before the crash.
 const minRestart = 300 * time.Millisecond
 
 // incarnationID identifies an incarnation by its registration.
--- a/request/poison/detector.go
+++ b/request/poison/detector.go
@@ -68,7 +68,9 @@
 type interruptedRequest struct {
 	fingerprint uint64
 	onTrial     bool
-	sent, at    time.Time
+	// connectedAt is when the target last accepted a connection of this process before, at
+	// when it interrupted the request.
+	connectedAt, at time.Time
 }
 
 // NewCrashDetector returns a CrashDetector that adds the crashes it detects to a Tracker.
@@ -76,9 +78,9 @@
 	return &CrashDetector{config: config, interrupted: map[incarnationID][]interruptedRequest{}}
 }
 
-// RequestInterrupted records that a target interrupted a request that was sent at the given
-// time and that it may have run.
-func (d *CrashDetector) RequestInterrupted(target, incarnation string, fingerprint uint64, onTrial bool, sent time.Time) {
+// RequestInterrupted records that a target interrupted a request that it may have run.
+// connectedAt is when the target last accepted a connection of this process.
+func (d *CrashDetector) RequestInterrupted(target, incarnation string, fingerprint uint64, onTrial bool, connectedAt time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Clock.Now()
@@ -87,7 +89,7 @@
 	for len(requests) > 0 && (now.Sub(requests[0].at) > interruptedTTL || len(requests) >= maxInterrupted) {
 		requests = requests[1:]
 	}
-	d.interrupted[id] = append(requests, interruptedRequest{fingerprint, onTrial, sent, now})
+	d.interrupted[id] = append(requests, interruptedRequest{fingerprint, onTrial, connectedAt, now})
 	d.interruptedCount.Store(int64(len(d.interrupted)))
 }
 
@@ -120,7 +122,7 @@
 	}
 	now := d.config.Clock.Now()
 	added := false
-	for _, crash := range d.crashesOf(incarnationID{target, incarnation}, now) {
+	for _, crash := range d.crashesOf(incarnationID{target, incarnation}, sign, now) {
 		age := now.Sub(crash.At)
 		added = d.config.Tracker.Crashed(crash, age) || added
 		d.logCrash(crash, sign, age)
@@ -133,14 +135,19 @@
 
 // crashesOf returns the crashes that the interrupted requests of an ended incarnation show,
 // and forgets these requests. There are several if the target has restarted since it
-// registered: a request that was sent after a crash can only have run in a later process.
-func (d *CrashDetector) crashesOf(id incarnationID, now time.Time) []Crash {
+// registered: a target that accepted a connection after a crash, and refuses them now, has
+// crashed again. Other signs may come long after the interruptions, and of a target that
+// has been down all the while.
+func (d *CrashDetector) crashesOf(id incarnationID, sign CrashSign, now time.Time) []Crash {
 	var crashes []Crash
 	for _, request := range d.takeInterrupted(id) {
 		if now.Sub(request.at) > interruptedTTL {
 			continue
 		}
-		restart := d.config.Tracker.Restarts(id.target, id.incarnation, request.sent)
+		restart := 0
+		if sign == ConnectionRefused {
+			restart = d.config.Tracker.Restarts(id.target, id.incarnation, request.connectedAt)
+		}
 		n := slices.IndexFunc(crashes, func(c Crash) bool { return c.Restart == restart })
 		if n < 0 {
 			n = len(crashes)
@@ -166,6 +173,32 @@
 	return requests
 }
 
+// Completed records that a request completed, which shows that it crashed no target that it
+// was interrupted by before. It shares the clearance of a suspect with peers.
+func (d *CrashDetector) Completed(fingerprint uint64) {
+	if d.interruptedCount.Load() > 0 {
+		d.forget(fingerprint)
+	}
+	if d.config.Tracker.Completed(fingerprint) {
+		d.config.Share()
+	}
+}
+
+// forget drops the interrupted requests with a fingerprint.
+func (d *CrashDetector) forget(fingerprint uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, requests := range d.interrupted {
+		left := slices.DeleteFunc(requests, func(r interruptedRequest) bool { return r.fingerprint == fingerprint })
+		if len(left) == 0 {
+			delete(d.interrupted, id)
+			continue
+		}
+		d.interrupted[id] = left
+	}
+	d.interruptedCount.Store(int64(len(d.interrupted)))
+}
+
 // BeginTrial is Tracker.BeginTrial. It shares the trial with peers before the request runs.
 func (d *CrashDetector) BeginTrial(fingerprint uint64, rank int) bool {
 	begun := d.config.Tracker.BeginTrial(fingerprint, rank)
--- a/request/poison/detector_test.go
+++ b/request/poison/detector_test.go
@@ -67,6 +67,40 @@
 	require.Equal(t, Refused, peer.Assess(1).Level)
 }
 
+// TestOneCrashNoticedLateCountsOnce guards against a popular request that is refused for one
+// crash: its target accepts connections for a while, as a proxy does, and interrupts all
+// requests, and two entries learn seconds later that it is gone.
+func TestOneCrashNoticedLateCountsOnce(t *testing.T) {
+	first, tracker, clock := newDetector()
+	second := NewCrashDetector(DetectorConfig{Tracker: tracker, Clock: clock, Metrics: first.config.Metrics, Log: discardLog(), Share: func() {}})
+	for _, d := range []*CrashDetector{first, second, first, second, first} {
+		d.RequestInterrupted("a", "1", 1, false, clock.Now())
+		clock.Advance(time.Second)
+	}
+	require.True(t, first.TargetEnded("a", "1", RegistrationDeleted))
+	second.TargetEnded("a", "1", RegistrationDeleted)
+	require.Len(t, tracker.Evidence().Crashes, 1)
+	require.Equal(t, Clear, tracker.Assess(1).Level)
+}
+
+// TestRequestThatCompletesElsewhereIsNoCauseOfCrashNoticedLater guards against a popular
+// request that is refused because crashes are noticed long after, when it has completed at
+// other targets.
+func TestRequestThatCompletesElsewhereIsNoCauseOfCrashNoticedLater(t *testing.T) {
+	detector, tracker, clock := newDetector()
+	for _, target := range []string{"a", "b", "c"} {
+		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
+		detector.RequestInterrupted(target, "1", 2, false, clock.Now())
+		clock.Advance(1500 * time.Millisecond)
+	}
+	detector.Completed(1)
+	for _, target := range []string{"a", "b", "c"} {
+		require.True(t, detector.TargetEnded(target, "1", RegistrationDeleted))
+	}
+	require.Equal(t, Clear, tracker.Assess(1).Level)
+	require.NotEqual(t, Clear, tracker.Assess(2).Level)
+}
+
 // TestRequestSentToBrokenConnectionAddsNoCrash guards against a crash that counts twice, as
 // a request is sent before the entry sees that the connection has ended.
 func TestRequestSentToBrokenConnectionAddsNoCrash(t *testing.T) {
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -63,12 +63,12 @@
 	return true
 }
 
-// Restarts returns how many crashes of a target's registered incarnation came before a
-// request was sent to it.
-func (l *Ledger) Restarts(target, incarnation string, sent time.Time) int {
+// Restarts returns how many crashes of a target's registered incarnation came before it
+// accepted a connection.
+func (l *Ledger) Restarts(target, incarnation string, connectedAt time.Time) int {
 	restarts := 0
 	for id, crash := range l.crashes {
-		if id.incarnationID == (incarnationID{target, incarnation}) && sent.Sub(crash.At) >= minRestart {
+		if id.incarnationID == (incarnationID{target, incarnation}) && connectedAt.Sub(crash.At) >= minRestart {
 			restarts++
 		}
 	}
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -38,12 +38,12 @@
 	return t.update(now, func() bool { return t.ledger.Add(crash, now) })
 }
 
-// Restarts returns how many crashes of a target's registered incarnation came before a
-// request was sent to it.
-func (t *Tracker) Restarts(target, incarnation string, sent time.Time) int {
+// Restarts returns how many crashes of a target's registered incarnation came before it
+// accepted a connection.
+func (t *Tracker) Restarts(target, incarnation string, connectedAt time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ledger.Restarts(target, incarnation, sent)
+	return t.ledger.Restarts(target, incarnation, connectedAt)
 }
 
 // Completed records that a request completed. It reports whether this cleared a
