--- a/internal/freeport/freeport.go
+++ b/internal/freeport/freeport.go
@@ -80,7 +80,12 @@
 	return true, nil
 }
 
+// isFree reports whether a port can be listened on. It keeps this process from forking
+// meanwhile: a child would hold the sockets, and with them the port, until it executes its
+// program.
 func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/platform/standin"
@@ -33,7 +34,7 @@
 func (p *plainTarget) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listener, err := net.Listen("tcp", p.address)
+	listener, err := listenAgain(p.address)
 	if err != nil {
 		return err
 	}
@@ -45,6 +46,25 @@
 	return nil
 }
 
+const (
+	// listenTries is how often an address is tried that was in use until a moment ago, and
+	// listenPause the time between: a child that is being started holds the socket until it
+	// executes its program.
+	listenTries = 50
+	listenPause = 10 * time.Millisecond
+)
+
+// listenAgain listens on an address on which this process may have listened before.
+func listenAgain(address string) (net.Listener, error) {
+	for try := 1; ; try++ {
+		listener, err := net.Listen("tcp", address)
+		if err == nil || try == listenTries {
+			return listener, err
+		}
+		time.Sleep(listenPause)
+	}
+}
+
 // crash ends the current incarnation. Its registration stays for now.
 func (p *plainTarget) crash() (id string) {
 	p.mu.Lock()
--- a/request/stream/resume_test.go
+++ b/request/stream/resume_test.go
@@ -3,28 +3,19 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"verbenaseam.example/verbenaseam/internal/rapidseed"
 	"verbenaseam.example/verbenaseam/process/failure"
 )
 
-// TestMain fixes the seed of the property tests, so that every run gives the
-// same result; -rapid.seed overrides it.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
-		_ = seed.Value.Set("1")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m, "1") }
 
 // flakyEngine sends a token stream in parts that end at arbitrary points.
 type flakyEngine struct {
--- a/version/placement/placement_test.go
+++ b/version/placement/placement_test.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -10,6 +8,8 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"verbenaseam.example/verbenaseam/internal/rapidseed"
 )
 
 // drawInput draws an input whose slots suffice for every expert.
@@ -240,13 +240,4 @@
 	require.InDelta(t, 300, testutil.ToFloat64(metrics.bytes.WithLabelValues("g")), 0)
 }
 
-// TestMain fixes the seed of the property tests unless -rapid.seed sets one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		if err := flag.Set("rapid.seed", "6"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m, "6") }
