--- a/internal/corpus/release.go
+++ b/internal/corpus/release.go
@@ -1,7 +1,6 @@
 package corpus
 
 import (
-	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -27,6 +26,19 @@
 // Error implements error.
 func (e *UnknownMessageError) Error() string { return "no type for the message in " + e.File }
 
+// FileError reports a recorded message that cannot be read.
+type FileError struct {
+	File string
+	// Cause is LostField, or an error of reading or decoding.
+	Cause error
+}
+
+// Error implements error.
+func (e *FileError) Error() string { return e.File + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
 // Check decodes the messages of all releases in a folder. messages holds a pointer to a value
 // of each message's type, by the name of its file.
 func Check(folder string, messages map[string]any) error {
@@ -48,7 +60,7 @@
 			return &UnknownMessageError{File: file}
 		}
 		if err := CheckCBOR(file, reflect.New(reflect.TypeOf(message).Elem()).Interface()); err != nil {
-			return fmt.Errorf("%s: %w", file, err)
+			return &FileError{File: file, Cause: err}
 		}
 	}
 	return nil
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -75,17 +74,14 @@
 	}
 }
 
-// signal sends a signal to the process.
+// signal sends a signal to the process. It fails with os.ErrProcessDone if that has exited.
 func (p *process) signal(signal syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
 		p.ending = true
 	}
-	if err := p.command.Process.Signal(signal); err != nil {
-		return fmt.Errorf("%s: %w", p.name, err)
-	}
-	return nil
+	return p.command.Process.Signal(signal)
 }
 
 // end sends a signal that ends the process and waits until it has exited. It kills a process
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -19,24 +19,11 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenaseam.example/verbenaseam/internal/freeport"
+	"verbenaseam.example/verbenaseam/internal/soak"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/platform/standin"
 )
 
-const platformBounds = `
-[bounds]
-contact = 1500ms
-apply = 2s
-drain = 2s
-grace = 6s
-directory_ttl = 5s
-retry_window = 10s
-retry_share = 0.2
-retry_slack = 92
-warmup_share = 1.5
-warmup_slack = 5
-`
-
 // platformSystem runs entries and ranks as separate processes against stand-ins of
 // the platform's store and targets.
 type platformSystem struct {
@@ -146,7 +133,7 @@
 	s.store.Put(platform.TableTargets, rank.ID, rank.RegistrationValue(address, "ready"))
 	settings := fmt.Sprintf("[rank]\nname = side-%d\nfailure_domain = z1\ntarget_address = %s\nservice = model\npeer_address = %s:%s\n[store]\naddress = %s\n",
 		n, address, host, peerPort, s.storeAddress)
-	s.start("verbenaseam-rank", settings+platformBounds, &platformProcess{})
+	s.start("verbenaseam-rank", settings+soak.Bounds, &platformProcess{})
 }
 
 func (s *platformSystem) addEntry(n int) {
@@ -155,7 +142,7 @@
 	}
 	settings := fmt.Sprintf("[entry]\nname = edge-%d\nfailure_domain = z1\ncaller_address = %s\nready_address = %s\ndirectory_address = %s\npeer_address = %s\n[store]\naddress = %s\n",
 		n, process.callerAddress, process.readyAddress, process.directoryAddress, freeAddress(s.t, "127.0.0.1"), s.storeAddress)
-	s.start("verbenaseam-direct", settings+platformBounds, process)
+	s.start("verbenaseam-direct", settings+soak.Bounds, process)
 	s.entries = append(s.entries, process)
 }
 
--- a/internal/systemtest/platformnotices_test.go
+++ b/internal/systemtest/platformnotices_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// drainBound is the drain bound of platformBounds.
+	// drainBound is the drain bound of soak.Bounds.
 	drainBound = 2 * time.Second
 	// onTheirWay is how long after a target asked for a pause requests may still reach it.
 	onTheirWay = 500 * time.Millisecond
