Keep the evidence of crashing requests in the store

Cause: the crashes and trials of a request were held in the memory of entries only, and passed on by heartbeats. Class: a fact that must outlive its holders has no durable place. An entry reads all rows when it starts, before it is ready. Two mutants that the store now hides run with the store away, and half of the generated cases do too.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -75,8 +75,10 @@
 	handler    *forward.Handler
 	metrics    *metrics.Metrics
 
-	// evidenceChanged asks for a heartbeat at once, to share new evidence of crashes.
+	// evidenceChanged asks for a heartbeat at once, to share new evidence of crashes;
+	// evidence keeps it in the store.
 	evidenceChanged chan struct{}
+	evidence        *evidenceKeeper
 	// processes are this entry and those it knows of, which share limits and trials.
 	processes atomic.Pointer[dispatch.Processes]
 	// version is the configuration in force, nil before the first one.
@@ -86,6 +88,9 @@
 	// peersLoaded is set once the table of entries has been read. Without it this entry
 	// does not know its parts of the limits that apply to all entries together.
 	peersLoaded atomic.Bool
+	// evidenceLoaded is set once the evidence of crashes in the store has been read. Without
+	// it this entry does not know which requests other entries refuse.
+	evidenceLoaded atomic.Bool
 	// rowVersion is the version of this entry's row in the store, nil before it is
 	// written.
 	rowVersion atomic.Pointer[platform.Version]
@@ -132,6 +137,7 @@
 		}
 		crashes.TargetEnded(t.ID(), t.Incarnation(), sign)
 	}
+	e.evidence = newEvidenceKeeper(e)
 	e.handler = forward.NewHandler(forward.Config{
 		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
 		Connections: e.targets.connectionPool, Budget: e.budgets.forService,
@@ -143,11 +149,14 @@
 
 // ready reports whether callers may be directed to this entry.
 func (e *Entry) ready() bool {
-	return !e.leaving.Load() && e.version.Load() != nil && e.targetsLoaded.Load() && e.peersLoaded.Load()
+	return !e.leaving.Load() && e.version.Load() != nil && e.targetsLoaded.Load() && e.peersLoaded.Load() &&
+		e.evidenceLoaded.Load()
 }
 
-// shareEvidence asks for a heartbeat, unless one is due already.
+// shareEvidence asks for a heartbeat, unless one is due already, and for the evidence to be
+// written to the store.
 func (e *Entry) shareEvidence() {
+	e.evidence.changed()
 	select {
 	case e.evidenceChanged <- struct{}{}:
 	default:
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -84,6 +84,7 @@
 		e.register(ctx)
 		runEvery(ctx, e.clock, registrationCheckInterval, func() { e.registerAgain(ctx) })
 	})
+	wg.Go(func() { e.evidence.run(ctx) })
 	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.tick) })
 	wg.Go(func() { heartbeats.sendOnChange(ctx) })
 	started := e.clock.Now()
--- a/request/poison/entries_sim_test.go
+++ b/request/poison/entries_sim_test.go
@@ -35,6 +35,9 @@
 	otherCrashes, entryRestarts time.Duration
 	// lossShare is the share of heartbeats that are lost.
 	lossShare float64
+	// storeAway keeps the entries from storing evidence. They are then restarted one after
+	// the other, at least simSpread apart.
+	storeAway bool
 	// fault is how the entries are broken, 0 for not at all.
 	fault simFault
 }
@@ -59,6 +62,8 @@
 	crashesMergedUntilRegistered
 	// trialsNotShared keeps the trials that an entry has begun to itself.
 	trialsNotShared
+	// evidenceNotStored lets entries start without the evidence that others have stored.
+	evidenceNotStored
 )
 
 const (
@@ -69,6 +74,8 @@
 	simRestrictedCrashes  = 32
 	simEvidenceItems      = 3
 	simEvidenceSpan       = 2 * time.Second
+	// simStoreLag is how long after new evidence an entry has written it to the store.
+	simStoreLag = 20 * time.Millisecond
 	// simRegistrationLag is how long after a start the registration of a target reaches
 	// the entries.
 	simRegistrationLag = 800 * time.Millisecond
@@ -115,6 +122,14 @@
 	detector       *CrashDetector
 	startedAt      time.Time
 	restrictedSent time.Time
+	// writeAt is when the entry writes its evidence to the store; zero for not at all.
+	writeAt time.Time
+}
+
+// storedRow is the evidence that the entry of a rank has written to the store.
+type storedRow struct {
+	evidence Evidence
+	at       time.Time
 }
 
 type entriesSim struct {
@@ -124,6 +139,8 @@
 	metrics  *metrics.Metrics
 	entries  []*simEntry
 	targets  []*simTarget
+	// stored holds the rows of the store by rank.
+	stored map[int]storedRow
 
 	harmless []harmlessRequest
 
@@ -141,7 +158,7 @@
 }
 
 func newEntriesSim(scenario entriesScenario, seed uint64) *entriesSim {
-	s := &entriesSim{scenario: scenario, random: rand.New(rand.NewPCG(seed, 1)), clock: clockwork.NewFakeClock(), metrics: metrics.New("direct", 1)}
+	s := &entriesSim{scenario: scenario, random: rand.New(rand.NewPCG(seed, 1)), clock: clockwork.NewFakeClock(), metrics: metrics.New("direct", 1), stored: map[int]storedRow{}}
 	for rank := range scenario.entries {
 		s.entries = append(s.entries, s.newEntry(rank))
 	}
@@ -158,11 +175,41 @@
 	tracker := NewTracker(refuseAfterThree, s.clock)
 	e := &simEntry{rank: rank, tracker: tracker, startedAt: s.clock.Now()}
 	e.detector = NewCrashDetector(DetectorConfig{
-		Tracker: tracker, Clock: s.clock, Metrics: s.metrics, Log: discardLog(), Share: func() { s.heartbeat(e) },
+		Tracker: tracker, Clock: s.clock, Metrics: s.metrics, Log: discardLog(), Share: func() { s.share(e) },
 	})
+	if s.scenario.fault == evidenceNotStored || s.scenario.storeAway {
+		return e
+	}
+	for _, row := range s.stored {
+		row.evidence.Crashes = slices.Clone(row.evidence.Crashes)
+		row.evidence.Age(s.clock.Since(row.at))
+		tracker.Merge(row.evidence)
+	}
 	return e
 }
 
+// share sends an entry's new evidence to the others and has it written to the store.
+func (s *entriesSim) share(e *simEntry) {
+	s.heartbeat(e)
+	if e.writeAt.IsZero() {
+		e.writeAt = s.clock.Now().Add(simStoreLag)
+	}
+}
+
+// writeEvidence writes the rows of the store that are due.
+func (s *entriesSim) writeEvidence() {
+	now := s.clock.Now()
+	for _, e := range s.entries {
+		if e.writeAt.IsZero() || now.Before(e.writeAt) {
+			continue
+		}
+		e.writeAt = time.Time{}
+		if evidence := e.tracker.Restricted(simRestrictedCrashes); !evidence.IsEmpty() {
+			s.stored[e.rank] = storedRow{evidence, now}
+		}
+	}
+}
+
 func (s *entriesSim) start(t *simTarget) {
 	t.incarnation++
 	if t.id == "" || !s.scenario.keepsID {
@@ -181,7 +228,7 @@
 	for started := s.clock.Now(); s.clock.Since(started) < simLength; s.clock.Advance(simTick) {
 		s.advanceTargets()
 		for i := range s.entries {
-			if s.chance(s.scenario.entryRestarts) {
+			if s.chance(s.scenario.entryRestarts) && s.mayRestart() {
 				s.entries[i] = s.newEntry(i)
 			}
 		}
@@ -202,12 +249,20 @@
 			}
 		}
 		s.completeHarmless()
+		s.writeEvidence()
 		if s.clock.Since(started)%simHeartbeat == 0 {
 			s.heartbeats()
 		}
 	}
 }
 
+// mayRestart reports whether an entry may be restarted now.
+func (s *entriesSim) mayRestart() bool {
+	return !s.scenario.storeAway || !slices.ContainsFunc(s.entries, func(e *simEntry) bool {
+		return s.clock.Since(e.startedAt) < simSpread
+	})
+}
+
 // advanceTargets starts the targets whose restart is due and delivers registrations.
 func (s *entriesSim) advanceTargets() {
 	now := s.clock.Now()
--- a/request/poison/entries_test.go
+++ b/request/poison/entries_test.go
@@ -47,7 +47,9 @@
 // power failure, or are unknown to entries that have started since.
 func TestCrashingRequestReachesFewTargetsAfterItsThirdCrash(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sim := newEntriesSim(drawScenario(t), rapid.Uint64().Draw(t, "seed"))
+		scenario, seed := drawScenario(t), rapid.Uint64().Draw(t, "seed")
+		scenario.storeAway = rapid.Bool().Draw(t, "store away")
+		sim := newEntriesSim(scenario, seed)
 		sim.run()
 		require.LessOrEqual(t, sim.laterSends, maxLaterSends)
 	})
@@ -83,6 +85,22 @@
 	require.LessOrEqual(t, sim.laterSends, maxLaterSends)
 }
 
+// lostEvidenceScenario has two entries that are restarted within 60 ms of each other, soon
+// after the third crash of a request.
+var lostEvidenceScenario = entriesScenario{
+	entries: 2, targets: 3, resendEvery: 30 * time.Millisecond, attempts: 1, copies: 2, turnedAwayShare: 0.0625,
+	harmlessPerSecond: 18.835093072762902, restart: 500004071, otherCrashes: 501005826, entryRestarts: 10 * time.Second,
+}
+
+// TestRequestStaysRefusedWhenAllEntriesRestart guards against a request that crashes targets
+// anew because all entries that knew of its crashes have been restarted. The scenario is a
+// generated case.
+func TestRequestStaysRefusedWhenAllEntriesRestart(t *testing.T) {
+	sim := newEntriesSim(lostEvidenceScenario, 1)
+	sim.run()
+	require.LessOrEqual(t, sim.laterSends, maxLaterSends)
+}
+
 // usualScenario is a service of few targets, one of which crashes now and then for other
 // reasons, while entries are restarted.
 var usualScenario = entriesScenario{
@@ -117,9 +135,11 @@
 		"mass crashes count once":         {massCrashesCountOnce, usualScenario},
 		"crashes merged until registered": {crashesMergedUntilRegistered, fewTargetsScenario},
 		"trials not shared":               {trialsNotShared, trialsScenario},
+		"evidence not stored":             {evidenceNotStored, lostEvidenceScenario},
 	} {
 		t.Run(name, func(t *testing.T) {
 			scenario := broken.scenario
+			scenario.storeAway = broken.fault == onlyNewestCrashes || broken.fault == trialsNotShared
 			scenario.fault = broken.fault
 			caught := 0
 			for seed := range uint64(seeds) {
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -159,6 +159,16 @@
 	return evidence
 }
 
+// Age makes the evidence older by a duration for which it was kept.
+func (e *Evidence) Age(by time.Duration) {
+	for i := range e.Crashes {
+		e.Crashes[i].AgeMillis += by.Milliseconds()
+	}
+	for i := range e.Clearances {
+		e.Clearances[i].AgeMillis += by.Milliseconds()
+	}
+}
+
 // Append adds the evidence of other to e.
 func (e *Evidence) Append(other Evidence) {
 	e.Crashes = append(e.Crashes, other.Crashes...)
