Keep the crashes that keep requests refused when others exceed the bound

Cause: of more than 64 crashes the oldest were dropped, last those that incriminate a request. A popular request is in flight in nearly all, and rare ones in three each, so that all 64 did, and the refused request lost one of the three crashes that kept it refused. Class: a bound that drops by age what decisions rest on. Dropping moves to retention.go.

--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -1,8 +1,6 @@
 package poison
 
 import (
-	"cmp"
-	"maps"
 	"slices"
 	"time"
 )
@@ -266,50 +264,3 @@
 	slices.SortFunc(crashes, compareCrashes)
 	return crashes
 }
-
-// dropExpired drops evidence older than RefuseFor.
-func (l *Ledger) dropExpired(now time.Time) {
-	oldest := now.Add(-l.config.RefuseFor)
-	maps.DeleteFunc(l.crashes, func(_ crashID, crash *Crash) bool { return crash.At.Before(oldest) })
-	maps.DeleteFunc(l.cleared, func(_ uint64, at time.Time) bool { return at.Before(oldest) })
-}
-
-// dropExcess drops the oldest evidence beyond the limits of Config and reports whether it
-// dropped a crash. Crashes with fingerprints that were in flight in many crashes are
-// dropped last: they keep requests refused, however many other targets crash.
-func (l *Ledger) dropExcess() bool {
-	excess := len(l.crashes) - l.config.MaxCrashes
-	crashes := l.sortedCrashes()
-	for _, keepIncriminating := range []bool{true, false} {
-		for _, crash := range crashes {
-			if excess <= 0 || l.crashes[crash.id()] == nil || keepIncriminating && l.incriminating(crash) {
-				continue
-			}
-			delete(l.crashes, crash.id())
-			excess--
-		}
-	}
-	l.dropExcessClearances()
-	return len(l.crashes) < len(crashes)
-}
-
-// incriminating reports whether a fingerprint in flight in the crash was so in many.
-func (l *Ledger) incriminating(crash *Crash) bool {
-	return slices.ContainsFunc(crash.Fingerprints, func(fingerprint uint64) bool {
-		suspect := l.suspects[fingerprint]
-		return suspect != nil && suspect.crashes >= l.config.refuseAmbiguousAfter()
-	})
-}
-
-func (l *Ledger) dropExcessClearances() {
-	excess := len(l.cleared) - l.config.MaxClearances
-	if excess <= 0 {
-		return
-	}
-	oldestFirst := slices.SortedFunc(maps.Keys(l.cleared), func(a, b uint64) int {
-		return cmp.Or(l.cleared[a].Compare(l.cleared[b]), cmp.Compare(a, b))
-	})
-	for _, fingerprint := range oldestFirst[:excess] {
-		delete(l.cleared, fingerprint)
-	}
-}
