Record which prompt parts were in flight in a crash

Logs could not tell whether requests that crash targets repeat or share a part of their prompts. Entries now decode the parts of a prompt that requests share (all but the last), and a crash carries and logs those in flight: field parts of 'target crashed', in hexadecimal as callers send them. Nothing decides by them yet.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -141,7 +141,7 @@
 	e.handler = forward.NewHandler(forward.Config{
 		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
 		Connections: e.targets.connectionPool, Budget: e.budgets.forService,
-		Poison: e.poison, Crashes: crashes, TrialRank: e.trialRank,
+		Poison: e.poison, Crashes: crashes, PromptParts: platform.DecodePromptParts, TrialRank: e.trialRank,
 		Metrics: e.metrics, Clock: e.clock, Log: logs.Component(cfg.Logger, "forward"),
 	})
 	return e
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -13,6 +13,7 @@
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/intake"
+	"verbenaseam.example/verbenaseam/request/poison"
 	"verbenaseam.example/verbenaseam/request/prompt"
 	"verbenaseam.example/verbenaseam/request/retry"
 	"verbenaseam.example/verbenaseam/version/config"
@@ -36,9 +37,9 @@
 	deadline      time.Time
 	routeDeadline bool
 	work          dispatch.Request
-	// fingerprint is the same for all requests with the same organisation, URL and
-	// body.
-	fingerprint uint64
+	// subject is what may crash targets. Its fingerprint is the same for all requests with
+	// the same organisation, URL and body.
+	subject poison.Subject
 	// onTrial is set while the call runs although its fingerprint is suspected. It is then
 	// sent to one target only.
 	onTrial bool
@@ -72,7 +73,10 @@
 	if err := c.readBody(w); err != nil {
 		return c, err
 	}
-	c.fingerprint = prompt.Fingerprint(c.organisationName(), c.request.Host+c.request.RequestURI, c.body)
+	c.subject = poison.Subject{
+		Fingerprint: prompt.Fingerprint(c.organisationName(), c.request.Host+c.request.RequestURI, c.body),
+		Parts:       h.promptParts(r.Header),
+	}
 	if err := h.refuseSuspect(c); err != nil {
 		return c, err
 	}
@@ -152,7 +156,7 @@
 // deadline: the response is sent to the caller even if that has passed meanwhile.
 func (h *Handler) recordSuccess(c *call) {
 	c.attempts.Succeeded(h.clock.Now())
-	h.crashes.Completed(c.fingerprint)
+	h.crashes.Completed(c.subject.Fingerprint)
 }
 
 // class returns the value of the metrics label "class".
--- a/request/forward/crash_check.go
+++ b/request/forward/crash_check.go
@@ -90,7 +90,9 @@
 	case err == nil:
 		h.crashes.TargetResponded(t.ID(), t.Incarnation(), sent)
 	case v.failedAfterSend() && !h.dispatcher.IsLeaving(t):
-		h.crashes.RequestInterrupted(t.ID(), t.Incarnation(), c.fingerprint, c.onTrial, h.connections(t).LastDial())
+		h.crashes.RequestInterrupted(t.ID(), t.Incarnation(), poison.Interruption{
+			Subject: c.subject, OnTrial: c.onTrial, ConnectedAt: h.connections(t).LastDial(),
+		})
 		h.checkTarget(t)
 	}
 }
--- a/request/forward/failure.go
+++ b/request/forward/failure.go
@@ -70,8 +70,8 @@
 		fields["target"] = c.target
 		fields["attempts"] = len(c.work.Tried)
 	}
-	if h.poison.Assess(c.fingerprint).Level != poison.Clear {
-		fields["fingerprint"] = c.fingerprint
+	if h.poison.Assess(c.subject.Fingerprint).Level != poison.Clear {
+		fields["fingerprint"] = c.subject.Fingerprint
 		fields["on_trial"] = c.onTrial
 	}
 	if c.queueWait > time.Millisecond {
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -31,6 +31,8 @@
 	// the crashes.
 	Poison  *poison.Tracker
 	Crashes *poison.CrashDetector
+	// PromptParts returns the parts of a request's prompt that other requests may share.
+	PromptParts func(http.Header) []uint64
 	// TrialRank returns the rank of this process, from 0, in an order of all processes
 	// that depends on a fingerprint; see poison.TrialAllowance.
 	TrialRank func(fingerprint uint64) int
@@ -48,6 +50,7 @@
 	budget      func(service string) *retry.Budget
 	poison      *poison.Tracker
 	crashes     *poison.CrashDetector
+	promptParts func(http.Header) []uint64
 	trialRank   func(fingerprint uint64) int
 	checks      *targetChecks
 	metrics     *metrics.Metrics
@@ -60,7 +63,7 @@
 	return &Handler{
 		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
-		trialRank: cfg.TrialRank, checks: newTargetChecks(),
+		promptParts: cfg.PromptParts, trialRank: cfg.TrialRank, checks: newTargetChecks(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
--- a/request/forward/suspect.go
+++ b/request/forward/suspect.go
@@ -14,11 +14,11 @@
 // refuseSuspect returns the failure of a call that must not run now according to the
 // crash evidence, or nil if it may.
 func (h *Handler) refuseSuspect(c *call) *failure.Error {
-	assessment := h.poison.Assess(c.fingerprint)
+	assessment := h.poison.Assess(c.subject.Fingerprint)
 	if refusal := assessment.Failure(h.clock.Now()); refusal != nil {
 		return refusal
 	}
-	if assessment.Level == poison.OnTrial && poison.TrialAllowance(h.trialRank(c.fingerprint)) == 0 {
+	if assessment.Level == poison.OnTrial && poison.TrialAllowance(h.trialRank(c.subject.Fingerprint)) == 0 {
 		return newTrialRefusal()
 	}
 	return nil
@@ -28,8 +28,8 @@
 // A suspect that may run is on trial from then on.
 func (h *Handler) refuseBeforeAttempt(c *call) *failure.Error {
 	refusal := h.refuseSuspect(c)
-	if refusal == nil && h.poison.Assess(c.fingerprint).Level == poison.OnTrial {
-		if c.onTrial = h.crashes.BeginTrial(c.fingerprint, h.trialRank(c.fingerprint)); !c.onTrial {
+	if refusal == nil && h.poison.Assess(c.subject.Fingerprint).Level == poison.OnTrial {
+		if c.onTrial = h.crashes.BeginTrial(c.subject.Fingerprint, h.trialRank(c.subject.Fingerprint)); !c.onTrial {
 			refusal = newTrialRefusal()
 		}
 	}
--- a/request/forward/suspect_test.go
+++ b/request/forward/suspect_test.go
@@ -33,7 +33,7 @@
 func newSuspect() *call {
 	const maxAttempts = 2
 	return &call{
-		fingerprint: suspectFingerprint, attempts: retry.NewSession(retry.Policy{MaxAttempts: maxAttempts}),
+		subject: poison.Subject{Fingerprint: suspectFingerprint}, attempts: retry.NewSession(retry.Policy{MaxAttempts: maxAttempts}),
 		route: &table.Route{Idempotent: true, Direct: &table.Direct{MaxAttempts: maxAttempts}},
 	}
 }
--- a/request/poison/crash.go
+++ b/request/poison/crash.go
@@ -22,6 +22,8 @@
 	// OnTrial are those Fingerprints whose requests ran on trial. The sender of such a
 	// request knew of an earlier crash, even if the receiver of this one does not.
 	OnTrial []uint64
+	// Parts are the prompt parts of the requests in flight.
+	Parts []uint64
 	// At is when the engine ended, on the receiver's clock.
 	At time.Time
 }
@@ -60,6 +62,7 @@
 	merged.Group = max(a.Group, b.Group)
 	merged.Fingerprints = union(a.Fingerprints, b.Fingerprints, limit)
 	merged.OnTrial = union(a.OnTrial, b.OnTrial, limit)
+	merged.Parts = union(a.Parts, b.Parts, limit)
 	return &merged
 }
 
--- a/request/poison/detector.go
+++ b/request/poison/detector.go
@@ -64,13 +64,18 @@
 	interrupted map[incarnationID][]interruptedRequest
 }
 
-// interruptedRequest is a request that a target may have run but did not complete.
+// Interruption is a request that a target may have run but did not complete.
+type Interruption struct {
+	Subject
+	OnTrial bool
+	// ConnectedAt is when the target last accepted a connection of this process.
+	ConnectedAt time.Time
+}
+
+// interruptedRequest is an Interruption at a time.
 type interruptedRequest struct {
-	fingerprint uint64
-	onTrial     bool
-	// connectedAt is when the target last accepted a connection of this process before, at
-	// when it interrupted the request.
-	connectedAt, at time.Time
+	Interruption
+	at time.Time
 }
 
 // NewCrashDetector returns a CrashDetector that adds the crashes it detects to a Tracker.
@@ -79,8 +84,7 @@
 }
 
 // RequestInterrupted records that a target interrupted a request that it may have run.
-// connectedAt is when the target last accepted a connection of this process.
-func (d *CrashDetector) RequestInterrupted(target, incarnation string, fingerprint uint64, onTrial bool, connectedAt time.Time) {
+func (d *CrashDetector) RequestInterrupted(target, incarnation string, request Interruption) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Clock.Now()
@@ -89,7 +93,7 @@
 	for len(requests) > 0 && (now.Sub(requests[0].at) > interruptedTTL || len(requests) >= maxInterrupted) {
 		requests = requests[1:]
 	}
-	d.interrupted[id] = append(requests, interruptedRequest{fingerprint, onTrial, connectedAt, now})
+	d.interrupted[id] = append(requests, interruptedRequest{request, now})
 	d.interruptedCount.Store(int64(len(d.interrupted)))
 }
 
@@ -146,7 +150,7 @@
 		}
 		restart := 0
 		if sign == ConnectionRefused {
-			restart = d.config.Tracker.Restarts(id.target, id.incarnation, request.connectedAt)
+			restart = d.config.Tracker.Restarts(id.target, id.incarnation, request.ConnectedAt)
 		}
 		n := slices.IndexFunc(crashes, func(c Crash) bool { return c.Restart == restart })
 		if n < 0 {
@@ -154,9 +158,10 @@
 			crashes = append(crashes, Crash{Target: id.target, Incarnation: id.incarnation, Restart: restart, At: request.at})
 		}
 		crash := &crashes[n]
-		crash.Fingerprints = append(crash.Fingerprints, request.fingerprint)
-		if request.onTrial {
-			crash.OnTrial = append(crash.OnTrial, request.fingerprint)
+		crash.Fingerprints = append(crash.Fingerprints, request.Fingerprint)
+		crash.Parts = append(crash.Parts, request.Parts...)
+		if request.OnTrial {
+			crash.OnTrial = append(crash.OnTrial, request.Fingerprint)
 		}
 	}
 	return crashes
@@ -189,7 +194,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for id, requests := range d.interrupted {
-		left := slices.DeleteFunc(requests, func(r interruptedRequest) bool { return r.fingerprint == fingerprint })
+		left := slices.DeleteFunc(requests, func(r interruptedRequest) bool { return r.Fingerprint == fingerprint })
 		if len(left) == 0 {
 			delete(d.interrupted, id)
 			continue
@@ -232,5 +237,6 @@
 	d.config.Log.WithFields(logrus.Fields{
 		"target": crash.Target, "incarnation": crash.Incarnation, "restart": crash.Restart, "sign": sign, "age_ms": age.Milliseconds(),
 		"in_flight": len(crash.Fingerprints), "on_trial": len(crash.OnTrial), "restricted": restricted,
+		"parts": formatParts(crash.Parts),
 	}).Warn("target crashed")
 }
--- a/request/poison/detector_test.go
+++ b/request/poison/detector_test.go
@@ -22,6 +22,11 @@
 	return logrus.NewEntry(logger)
 }
 
+// interruption returns the interruption of a request without a prompt.
+func interruption(fingerprint uint64, onTrial bool, connectedAt time.Time) Interruption {
+	return Interruption{Subject: Subject{Fingerprint: fingerprint}, OnTrial: onTrial, ConnectedAt: connectedAt}
+}
+
 func newDetector() (*CrashDetector, *Tracker, *clockwork.FakeClock) {
 	clock := clockwork.NewFakeClock()
 	tracker := NewTracker(refuseAfterThree, clock)
@@ -34,7 +39,7 @@
 	detector, tracker, clock := newDetector()
 	for n, target := range []string{"a", "b", "c"} {
 		require.NotEqual(t, Refused, tracker.Assess(1).Level, "before crash %d", n+1)
-		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
+		detector.RequestInterrupted(target, "1", interruption(1, false, clock.Now()))
 		clock.Advance(20 * time.Millisecond)
 		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		require.False(t, detector.TargetEnded(target, "1", ConnectionRefused), "one crash counts once")
@@ -46,7 +51,7 @@
 
 func TestTargetThatRespondsAgainHasNotCrashed(t *testing.T) {
 	detector, _, clock := newDetector()
-	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	detector.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 	detector.TargetResponded("a", "1", clock.Now())
 	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
 }
@@ -57,7 +62,7 @@
 	detector, tracker, clock := newDetector()
 	peer := NewTracker(refuseAfterThree, clock)
 	for range 3 {
-		detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+		detector.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 		require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
 		peer.Merge(tracker.Evidence())
 		clock.Advance(500 * time.Millisecond)
@@ -74,7 +79,7 @@
 	first, tracker, clock := newDetector()
 	second := NewCrashDetector(DetectorConfig{Tracker: tracker, Clock: clock, Metrics: first.config.Metrics, Log: discardLog(), Share: func() {}})
 	for _, d := range []*CrashDetector{first, second, first, second, first} {
-		d.RequestInterrupted("a", "1", 1, false, clock.Now())
+		d.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 		clock.Advance(time.Second)
 	}
 	require.True(t, first.TargetEnded("a", "1", RegistrationDeleted))
@@ -89,8 +94,8 @@
 func TestRequestThatCompletesElsewhereIsNoCauseOfCrashNoticedLater(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for _, target := range []string{"a", "b", "c"} {
-		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
-		detector.RequestInterrupted(target, "1", 2, false, clock.Now())
+		detector.RequestInterrupted(target, "1", interruption(1, false, clock.Now()))
+		detector.RequestInterrupted(target, "1", interruption(2, false, clock.Now()))
 		clock.Advance(1500 * time.Millisecond)
 	}
 	detector.Completed(1)
@@ -105,10 +110,10 @@
 // a request is sent before the entry sees that the connection has ended.
 func TestRequestSentToBrokenConnectionAddsNoCrash(t *testing.T) {
 	detector, tracker, clock := newDetector()
-	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	detector.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 	require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
 	clock.Advance(minRestart / 2)
-	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	detector.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
 	require.Len(t, tracker.Evidence().Crashes, 1)
 }
@@ -155,7 +160,7 @@
 	detector, _, clock := newDetector()
 	sent := clock.Now()
 	clock.Advance(10 * time.Millisecond)
-	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	detector.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 	detector.TargetResponded("a", "1", sent)
 	require.True(t, detector.TargetEnded("a", "1", ConnectionRefused))
 }
@@ -164,7 +169,7 @@
 // that leave, as announced, end with them in flight.
 func TestTargetThatLeftHasNotCrashed(t *testing.T) {
 	detector, _, clock := newDetector()
-	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	detector.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 	detector.TargetLeft("a", "1")
 	require.False(t, detector.TargetEnded("a", "1", RegistrationDeleted))
 	require.Empty(t, detector.interrupted)
@@ -172,7 +177,7 @@
 
 func TestRequestsInterruptedLongBeforeAreNotPartOfACrash(t *testing.T) {
 	detector, _, clock := newDetector()
-	detector.RequestInterrupted("a", "1", 1, false, clock.Now())
+	detector.RequestInterrupted("a", "1", interruption(1, false, clock.Now()))
 	clock.Advance(interruptedTTL + time.Second)
 	require.False(t, detector.TargetEnded("a", "1", ConnectionRefused))
 	require.False(t, detector.TargetEnded("b", "1", ConnectionRefused), "a target without interrupted requests")
@@ -181,7 +186,7 @@
 func TestInterruptedRequestsPerTargetAreBounded(t *testing.T) {
 	detector, _, clock := newDetector()
 	for fingerprint := range uint64(3 * maxInterrupted) {
-		detector.RequestInterrupted("a", "1", fingerprint, false, clock.Now())
+		detector.RequestInterrupted("a", "1", interruption(fingerprint, false, clock.Now()))
 	}
 	require.Len(t, detector.interrupted[incarnationID{"a", "1"}], maxInterrupted)
 }
@@ -189,7 +194,7 @@
 func TestRequestThatCompletesBetweenCrashesIsNotRefused(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for n, target := range []string{"a", "b", "c", "d"} {
-		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
+		detector.RequestInterrupted(target, "1", interruption(1, false, clock.Now()))
 		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		clock.Advance(3 * time.Second)
 		if n == 1 {
@@ -205,7 +210,7 @@
 func TestRecentReturnsTheNewestCrashesFirst(t *testing.T) {
 	detector, tracker, clock := newDetector()
 	for _, target := range []string{"a", "b", "c"} {
-		detector.RequestInterrupted(target, "1", 1, false, clock.Now())
+		detector.RequestInterrupted(target, "1", interruption(1, false, clock.Now()))
 		require.True(t, detector.TargetEnded(target, "1", ConnectionRefused))
 		clock.Advance(time.Minute)
 	}
--- a/request/poison/entries_sim_test.go
+++ b/request/poison/entries_sim_test.go
@@ -306,7 +306,7 @@
 	if s.scenario.fault == crashesMergedUntilRegistered {
 		connectedAt = time.Time{}
 	}
-	e.detector.RequestInterrupted(t.known.id, t.known.incarnation, fingerprint, onTrial, connectedAt)
+	e.detector.RequestInterrupted(t.known.id, t.known.incarnation, interruption(fingerprint, onTrial, connectedAt))
 	if s.scenario.fault != targetsNotChecked {
 		e.detector.TargetEnded(t.known.id, t.known.incarnation, ConnectionRefused)
 	}
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -31,6 +31,8 @@
 	AgeMillis int64 `cbor:"6,keyasint"`
 	// Restart is that of Crash. Builds that do not know it merge the crashes it tells apart.
 	Restart int `cbor:"7,keyasint,omitempty"`
+	// Parts are those of Crash. Builds that do not know them refuse no prompt parts.
+	Parts []uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Clearance reports the completion of a request with a suspected fingerprint.
@@ -84,6 +86,7 @@
 		Group:        c.Group,
 		Fingerprints: c.Fingerprints,
 		OnTrial:      c.OnTrial,
+		Parts:        c.Parts,
 		AgeMillis:    now.Sub(c.At).Milliseconds(),
 	}
 }
@@ -189,6 +192,7 @@
 			Group:        c.Group,
 			Fingerprints: slices.Clone(c.Fingerprints),
 			OnTrial:      slices.Clone(c.OnTrial),
+			Parts:        slices.Clone(c.Parts),
 			At:           now.Add(-parseAge(c.AgeMillis)),
 		}
 		if now.Sub(crash.At) < l.config.RefuseFor && l.add(crash) {
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -47,6 +47,7 @@
 func (l *Ledger) add(crash Crash) bool {
 	crash.Fingerprints = union(crash.Fingerprints, crash.OnTrial, l.config.MaxFingerprints)
 	crash.OnTrial = union(crash.OnTrial, nil, l.config.MaxFingerprints)
+	crash.Parts = union(crash.Parts, nil, l.config.MaxFingerprints)
 	known := l.crashes[crash.id()]
 	if known == nil {
 		l.crashes[crash.id()] = &crash
@@ -54,7 +55,7 @@
 	}
 	merged := mergeReports(known, &crash, l.config.MaxFingerprints)
 	if merged.At.Equal(known.At) && len(merged.Fingerprints) == len(known.Fingerprints) &&
-		len(merged.OnTrial) == len(known.OnTrial) && merged.Group == known.Group {
+		len(merged.OnTrial) == len(known.OnTrial) && len(merged.Parts) == len(known.Parts) && merged.Group == known.Group {
 		return false
 	}
 	l.crashes[crash.id()] = merged
