Refuse requests with a prompt part that crashes targets

Cause: evidence of crashes was kept for whole requests, by a fingerprint of organisation, path and body. Class: a cause that is looked for under one key only. Ruled out: unnoticed crashes (all are in the entries' logs), merged ones (no request was suspected at any time). Change: a crash carries the parts in flight of requests that had not run yet. A part that is in all crashes of at least two incidents and never ran is refused; one with weaker evidence (several that explain the same, ran before, a process that knows little) is put on trial as whole requests are. A stream that goes on for 0.3 s after its first event, or is cut off while its target lives, clears its parts, so that parts that sound requests share stay clear. Crashes that a stronger candidate explains do not count against others. Evidence travels in heartbeats and is kept in the store like that of requests.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -94,6 +94,8 @@
 	// rowVersion is the version of this entry's row in the store, nil before it is
 	// written.
 	rowVersion atomic.Pointer[platform.Version]
+	// refusedParts are the prompt parts that logRefusedParts logged last; tick uses it alone.
+	refusedParts []uint64
 	// readyLogged is set once the entry has been ready for the first time.
 	readyLogged atomic.Bool
 	leaving     atomic.Bool
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/request/poison"
 )
 
 const (
@@ -162,6 +164,20 @@
 func (e *Entry) tick() {
 	e.targets.tick()
 	e.dispatcher.Tick(e.clock.Now())
+	e.logRefusedParts()
+}
+
+// logRefusedParts logs and counts the prompt parts whose requests are refused, when they change.
+func (e *Entry) logRefusedParts() {
+	refused := e.poison.RefusedParts()
+	if slices.Equal(refused, e.refusedParts) {
+		return
+	}
+	e.log.WithFields(logrus.Fields{
+		"refused": poison.FormatParts(refused), "before": poison.FormatParts(e.refusedParts),
+	}).Warn("prompt parts that crash targets")
+	e.refusedParts = refused
+	e.metrics.SetRefusedPromptParts(len(refused))
 }
 
 // servers holds the servers and open sockets of an entry.
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -31,6 +31,7 @@
 	attempts         *prometheus.CounterVec
 	retryBudget      prometheus.Gauge
 	targetCrashes    *prometheus.CounterVec
+	refusedParts     prometheus.Gauge
 	targetNotices    *prometheus.CounterVec
 }
 
@@ -63,11 +64,15 @@
 		Name: "verbenaseam_target_crashes_total", Help: "Crashes of targets with requests of this process in flight, by what showed them.",
 		ConstLabels: constLabels,
 	}, []string{"sign"})
+	m.refusedParts = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "verbenaseam_refused_prompt_parts", Help: "Prompt parts whose requests are refused because they crash targets.",
+		ConstLabels: constLabels,
+	})
 	m.targetNotices = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, and responses that asked for a pause.",
 		ConstLabels: constLabels,
 	}, []string{"service", "notice"})
-	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.targetNotices)
+	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices)
 	return m
 }
 
@@ -100,6 +105,9 @@
 // CountTargetCrash counts a crash of a target; sign is what showed it.
 func (m *Metrics) CountTargetCrash(sign string) { m.targetCrashes.WithLabelValues(sign).Inc() }
 
+// SetRefusedPromptParts sets the number of prompt parts whose requests are refused.
+func (m *Metrics) SetRefusedPromptParts(count int) { m.refusedParts.Set(float64(count)) }
+
 // CountTargetNotice counts a notice of a target of a service: "leaving", or "pause".
 func (m *Metrics) CountTargetNotice(service, notice string) {
 	m.targetNotices.WithLabelValues(service, notice).Inc()
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -40,9 +40,13 @@
 	// subject is what may crash targets. Its fingerprint is the same for all requests with
 	// the same organisation, URL and body.
 	subject poison.Subject
-	// onTrial is set while the call runs although its fingerprint is suspected. It is then
-	// sent to one target only.
-	onTrial bool
+	// trial is the suspect, the fingerprint or a part, that the call runs on trial for, 0 for
+	// none. A call on trial is sent to one target only.
+	trial uint64
+	// firstEvent is when the current attempt received its first event, zero before that; ran
+	// is set once it has received events for provenAfter.
+	firstEvent time.Time
+	ran        bool
 	// attempts decides whether the call is retried.
 	attempts *retry.Session
 	// lastEventID is the ID of the last stream event that the caller has received, or
@@ -157,6 +161,7 @@
 func (h *Handler) recordSuccess(c *call) {
 	c.attempts.Succeeded(h.clock.Now())
 	h.crashes.Completed(c.subject.Fingerprint)
+	h.crashes.PartsRan(c.subject.Parts)
 }
 
 // class returns the value of the metrics label "class".
--- a/request/forward/crash_check.go
+++ b/request/forward/crash_check.go
@@ -72,6 +72,18 @@
 	}()
 }
 
+// checkParts finds out whether a target still lives after it interrupted a stream that had
+// begun. If so, the parts of the stream's prompt have not crashed it.
+func (h *Handler) checkParts(parts []uint64, t *dispatch.Target) {
+	if len(parts) == 0 {
+		return
+	}
+	<-h.clock.After(checkRounds * checkInterval)
+	if h.connect(t) == nil {
+		h.crashes.PartsRan(parts)
+	}
+}
+
 func (h *Handler) connect(t *dispatch.Target) error {
 	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
@@ -91,8 +103,11 @@
 		h.crashes.TargetResponded(t.ID(), t.Incarnation(), sent)
 	case v.failedAfterSend() && !h.dispatcher.IsLeaving(t):
 		h.crashes.RequestInterrupted(t.ID(), t.Incarnation(), poison.Interruption{
-			Subject: c.subject, OnTrial: c.onTrial, ConnectedAt: h.connections(t).LastDial(),
+			Subject: c.suspected(), Trial: c.trial, ConnectedAt: h.connections(t).LastDial(),
 		})
 		h.checkTarget(t)
+		if !c.firstEvent.IsZero() && !c.ran {
+			go h.checkParts(c.subject.Parts, t)
+		}
 	}
 }
--- a/request/forward/failure.go
+++ b/request/forward/failure.go
@@ -70,9 +70,10 @@
 		fields["target"] = c.target
 		fields["attempts"] = len(c.work.Tried)
 	}
-	if h.poison.Assess(c.subject.Fingerprint).Level != poison.Clear {
+	if assessment, _ := h.poison.AssessRequest(c.subject); assessment.Level != poison.Clear {
 		fields["fingerprint"] = c.subject.Fingerprint
-		fields["on_trial"] = c.onTrial
+		fields["parts"] = poison.FormatParts(c.subject.Parts)
+		fields["on_trial"] = c.trial != 0
 	}
 	if c.queueWait > time.Millisecond {
 		fields["waited_ms"] = c.queueWait.Milliseconds()
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
@@ -107,7 +108,7 @@
 			"request": c.id, "target": c.target, "reason": v.reason, "again": decision.Retry,
 		}).Info("attempt failed")
 	}
-	return decision.Retry && !c.onTrial
+	return decision.Retry && c.trial == 0
 }
 
 // noJitter selects the shortest backoff, which is none: a retry goes to another target
@@ -238,6 +239,7 @@
 	}
 	h.metrics.CountAttempt(kind)
 	c.work.Tried = append(c.work.Tried, t)
+	c.firstEvent, c.ran = time.Time{}, false
 	c.target = t.ID()
 }
 
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -77,7 +77,7 @@
 func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource) (shouldRetry bool, failed *failure.Error) {
 	out := &streamWriter{w: w, control: http.NewResponseController(w), lastID: c.lastEventID}
 	for {
-		err := out.copy(src.response, src.watchdog.progress, func() {
+		err := out.copy(src.response, func() { h.recordEvents(c, src) }, func() {
 			h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 			copyHeaders(w, src.response)
 		})
--- a/request/forward/suspect.go
+++ b/request/forward/suspect.go
@@ -14,11 +14,11 @@
 // refuseSuspect returns the failure of a call that must not run now according to the
 // crash evidence, or nil if it may.
 func (h *Handler) refuseSuspect(c *call) *failure.Error {
-	assessment := h.poison.Assess(c.subject.Fingerprint)
+	assessment, trial := h.poison.AssessRequest(c.subject)
 	if refusal := assessment.Failure(h.clock.Now()); refusal != nil {
 		return refusal
 	}
-	if assessment.Level == poison.OnTrial && poison.TrialAllowance(h.trialRank(c.subject.Fingerprint)) == 0 {
+	if assessment.Level == poison.OnTrial && poison.TrialAllowance(h.trialRank(trial)) == 0 {
 		return newTrialRefusal()
 	}
 	return nil
@@ -28,9 +28,10 @@
 // A suspect that may run is on trial from then on.
 func (h *Handler) refuseBeforeAttempt(c *call) *failure.Error {
 	refusal := h.refuseSuspect(c)
-	if refusal == nil && h.poison.Assess(c.subject.Fingerprint).Level == poison.OnTrial {
-		if c.onTrial = h.crashes.BeginTrial(c.subject.Fingerprint, h.trialRank(c.subject.Fingerprint)); !c.onTrial {
-			refusal = newTrialRefusal()
+	if _, trial := h.poison.AssessRequest(c.subject); refusal == nil && trial != 0 {
+		c.trial = trial
+		if !h.crashes.BeginTrial(trial, h.trialRank(trial)) {
+			c.trial, refusal = 0, newTrialRefusal()
 		}
 	}
 	if refusal != nil {
--- a/request/forward/suspect_test.go
+++ b/request/forward/suspect_test.go
@@ -46,11 +46,11 @@
 	require.Positive(t, tried.silenceTimeout())
 	require.Nil(t, h.refuseSuspect(tried))
 	require.Nil(t, h.refuseBeforeAttempt(tried))
-	require.True(t, tried.onTrial)
+	require.NotZero(t, tried.trial)
 	require.Zero(t, tried.silenceTimeout(), "not sent to another target while it runs")
 	other := newSuspect()
 	refusal := h.refuseBeforeAttempt(other)
-	require.False(t, other.onTrial)
+	require.Zero(t, other.trial)
 	require.Equal(t, failure.NotRun, refusal.Outcome)
 	require.Equal(t, trialRetryAfter, refusal.RetryAfter)
 
--- a/request/forward/watchdog.go
+++ b/request/forward/watchdog.go
@@ -58,7 +58,7 @@
 // silenceTimeout returns how long a target may make no progress before another is
 // tried, or 0 if the request must not be sent to another target.
 func (c *call) silenceTimeout() time.Duration {
-	if !c.route.Idempotent || c.onTrial || c.attempts.Started() >= c.route.Direct.MaxAttempts {
+	if !c.route.Idempotent || c.trial != 0 || c.attempts.Started() >= c.route.Direct.MaxAttempts {
 		return 0
 	}
 	return min(max(silenceLatencies*c.route.Direct.Latency, minSilenceTimeout), maxSilenceTimeout)
--- a/request/poison/crash.go
+++ b/request/poison/crash.go
@@ -19,15 +19,21 @@
 	Group string
 	// Fingerprints are those of the requests in flight.
 	Fingerprints []uint64
-	// OnTrial are those Fingerprints whose requests ran on trial. The sender of such a
-	// request knew of an earlier crash, even if the receiver of this one does not.
+	// OnTrial are those Fingerprints and Parts whose requests ran on trial. The sender of such
+	// a request knew of an earlier crash, even if the receiver of this one does not.
 	OnTrial []uint64
-	// Parts are the prompt parts of the requests in flight.
+	// Parts are the prompt parts of those requests in flight that had received no events yet,
+	// or only for a short time.
 	Parts []uint64
 	// At is when the engine ended, on the receiver's clock.
 	At time.Time
 }
 
+// requestsOnTrial returns those of OnTrial that are fingerprints.
+func (c *Crash) requestsOnTrial() []uint64 {
+	return slices.DeleteFunc(slices.Clone(c.OnTrial), func(suspect uint64) bool { return slices.Contains(c.Parts, suspect) })
+}
+
 // minRestart is the least time from a crash until the target accepts connections again. One
 // that was accepted sooner may have been accepted before the crash.
 const minRestart = 300 * time.Millisecond
--- a/request/poison/detector.go
+++ b/request/poison/detector.go
@@ -66,8 +66,10 @@
 
 // Interruption is a request that a target may have run but did not complete.
 type Interruption struct {
+	// Subject is without Parts if the request had received events for some time.
 	Subject
-	OnTrial bool
+	// Trial is the fingerprint or the part that was on trial, 0 for none.
+	Trial uint64
 	// ConnectedAt is when the target last accepted a connection of this process.
 	ConnectedAt time.Time
 }
@@ -160,8 +162,8 @@
 		crash := &crashes[n]
 		crash.Fingerprints = append(crash.Fingerprints, request.Fingerprint)
 		crash.Parts = append(crash.Parts, request.Parts...)
-		if request.OnTrial {
-			crash.OnTrial = append(crash.OnTrial, request.Fingerprint)
+		if request.Trial != 0 {
+			crash.OnTrial = append(crash.OnTrial, request.Trial)
 		}
 	}
 	return crashes
@@ -189,6 +191,14 @@
 	}
 }
 
+// PartsRan records that a request with some prompt parts ran; see Ledger.PartsRan. It shares
+// the clearance of a suspected part with peers.
+func (d *CrashDetector) PartsRan(parts []uint64) {
+	if len(parts) > 0 && d.config.Tracker.PartsRan(parts) {
+		d.config.Share()
+	}
+}
+
 // forget drops the interrupted requests with a fingerprint.
 func (d *CrashDetector) forget(fingerprint uint64) {
 	d.mu.Lock()
@@ -205,8 +215,8 @@
 }
 
 // BeginTrial is Tracker.BeginTrial. It shares the trial with peers before the request runs.
-func (d *CrashDetector) BeginTrial(fingerprint uint64, rank int) bool {
-	begun := d.config.Tracker.BeginTrial(fingerprint, rank)
+func (d *CrashDetector) BeginTrial(suspect uint64, rank int) bool {
+	begun := d.config.Tracker.BeginTrial(suspect, rank)
 	if begun {
 		d.config.Share()
 	}
@@ -237,6 +247,6 @@
 	d.config.Log.WithFields(logrus.Fields{
 		"target": crash.Target, "incarnation": crash.Incarnation, "restart": crash.Restart, "sign": sign, "age_ms": age.Milliseconds(),
 		"in_flight": len(crash.Fingerprints), "on_trial": len(crash.OnTrial), "restricted": restricted,
-		"parts": formatParts(crash.Parts),
+		"parts": FormatParts(crash.Parts),
 	}).Warn("target crashed")
 }
--- a/request/poison/detector_test.go
+++ b/request/poison/detector_test.go
@@ -24,7 +24,11 @@
 
 // interruption returns the interruption of a request without a prompt.
 func interruption(fingerprint uint64, onTrial bool, connectedAt time.Time) Interruption {
-	return Interruption{Subject: Subject{Fingerprint: fingerprint}, OnTrial: onTrial, ConnectedAt: connectedAt}
+	interrupted := Interruption{Subject: Subject{Fingerprint: fingerprint}, ConnectedAt: connectedAt}
+	if onTrial {
+		interrupted.Trial = fingerprint
+	}
+	return interrupted
 }
 
 func newDetector() (*CrashDetector, *Tracker, *clockwork.FakeClock) {
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -126,36 +126,40 @@
 	l.nextCrash = (l.nextCrash + 1) % len(crashes)
 	crash := crashes[l.nextCrash]
 	evidence := Evidence{Crashes: []CrashEvidence{crash.evidence(now)}}
-	for _, fingerprint := range crash.Fingerprints {
-		if _, cleared := l.cleared[fingerprint]; cleared {
-			evidence.Clearances = append(evidence.Clearances, l.clearance(fingerprint, now))
+	evidence.Clearances = l.clearances(slices.Concat(crash.Fingerprints, crash.Parts), now)
+	return evidence
+}
+
+// clearances returns the clearances of those fingerprints and parts that were cleared.
+func (l *Ledger) clearances(suspects []uint64, now time.Time) []Clearance {
+	var all []Clearance
+	for _, suspect := range suspects {
+		if _, cleared := l.cleared[suspect]; cleared {
+			all = append(all, l.clearance(suspect, now))
 		}
 	}
-	return evidence
+	return all
 }
 
-// Restricted returns at most limit of the newest crashes with fingerprints whose requests
-// do not run freely, of their fingerprints only those, and the trials of at most limit
-// suspects. It is all that a peer without evidence needs to treat these requests alike,
+// Restricted returns at most limit of the newest crashes with fingerprints or parts whose
+// requests do not run freely, of their fingerprints and parts only those, and the trials of at
+// most limit suspects. It is all that a peer without evidence needs to treat these requests alike,
 // however many targets have crashed since.
 func (l *Ledger) Restricted(limit int, now time.Time) Evidence {
-	restricted := map[uint64]bool{}
-	for fingerprint, suspect := range l.suspects {
-		if suspect.assess(l.config, now).Level != Clear {
-			restricted[fingerprint] = true
-		}
-	}
+	restricted := l.restricted(now)
 	var evidence Evidence
 	if len(restricted) == 0 {
 		return evidence
 	}
-	runsFreely := func(fingerprint uint64) bool { return !restricted[fingerprint] }
+	runsFreely := func(suspect uint64) bool { return !restricted[suspect] }
 	for _, crash := range slices.Backward(l.sortedCrashes()) {
 		reported := crash.evidence(now)
 		reported.Fingerprints = slices.DeleteFunc(slices.Clone(crash.Fingerprints), runsFreely)
 		reported.OnTrial = slices.DeleteFunc(slices.Clone(crash.OnTrial), runsFreely)
-		if len(reported.Fingerprints) > 0 && len(evidence.Crashes) < limit {
+		reported.Parts = slices.DeleteFunc(slices.Clone(crash.Parts), runsFreely)
+		if len(reported.Fingerprints)+len(reported.Parts) > 0 && len(evidence.Crashes) < limit {
 			evidence.Crashes = append(evidence.Crashes, reported)
+			evidence.Clearances = append(evidence.Clearances, l.clearances(reported.Parts, now)...)
 		}
 	}
 	evidence.Trials = l.trialEvidence(limit, time.Time{})
@@ -172,6 +176,22 @@
 	}
 }
 
+// restricted returns the fingerprints and parts whose requests do not run freely.
+func (l *Ledger) restricted(now time.Time) map[uint64]bool {
+	restricted := map[uint64]bool{}
+	for fingerprint, suspect := range l.suspects {
+		if suspect.assess(l.config, now).Level != Clear {
+			restricted[fingerprint] = true
+		}
+	}
+	for part, state := range l.parts {
+		if state.level != Clear {
+			restricted[part] = true
+		}
+	}
+	return restricted
+}
+
 // Append adds the evidence of other to e.
 func (e *Evidence) Append(other Evidence) {
 	e.Crashes = append(e.Crashes, other.Crashes...)
@@ -215,7 +235,7 @@
 	changed := false
 	for _, t := range reported {
 		trials := l.trials[t.Fingerprint]
-		if l.Suspected(t.Fingerprint) && trials.merge(t.Begun, now) {
+		if l.mayBeTried(t.Fingerprint) && trials.merge(t.Begun, now) {
 			l.trials[t.Fingerprint] = trials
 			changed = true
 		}
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -18,7 +18,13 @@
 	// suspects is derived from crashes and cleared. It is replaced as a whole and
 	// never modified.
 	suspects map[uint64]*suspectState
-	// trials holds the trials of suspects, of this process and of others.
+	// parts is the same for prompt parts. ran is when requests with them last ran at this
+	// process.
+	parts map[uint64]*partState
+	ran   *latestTimes
+	// runs is how many requests with prompt parts ran.
+	runs int
+	// trials holds the trials of suspects and parts, of this process and of others.
 	trials map[uint64]trialCounts
 	// nextCrash is the position of the crash that NextCrash returned last.
 	nextCrash int
@@ -32,6 +38,7 @@
 		crashes: map[crashID]*Crash{},
 		cleared: map[uint64]time.Time{},
 		trials:  map[uint64]trialCounts{},
+		ran:     newLatestTimes(config.withDefaults().MaxClearances),
 	}
 }
 
@@ -45,9 +52,14 @@
 }
 
 func (l *Ledger) add(crash Crash) bool {
-	crash.Fingerprints = union(crash.Fingerprints, crash.OnTrial, l.config.MaxFingerprints)
-	crash.OnTrial = union(crash.OnTrial, nil, l.config.MaxFingerprints)
 	crash.Parts = union(crash.Parts, nil, l.config.MaxFingerprints)
+	crash.OnTrial = union(crash.OnTrial, nil, l.config.MaxFingerprints)
+	crash.Fingerprints = union(crash.Fingerprints, crash.requestsOnTrial(), l.config.MaxFingerprints)
+	for _, part := range crash.Parts {
+		if at, known := l.ran.get(part); known {
+			l.clear(part, at)
+		}
+	}
 	known := l.crashes[crash.id()]
 	if known == nil {
 		l.crashes[crash.id()] = &crash
@@ -109,14 +121,34 @@
 	return suspect.assess(l.config, now)
 }
 
+// AssessRequest returns the assessment of a request at the given time, the more restrictive of
+// those of its fingerprint and of its parts, and what is on trial with it, 0 for nothing.
+func (l *Ledger) AssessRequest(subject Subject, now time.Time) (assessment Assessment, trial uint64) {
+	whole := l.Assess(subject.Fingerprint, now)
+	parts, part := l.assessParts(subject.Parts, now)
+	switch {
+	case whole.Level == OnTrial && parts.Level == OnTrial:
+		// A crash would not show which of them is the cause.
+		return Assessment{Level: Held, Until: now.Add(trialInterval)}, 0
+	case parts.Level > whole.Level:
+		assessment, trial = parts, part
+	default:
+		assessment, trial = whole, subject.Fingerprint
+	}
+	if assessment.Level != OnTrial {
+		trial = 0
+	}
+	return assessment, trial
+}
+
 // BeginTrial reports whether this process, which has the given rank among all processes,
-// may run a suspect on trial now, and if so, counts the trial, which should then be shared
+// may run a suspect, a fingerprint or a part, on trial now, and if so, counts the trial, which should then be shared
 // with peers. A process that has just started begins none: it does not know yet which
 // trials processes of its rank began before.
-func (l *Ledger) BeginTrial(fingerprint uint64, rank int, now time.Time) bool {
-	trials := l.trials[fingerprint]
+func (l *Ledger) BeginTrial(suspect uint64, rank int, now time.Time) bool {
+	trials := l.trials[suspect]
 	switch {
-	case !l.Suspected(fingerprint) || now.Sub(l.started) < trialInterval:
+	case !l.mayBeTried(suspect) || now.Sub(l.started) < trialInterval:
 		return false
 	case rank >= trialRanks || trials.begun[rank] >= TrialAllowance(rank):
 		return false
@@ -125,10 +157,15 @@
 	}
 	trials.begun[rank]++
 	trials.last = now
-	l.trials[fingerprint] = trials
+	l.trials[suspect] = trials
 	return true
 }
 
+// mayBeTried reports whether trials of a fingerprint or a part are counted.
+func (l *Ledger) mayBeTried(suspect uint64) bool {
+	return l.suspects[suspect] != nil || l.parts[suspect] != nil
+}
+
 // Refused returns the fingerprints that are refused at the given time, sorted.
 func (l *Ledger) Refused(now time.Time) []uint64 {
 	var refused []uint64
@@ -145,12 +182,14 @@
 func (l *Ledger) recompute(now time.Time) {
 	l.dropExpired(now)
 	l.deriveSuspects()
+	l.deriveParts()
 	if l.dropExcess() {
 		l.deriveSuspects()
+		l.deriveParts()
 	}
-	for fingerprint := range l.trials {
-		if l.suspects[fingerprint] == nil {
-			delete(l.trials, fingerprint)
+	for suspect := range l.trials {
+		if !l.mayBeTried(suspect) {
+			delete(l.trials, suspect)
 		}
 	}
 }
--- a/request/poison/part.go
+++ b/request/poison/part.go
@@ -1,13 +1,247 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
-// formatParts returns the parts of prompts as they are logged: in hexadecimal, sorted, each once.
-func formatParts(parts []uint64) string {
+const (
+	// minPartIncidents is the number of incidents after which a prompt part is refused that
+	// alone explains them. It is more than one, because targets also crash together for
+	// other reasons.
+	minPartIncidents = 2
+	// minDoubtfulPartIncidents, or minDoubtfulPartCrashes in minPartIncidents, is the same for
+	// a part against which the evidence is weaker.
+	minDoubtfulPartIncidents = 3
+	minDoubtfulPartCrashes   = 5
+	// minTrialCrashes is the number of crashes on trial after which a part is refused in any
+	// case. One may have had another cause.
+	minTrialCrashes = 2
+	// minKnownRuns is the number of requests that must have run before a process knows which
+	// parts are in use.
+	minKnownRuns = 50
+	// keptPartCrashes is how many crashes of a part that does not run freely are kept.
+	keptPartCrashes = 8
+	// maxRestrictedParts bounds the number of parts that do not run freely.
+	maxRestrictedParts = 16
+)
+
+// partState is the evidence against one prompt part.
+type partState struct {
+	part uint64
+	// crashes are those with the part in flight that no later request with it has cleared,
+	// sorted by time. The latest was at lastAt.
+	crashes []*Crash
+	lastAt  time.Time
+	// trialCrashes counts the crashes on trial that show that this part is their cause.
+	trialCrashes int
+	// ranBefore is set if a request with the part is known to have run at any time.
+	ranBefore bool
+	// level is Clear, OnTrial or Refused.
+	level Level
+}
+
+// crashedOnTrial reports whether trials have shown that the part crashes targets.
+func (s *partState) crashedOnTrial() bool { return s.trialCrashes >= minTrialCrashes }
+
+// blamesOnly reports whether a crash on trial shows that a part is its cause: no other part was
+// in flight that may be. ranBefore reports whether requests with a part have run.
+func (c *Crash) blamesOnly(part uint64, ranBefore func(uint64) bool) bool {
+	return slices.Equal(c.OnTrial, []uint64{part}) &&
+		!slices.ContainsFunc(c.Parts, func(other uint64) bool { return other != part && !ranBefore(other) })
+}
+
+// countIncidents counts crashes, sorted by time, those within window of a first one as one.
+func countIncidents(crashes []*Crash, window time.Duration) int {
+	count := 0
+	var began time.Time
+	for _, crash := range crashes {
+		if count == 0 || crash.At.Sub(began) > window {
+			count++
+			began = crash.At
+		}
+	}
+	return count
+}
+
+// deriveParts sets parts from crashes and cleared.
+func (l *Ledger) deriveParts() {
+	parts := map[uint64]*partState{}
+	ranBefore := func(part uint64) bool {
+		_, cleared := l.cleared[part]
+		return cleared
+	}
+	for _, crash := range l.sortedCrashes() {
+		for _, part := range crash.Parts {
+			if l.clearedAfter(part, crash.At) {
+				continue
+			}
+			state := parts[part]
+			if state == nil {
+				state = &partState{part: part, ranBefore: ranBefore(part)}
+				parts[part] = state
+			}
+			state.crashes = append(state.crashes, crash)
+			state.lastAt = crash.At
+			if crash.blamesOnly(part, ranBefore) {
+				state.trialCrashes++
+			}
+		}
+	}
+	l.parts = parts
+	l.findCrashingParts()
+}
+
+// partCandidate is a part that may be the cause of the crashes that no stronger candidate
+// explains.
+type partCandidate struct {
+	*partState
+	unexplained []*Crash
+	// incidents counts those of unexplained.
+	incidents int
+}
+
+// findCrashingParts sets the levels of the parts. The strongest candidate comes first. The
+// crashes that it explains do not count against the others.
+func (l *Ledger) findCrashingParts() {
+	var candidates []*partCandidate
+	for _, state := range l.parts {
+		candidates = append(candidates, &partCandidate{partState: state, unexplained: state.crashes})
+	}
+	for range maxRestrictedParts {
+		candidates = slices.DeleteFunc(candidates, func(c *partCandidate) bool {
+			c.incidents = countIncidents(c.unexplained, l.config.MassCrashWindow)
+			return !c.crashedOnTrial() && c.incidents < minPartIncidents
+		})
+		if len(candidates) == 0 {
+			return
+		}
+		best := slices.MinFunc(candidates, compareCandidates)
+		possible := slices.DeleteFunc(slices.Clone(candidates), func(c *partCandidate) bool { return !l.contests(c, best) })
+		for _, c := range possible {
+			c.level = l.partLevel(best, len(possible) > 1)
+		}
+		candidates = slices.DeleteFunc(candidates, func(c *partCandidate) bool { return slices.Contains(possible, c) })
+		for _, c := range candidates {
+			c.unexplained = slices.DeleteFunc(slices.Clone(c.unexplained), func(one *Crash) bool { return slices.Contains(best.crashes, one) })
+		}
+	}
+}
+
+// compareCandidates orders candidates, the strongest first.
+func compareCandidates(a, b *partCandidate) int {
+	return cmp.Or(
+		compareBool(b.crashedOnTrial(), a.crashedOnTrial()), compareBool(a.ranBefore, b.ranBefore),
+		cmp.Compare(b.incidents, a.incidents), cmp.Compare(len(b.unexplained), len(a.unexplained)),
+		b.lastAt.Compare(a.lastAt), cmp.Compare(a.part, b.part),
+	)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
+// contests reports whether a candidate may be the cause instead of the strongest one.
+func (l *Ledger) contests(c, best *partCandidate) bool {
+	if c == best {
+		return true
+	}
+	if c.crashedOnTrial() != best.crashedOnTrial() || c.ranBefore != best.ranBefore {
+		return false
+	}
+	both := slices.DeleteFunc(slices.Clone(c.unexplained), func(one *Crash) bool { return !slices.Contains(best.unexplained, one) })
+	return countIncidents(both, l.config.MassCrashWindow) >= minPartIncidents
+}
+
+// partLevel returns how restricted the part of the strongest candidate is.
+func (l *Ledger) partLevel(best *partCandidate, contested bool) Level {
+	enough := best.incidents >= minDoubtfulPartIncidents || len(best.unexplained) >= minDoubtfulPartCrashes && !best.ranBefore
+	switch {
+	case best.crashedOnTrial():
+		return Refused
+	case contested || best.ranBefore:
+		if enough {
+			return OnTrial
+		}
+		return Clear
+	case l.runs < minKnownRuns && !enough:
+		return Clear
+	default:
+		return Refused
+	}
+}
+
+// assessParts returns the assessment of a request with some prompt parts, and the part that is
+// on trial with it. A request with two parts on trial must not run: its crash would not show
+// which of them is the cause.
+func (l *Ledger) assessParts(parts []uint64, now time.Time) (Assessment, uint64) {
+	var result Assessment
+	var onTrial uint64
+	for _, part := range parts {
+		state := l.parts[part]
+		if state == nil || state.level == Clear {
+			continue
+		}
+		end := state.lastAt.Add(l.config.RefuseFor)
+		if !now.Before(end) {
+			continue
+		}
+		level := state.level
+		if level == OnTrial && onTrial != 0 && onTrial != part {
+			level = Refused
+		}
+		if level == OnTrial {
+			onTrial = part
+		}
+		if level > result.Level {
+			result = Assessment{Level: level}
+		}
+		if result.Level == Refused && end.After(result.Until) {
+			result.Until = end
+		}
+	}
+	return result, onTrial
+}
+
+// PartsRan records that a request with some prompt parts ran: it received events for some time,
+// or completed. A part that crashes every target cannot do so. It reports whether any of
+// them was suspected.
+func (l *Ledger) PartsRan(parts []uint64, now time.Time) bool {
+	suspected := false
+	l.runs++
+	for _, part := range parts {
+		l.ran.add(part, now)
+		if l.parts[part] != nil && l.clear(part, now) {
+			suspected = true
+		}
+	}
+	if suspected {
+		l.recompute(now)
+	}
+	return suspected
+}
+
+// RefusedParts returns the prompt parts whose requests are refused, sorted.
+func (l *Ledger) RefusedParts() []uint64 {
+	refused := maps.Clone(l.parts)
+	maps.DeleteFunc(refused, func(_ uint64, state *partState) bool { return state.level != Refused })
+	return slices.Sorted(maps.Keys(refused))
+}
+
+// FormatParts returns parts of prompts as they are logged: in hexadecimal, sorted, each once.
+func FormatParts(parts []uint64) string {
 	sorted := slices.Compact(slices.Sorted(slices.Values(parts)))
 	texts := make([]string, len(sorted))
 	for i, part := range sorted {
--- /dev/null
+++ b/request/poison/parts_test.go
@@ -0,0 +1,103 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	// maxLaterPartSends is how many requests with a crashing part may reach targets once
+	// simSpread has passed since its fifth crash.
+	maxLaterPartSends = 3
+	// minCounted is the number of sound requests with a first part from which on their
+	// share that is refused counts, maxRefusedShare the bound on it.
+	minCounted, maxRefusedShare = 20, 0.5
+)
+
+func drawPartsScenario(t *rapid.T) partsScenario {
+	drawDuration := func(name string, low, high time.Duration) time.Duration {
+		return time.Duration(rapid.Int64Range(int64(low), int64(high)).Draw(t, name))
+	}
+	scenario := partsScenario{
+		entries:           rapid.IntRange(1, 6).Draw(t, "entries"),
+		targets:           rapid.SampledFrom([]int{3, 12, 24}).Draw(t, "targets"),
+		lockStep:          rapid.Bool().Draw(t, "lock-step"),
+		crashingPerSecond: rapid.Float64Range(0.1, 10).Draw(t, "crashing"),
+		soundPerSecond:    rapid.Float64Range(1, 60).Draw(t, "sound"),
+		crashingFrom:      drawDuration("from", 0, 20*time.Second),
+		attempts:          rapid.IntRange(1, 3).Draw(t, "attempts"),
+		firstParts:        rapid.IntRange(1, 100).Draw(t, "first parts"),
+		sameFirst:         rapid.Bool().Draw(t, "same first part"),
+		restart:           drawDuration("restart", time.Second, 5*time.Second),
+		lossShare:         rapid.Float64Range(0, 0.05).Draw(t, "loss"),
+	}
+	if rapid.Bool().Draw(t, "others crash") {
+		scenario.otherCrashes = drawDuration("other crashes", 5*time.Second, 30*time.Second)
+	}
+	return scenario
+}
+
+// requireLost returns the first parts of which too many sound requests were refused.
+func (s *partsSim) lost() []string {
+	var lost []string
+	for first, outcome := range s.sound {
+		if outcome.sent >= minCounted && float64(outcome.refused) > maxRefusedShare*float64(outcome.sent) {
+			lost = append(lost, fmt.Sprintf("%d: %d of %d", first, outcome.refused, outcome.sent))
+		}
+	}
+	return lost
+}
+
+// TestCrashingPartReachesFewTargetsAfterItsFifthCrash guards against requests that crash targets
+// one after the other because they share a part of their prompts, and against sound requests
+// that are refused because they share another part with these.
+func TestCrashingPartReachesFewTargetsAfterItsFifthCrash(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sim := newPartsSim(drawPartsScenario(t), rapid.Uint64().Draw(t, "seed"))
+		sim.run()
+		require.LessOrEqual(t, sim.laterSends, maxLaterPartSends, "%d crashes", sim.crashes)
+		require.Empty(t, sim.lost(), "%d crashes", sim.crashes)
+	})
+}
+
+// groupScenario is a lock-step group of the users' record.
+var groupScenario = partsScenario{
+	entries: 4, targets: 12, lockStep: true, crashingPerSecond: 3, soundPerSecond: 50, crashingFrom: 8 * time.Second,
+	attempts: 2, firstParts: 60, restart: 3 * time.Second,
+}
+
+// TestPartsSimulationCatchesFaults checks that the simulation notices broken entries.
+func TestPartsSimulationCatchesFaults(t *testing.T) {
+	sameFirst := groupScenario
+	sameFirst.sameFirst, sameFirst.firstParts = true, 2
+	for name, broken := range map[string]struct {
+		fault    partsFault
+		scenario partsScenario
+	}{
+		"parts ignored":       {partsIgnored, groupScenario},
+		"runs ignored":        {runsIgnored, sameFirst},
+		"evidence not shared": {evidenceKept, groupScenario},
+	} {
+		t.Run(name, func(t *testing.T) {
+			caught := func(fault partsFault) int {
+				count := 0
+				for seed := range uint64(20) {
+					scenario := broken.scenario
+					scenario.fault = fault
+					sim := newPartsSim(scenario, seed)
+					sim.run()
+					if sim.laterSends > maxLaterPartSends || len(sim.lost()) > 0 {
+						count++
+					}
+				}
+				return count
+			}
+			require.Zero(t, caught(0), "not broken")
+			require.Positive(t, caught(broken.fault))
+		})
+	}
+}
--- a/request/poison/retention.go
+++ b/request/poison/retention.go
@@ -28,8 +28,8 @@
 			}
 			delete(l.crashes, crash.id())
 			excess--
-			for _, fingerprint := range crash.Fingerprints {
-				dropped[fingerprint]++
+			for _, suspect := range slices.Concat(crash.Fingerprints, crash.Parts) {
+				dropped[suspect]++
 			}
 		}
 	}
@@ -37,8 +37,11 @@
 	return len(l.crashes) < len(crashes)
 }
 
-// incriminatesNone reports whether no fingerprint in flight in a crash was so in many.
+// incriminatesNone reports whether no fingerprint or part in flight in a crash was so in many.
 func (l *Ledger) incriminatesNone(crash *Crash, _ map[uint64]int) bool {
+	if slices.ContainsFunc(crash.Parts, func(part uint64) bool { return l.parts[part] != nil && l.parts[part].level != Clear }) {
+		return false
+	}
 	return !slices.ContainsFunc(crash.Fingerprints, func(fingerprint uint64) bool {
 		suspect := l.suspects[fingerprint]
 		return suspect != nil && suspect.crashes >= l.config.refuseAmbiguousAfter()
@@ -46,7 +49,7 @@
 }
 
 // leavesEnough reports whether the requests in flight in a crash are treated alike without it.
-// dropped is how many crashes have been dropped, by fingerprint.
+// dropped is how many crashes have been dropped, by fingerprint and part.
 func (l *Ledger) leavesEnough(crash *Crash, dropped map[uint64]int) bool {
 	needed := l.config.refuseAmbiguousAfter()
 	onTrialStays := !slices.ContainsFunc(crash.Fingerprints, func(fingerprint uint64) bool {
@@ -56,9 +59,15 @@
 	return onTrialStays && l.leavesRefusals(crash, dropped)
 }
 
-// leavesRefusals reports whether the requests in flight in a crash that are refused stay so
-// without it.
+// leavesRefusals reports whether the requests in flight in a crash that are refused, and all
+// that have parts that do not run freely, are treated alike without it.
 func (l *Ledger) leavesRefusals(crash *Crash, dropped map[uint64]int) bool {
+	if slices.ContainsFunc(crash.Parts, func(part uint64) bool {
+		state := l.parts[part]
+		return state != nil && state.level != Clear && len(state.crashes)-dropped[part] <= keptPartCrashes
+	}) {
+		return false
+	}
 	needed := l.config.refuseAmbiguousAfter()
 	return !slices.ContainsFunc(crash.Fingerprints, func(fingerprint uint64) bool {
 		suspect := l.suspects[fingerprint]
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -16,8 +16,8 @@
 // Assess and Completed do not take its lock.
 type Tracker struct {
 	clock clockwork.Clock
-	// suspects is the number of suspected fingerprints, read to skip the lock while
-	// there are none.
+	// suspects is the number of suspected fingerprints and parts, read to skip the lock
+	// while there are none.
 	suspects atomic.Int64
 
 	// mu guards ledger; it is a leaf lock.
@@ -67,7 +67,7 @@
 func (t *Tracker) update(now time.Time, apply func() bool) bool {
 	t.mu.Lock()
 	changed := apply()
-	t.suspects.Store(int64(len(t.ledger.suspects)))
+	t.suspects.Store(int64(len(t.ledger.suspects) + len(t.ledger.parts)))
 	refused := len(t.ledger.Refused(now.Add(t.ledger.config.RefusalHold)))
 	t.mu.Unlock()
 	if changed {
@@ -88,13 +88,36 @@
 	return t.ledger.Assess(fingerprint, now)
 }
 
+// AssessRequest returns the current assessment of a request and what is on trial with it; see
+// Ledger.AssessRequest.
+func (t *Tracker) AssessRequest(subject Subject) (assessment Assessment, trial uint64) {
+	if t.suspects.Load() == 0 {
+		return Assessment{}, 0
+	}
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.AssessRequest(subject, now)
+}
+
+// PartsRan records that a request with some prompt parts ran; see Ledger.PartsRan.
+func (t *Tracker) PartsRan(parts []uint64) bool {
+	now := t.clock.Now()
+	if t.suspects.Load() == 0 {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return t.ledger.PartsRan(parts, now)
+	}
+	return t.update(now, func() bool { return t.ledger.PartsRan(parts, now) })
+}
+
 // BeginTrial reports whether this process may run a suspect on trial now; see
 // Ledger.BeginTrial.
-func (t *Tracker) BeginTrial(fingerprint uint64, rank int) bool {
+func (t *Tracker) BeginTrial(suspect uint64, rank int) bool {
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.ledger.BeginTrial(fingerprint, rank, now)
+	return t.ledger.BeginTrial(suspect, rank, now)
 }
 
 // Evidence returns all evidence, to be sent to a peer.
@@ -134,6 +157,16 @@
 	return t.ledger.Restricted(limit, now)
 }
 
+// RefusedParts returns the prompt parts whose requests are currently refused.
+func (t *Tracker) RefusedParts() []uint64 {
+	if t.suspects.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.RefusedParts()
+}
+
 // Refused returns the fingerprints that are currently refused, for operators.
 func (t *Tracker) Refused() []uint64 {
 	now := t.clock.Now()
