Report the newest clearances in heartbeats

Cause: heartbeats report three clearances, which were taken from a map in any order, so that a suspect that had just been cleared could stay suspected at peers. Test: TestHeartbeatsReportNewestClearances failed before (31, 28 and 25 ms old in place of 0, 1, 2).

--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -54,9 +54,7 @@
 	for _, crash := range l.sortedCrashes() {
 		evidence.Crashes = append(evidence.Crashes, crash.evidence(now))
 	}
-	for fingerprint := range l.cleared {
-		evidence.Clearances = append(evidence.Clearances, l.clearance(fingerprint, now))
-	}
+	evidence.Clearances = l.clearances(l.clearedNewestFirst(), now)
 	evidence.Trials = l.trialEvidence(len(l.trials), time.Time{})
 	return evidence
 }
@@ -99,16 +97,17 @@
 // Recent returns at most limit of the newest crashes, at most limit clearances and the
 // trials of at most limit suspects, none of them older than span.
 func (l *Ledger) Recent(limit int, span time.Duration, now time.Time) Evidence {
-	all := l.Evidence(now)
-	slices.Reverse(all.Crashes)
 	var recent Evidence
-	for _, crash := range all.Crashes[:min(limit, len(all.Crashes))] {
-		if parseAge(crash.AgeMillis) <= span {
-			recent.Crashes = append(recent.Crashes, crash)
+	crashes := l.sortedCrashes()
+	slices.Reverse(crashes)
+	for _, crash := range crashes[:min(limit, len(crashes))] {
+		if now.Sub(crash.At) <= span {
+			recent.Crashes = append(recent.Crashes, crash.evidence(now))
 		}
 	}
-	for _, clearance := range all.Clearances {
-		if len(recent.Clearances) < limit && parseAge(clearance.AgeMillis) <= span {
+	cleared := l.clearedNewestFirst()
+	for _, clearance := range l.clearances(cleared[:min(limit, len(cleared))], now) {
+		if parseAge(clearance.AgeMillis) <= span {
 			recent.Clearances = append(recent.Clearances, clearance)
 		}
 	}
@@ -130,6 +129,13 @@
 	return evidence
 }
 
+// clearedNewestFirst returns the fingerprints and parts that were cleared, the latest first.
+func (l *Ledger) clearedNewestFirst() []uint64 {
+	return slices.SortedFunc(maps.Keys(l.cleared), func(a, b uint64) int {
+		return cmp.Or(l.cleared[b].Compare(l.cleared[a]), cmp.Compare(a, b))
+	})
+}
+
 // clearances returns the clearances of those fingerprints and parts that were cleared.
 func (l *Ledger) clearances(suspects []uint64, now time.Time) []Clearance {
 	var all []Clearance
--- /dev/null
+++ b/request/poison/evidence_test.go
@@ -0,0 +1,27 @@
+package poison
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestHeartbeatsReportNewestClearances guards against suspects that stay suspected at peers,
+// because others that were cleared before take their places in the heartbeats.
+func TestHeartbeatsReportNewestClearances(t *testing.T) {
+	const suspects, limit = 40, 3
+	now := time.Unix(1000, 0)
+	ledger := NewLedger(refuseAfterThree, now)
+	var fingerprints []uint64
+	for n := range uint64(suspects) {
+		fingerprints = append(fingerprints, n)
+	}
+	ledger.Add(Crash{Target: "t", Incarnation: "1", Fingerprints: fingerprints, At: now}, now)
+	for _, fingerprint := range fingerprints {
+		now = now.Add(time.Millisecond)
+		require.True(t, ledger.Completed(fingerprint, now))
+	}
+	recent := ledger.Recent(limit, time.Second, now)
+	require.Equal(t, []Clearance{{39, 0}, {38, 1}, {37, 2}}, recent.Clearances)
+}
--- a/request/poison/retention.go
+++ b/request/poison/retention.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -82,10 +81,8 @@
 	if excess <= 0 {
 		return
 	}
-	oldestFirst := slices.SortedFunc(maps.Keys(l.cleared), func(a, b uint64) int {
-		return cmp.Or(l.cleared[a].Compare(l.cleared[b]), cmp.Compare(a, b))
-	})
-	for _, fingerprint := range oldestFirst[:excess] {
+	newestFirst := l.clearedNewestFirst()
+	for _, fingerprint := range newestFirst[len(newestFirst)-excess:] {
 		delete(l.cleared, fingerprint)
 	}
 }
