End exchanges with targets that send bytes without end

What callers saw: a body without a length or of chunks that never ends was cut at 64 MiB and given to the caller as a whole answer (200). A head without end filled the entry's memory until the caller's deadline, a late response kept the attempt busy until then. Change: the head of a response ends the exchange after 256 KiB, the body of a late one after 1 MiB (ResponseTooLongError), a buffered body over 16 MiB is no answer. Streams were bounded already, per event.

--- a/connection/direct/errors.go
+++ b/connection/direct/errors.go
@@ -31,6 +31,15 @@
 	return fmt.Sprintf("response belongs to request %q, want %q", e.Got, e.Want)
 }
 
+// ResponseTooLongError means that the head of a response, or the body of a late one, is longer
+// than Limit bytes. It may have no end.
+type ResponseTooLongError struct{ Limit int }
+
+// Error implements error.
+func (e *ResponseTooLongError) Error() string {
+	return fmt.Sprintf("response is longer than %d bytes", e.Limit)
+}
+
 // ConnectionLimitError means that the maximum number of connections to the target is
 // open, and none is idle or a new one was required.
 type ConnectionLimitError struct{ Limit int }
--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -93,10 +93,12 @@
 // requests, but fails at one that is delimited only by the close of the connection.
 func (e *exchange) receive(request *Request) (*Response, error) {
 	for range maxResponsesRead {
+		e.conn.limits.limit(maxHeadBytes)
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, err
 		}
+		e.conn.limits.unlimit()
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
@@ -108,7 +110,7 @@
 			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 				return nil, &ResponseMismatchError{Want: request.ID, Got: id}
 			}
-			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			if err := discardLateBody(response.Body); err != nil {
 				return nil, err
 			}
 			continue
@@ -118,6 +120,15 @@
 	return nil, &ResponseMismatchError{Want: request.ID}
 }
 
+// discardLateBody reads the body of a late response to its end.
+func discardLateBody(body io.Reader) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxLateBodyBytes+1))
+	if err == nil && n > maxLateBodyBytes {
+		err = &ResponseTooLongError{Limit: maxLateBodyBytes}
+	}
+	return err
+}
+
 // newResponse returns the Response and records whether the connection can be reused,
 // and how long it may be idle.
 func (e *exchange) newResponse(response *http.Response) *Response {
--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -57,6 +57,8 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// limits is what reader reads from.
+	limits *limitedReader
 	// reused is set if the connection has been returned to the pool before.
 	reused bool
 	// expires is the time from which the idle connection is no longer used, because
@@ -135,7 +137,8 @@
 	if p.onDial != nil {
 		p.onDial()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	limits := &limitedReader{Reader: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(limits, readBufferBytes), limits: limits}, nil
 }
 
 // Check reports whether the target accepts connections: it returns nil if an idle
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -13,15 +13,28 @@
 	"verbenaseam.example/verbenaseam/request/headers"
 )
 
-// responseLimit bounds the body of a response that is not streamed, in bytes.
-const responseLimit = 64 << 20
+// responseLimit bounds the body of a response that is not streamed, in bytes. A longer one may
+// have no end.
+const responseLimit = 16 << 20
+
+// errResponseTooLong means that a body is longer than responseLimit.
+const errResponseTooLong = streamError("response exceeds the size limit")
+
+// readBody reads the whole body of a response.
+func readBody(response io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response, responseLimit+1))
+	if err == nil && len(body) > responseLimit {
+		return nil, errResponseTooLong
+	}
+	return body, err
+}
 
 // relayBuffered reads the whole response before it writes any of it, so that the
 // caller never receives part of a truncated one. attemptCtx is the attempt's
 // context, derived from ctx; progress is called once the response is complete. The results are those of attempt.
 func (h *Handler) relayBuffered(ctx, attemptCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, response *direct.Response, v verdict, progress func()) (shouldRetry bool, failed *failure.Error) {
 	defer response.Close()
-	body, err := io.ReadAll(io.LimitReader(response, responseLimit))
+	body, err := readBody(response)
 	if err != nil {
 		truncated := truncatedVerdict(attemptCtx)
 		// endFailedAttempt was already called if the response head was a failure.
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -10,7 +10,7 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 )
 
-// streamError is the reason why the relay of a stream ended early.
+// streamError is the reason why the relay of a response ended early.
 type streamError string
 
 // Error implements error.
