Soak: requests with a prompt part that crashes targets

New promise: after the fifth crash at most three reach targets, sent by entries that no fault has kept from the others' knowledge for the contact time. Lookups share the first part and the key, and must be served as before.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,15 +40,17 @@
 	client  *http.Client
 	// directories are the addresses of the entries' directories.
 	directories []string
-	addresses   []string
-	resolvedAt  time.Time
+	// entries are the addresses of the entries, by their numbers.
+	entries    []string
+	addresses  []string
+	resolvedAt time.Time
 	// judging reports whether every request must be served by now.
 	judging func() bool
 }
 
-func newCaller(kind requestKind, r *records, seed uint64, directories []string, judging func() bool) *caller {
+func newCaller(kind requestKind, r *records, seed uint64, directories, entries []string, judging func() bool) *caller {
 	return &caller{
-		kind: kind, records: r, random: rand.New(rand.NewPCG(seed, 2)), directories: directories, judging: judging,
+		kind: kind, records: r, random: rand.New(rand.NewPCG(seed, 2)), directories: directories, entries: entries, judging: judging,
 		client: &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 2}},
 	}
 }
@@ -108,12 +111,12 @@
 	return c.addresses[c.random.IntN(len(c.addresses))]
 }
 
-var paths = map[requestKind]string{lookup: "/look/x", order: "/order/x", chat: "/chat/stream"}
+var paths = map[requestKind]string{lookup: "/look/x", order: "/order/x", chat: "/chat/stream", crashing: "/look/"}
 
 // send sends an attempt. It returns the outcome, the time after which the caller may try
 // again, and whether it may.
 func (c *caller) send(ctx context.Context, address string) (outcome string, wait time.Duration, again bool) {
-	sent := c.records.begin(c.kind, paths[c.kind])
+	sent := c.records.begin(c.kind, paths[c.kind], slices.Index(c.entries, address))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+sent.path, strings.NewReader(requestBody))
 	if err != nil {
 		return err.Error(), 0, false
@@ -122,6 +125,7 @@
 	request.Header.Set(platform.HeaderAttemptID, sent.id)
 	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(patience.Milliseconds(), 10))
 	request.Header.Set(platform.HeaderAuthorization, platform.KeyScheme+standin.APIKey)
+	request.Header.Set(platform.HeaderPromptParts, promptParts(sent))
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.addresses = nil
@@ -138,6 +142,14 @@
 	return strconv.Itoa(response.StatusCode), retryPause, c.kind == lookup
 }
 
+// promptParts returns the parts of the prompt of an attempt.
+func promptParts(sent attempt) string {
+	if sent.kind == crashing {
+		return sharedPart + "," + crashingPart + ":410," + sent.id + ":250"
+	}
+	return sharedPart + "," + sent.id + ":250"
+}
+
 // retryAfter returns the time that a refusal asks to wait.
 func retryAfter(response *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(response.Header.Get(platform.HeaderRetryAfter), 64)
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -80,6 +80,10 @@
 	// Trouble is the time in which faults begin.
 	Trouble time.Duration
 	Faults  []Fault
+	// CrashingFrom is when requests with crashingPart begin to come; 0 for not at all.
+	CrashingFrom time.Duration
+	// Entries is the number of entries of the run.
+	Entries int
 }
 
 const (
@@ -98,6 +102,8 @@
 	minFaultTime = 100 * time.Millisecond
 	// faultsPerSecond is the mean number of faults that begin in a second.
 	faultsPerSecond = 1.2
+	// crashingDays is the number of days of which one has requests with crashingPart.
+	crashingDays = 3
 )
 
 // DrawDay draws a day from a seed, with faults that begin within the given time.
@@ -114,6 +120,9 @@
 		})
 	}
 	slices.SortFunc(day.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	if random.IntN(crashingDays) == 0 {
+		day.CrashingFrom = warmup + time.Duration(random.Int64N(int64(trouble)))
+	}
 	return day
 }
 
@@ -132,5 +141,8 @@
 	for _, fault := range d.Faults {
 		lines = append(lines, fault.String())
 	}
+	if d.CrashingFrom > 0 {
+		lines = append(lines, fmt.Sprintf("%5.2f s: requests with a part that crashes targets, to the end", d.CrashingFrom.Seconds()))
+	}
 	return fmt.Sprintf("seed %d\n%s", d.Seed, strings.Join(lines, "\n"))
 }
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -28,6 +28,9 @@
 	OneMapPerStep Promise = "one expert map in each step"
 	// LookupsAreServed: after faults have ended and recovery has passed, every lookup is.
 	LookupsAreServed Promise = "lookups are served after recovery"
+	// CrashingPartIsRefused: requests with a part that crashes targets reach few of them once
+	// it has crashed some.
+	CrashingPartIsRefused Promise = "a part that crashes targets is refused"
 	// StandinsWork: the stand-ins of the soak start again. It is no promise of the system, but
 	// a run without them says nothing.
 	StandinsWork Promise = "the stand-ins of the soak work"
@@ -55,6 +58,8 @@
 	lookup requestKind = "lookup"
 	order  requestKind = "order"
 	chat   requestKind = "chat"
+	// crashing requests have crashingPart. They are no two alike.
+	crashing requestKind = "crashing"
 )
 
 // attempt is one request that a caller has sent.
@@ -62,6 +67,8 @@
 	id   string
 	kind requestKind
 	path string
+	// entry is the number of the entry that it was sent to.
+	entry int
 }
 
 // maxViolations bounds the violations that are kept.
@@ -87,10 +94,13 @@
 }
 
 // begin records an attempt and gives it an ID.
-func (r *records) begin(kind requestKind, path string) attempt {
+func (r *records) begin(kind requestKind, path string, entry int) attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent := attempt{id: fmt.Sprintf("%s-%d", kind, len(r.sent)), kind: kind, path: path}
+	sent := attempt{id: fmt.Sprintf("%s-%d", kind, len(r.sent)), kind: kind, path: path, entry: entry}
+	if kind == crashing {
+		sent.path += sent.id
+	}
 	r.sent[sent.id] = sent
 	return sent
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -71,8 +71,10 @@
 	if err := s.awaitReady(starting); err != nil {
 		return Result{}, err
 	}
+	config.Day.Entries = config.Entries
+	started := time.Now()
 	s.play(ctx, config.Day)
-	s.check()
+	s.check(config.Day, started)
 	result := Result{Seed: config.Day.Seed, Violations: r.violations, Outcomes: map[string]map[string]int{}}
 	for kind, outcomes := range r.outcomes {
 		result.Outcomes[string(kind)] = outcomes
@@ -90,10 +92,11 @@
 	running.Go(func() { s.runGroup(ctx) })
 	for n, kind := range []requestKind{lookup, order, chat} {
 		for i := range callersPerKind {
-			c := newCaller(kind, s.records, day.Seed+uint64(n*callersPerKind+i), s.directories, judging)
+			c := newCaller(kind, s.records, day.Seed+uint64(n*callersPerKind+i), s.directories, s.callerAddresses, judging)
 			running.Go(func() { c.run(ctx) })
 		}
 	}
+	s.runCrashingCallers(ctx, day, started, &running)
 	for _, fault := range day.Faults {
 		running.Go(func() {
 			select {
@@ -105,3 +108,20 @@
 	}
 	running.Wait()
 }
+
+// runCrashingCallers sends the requests of a day that crash targets.
+func (s *system) runCrashingCallers(ctx context.Context, day Day, started time.Time, running *sync.WaitGroup) {
+	if day.CrashingFrom == 0 {
+		return
+	}
+	for i := range crashingCallers {
+		c := newCaller(crashing, s.records, day.Seed+uint64(i), s.directories, s.callerAddresses, func() bool { return false })
+		running.Go(func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(time.Until(started.Add(day.CrashingFrom))):
+				c.run(ctx)
+			}
+		})
+	}
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,11 +62,11 @@
 		breaks  func(*records)
 	}{
 		"order runs twice": {OrderRunsOnce, func(r *records) {
-			sent := r.begin(order, paths[order])
+			sent := r.begin(order, paths[order], 0)
 			r.checkExecuted([]standin.ExecutedRequest{run(sent), run(sent)})
 		}},
 		"refused order runs": {RefusalIsTrue, func(r *records) {
-			sent := r.begin(order, paths[order])
+			sent := r.begin(order, paths[order], 0)
 			r.refusedAsNotRun(sent, http.StatusServiceUnavailable)
 			r.checkExecuted([]standin.ExecutedRequest{run(sent)})
 		}},
@@ -74,22 +74,33 @@
 			r.checkExecuted([]standin.ExecutedRequest{run(attempt{id: "nobody", path: paths[order]})})
 		}},
 		"key reaches the target": {RequestIsUnchanged, func(r *records) {
-			request := run(r.begin(lookup, paths[lookup]))
+			request := run(r.begin(lookup, paths[lookup], 0))
 			request.Key = standin.APIKey
 			r.checkExecuted([]standin.ExecutedRequest{request})
 		}},
 		"body is changed": {RequestIsUnchanged, func(r *records) {
-			request := run(r.begin(lookup, paths[lookup]))
+			request := run(r.begin(lookup, paths[lookup], 0))
 			request.Body += "x"
 			r.checkExecuted([]standin.ExecutedRequest{request})
 		}},
 		"stream looks complete": {StreamIsWhole, func(r *records) {
-			c := newCaller(chat, r, 1, nil, nil)
-			c.receiveStream(r.begin(chat, paths[chat]), strings.NewReader("id: 1\ndata: event 1\n\n"))
+			c := newCaller(chat, r, 1, nil, nil, nil)
+			c.receiveStream(r.begin(chat, paths[chat], 0), strings.NewReader("id: 1\ndata: event 1\n\n"))
 		}},
 		"event is missing": {StreamIsWhole, func(r *records) {
-			c := newCaller(chat, r, 1, nil, nil)
-			c.receiveStream(r.begin(chat, paths[chat]), strings.NewReader("id: 1\n\nid: 3\n\n"))
+			c := newCaller(chat, r, 1, nil, nil, nil)
+			c.receiveStream(r.begin(chat, paths[chat], 0), strings.NewReader("id: 1\n\nid: 3\n\n"))
+		}},
+		"crashing part reaches targets": {CrashingPartIsRefused, func(r *records) {
+			var executed []standin.ExecutedRequest
+			started := time.Unix(1000, 0)
+			for n := range countedCrashes + maxLaterSends + 1 {
+				sent := r.begin(crashing, paths[crashing], 0)
+				executed = append(executed, standin.ExecutedRequest{
+					AttemptID: sent.id, PromptParts: promptParts(sent), At: started.Add(time.Duration(n) * 2 * contact),
+				})
+			}
+			r.checkCrashingPart(executed, Day{Entries: 1}, started)
 		}},
 		"answer of another request": {AnswerIsWhole, func(r *records) { receiveFrom(t, r, "another", standin.Answer) }},
 		"answer with other bytes":   {AnswerIsWhole, func(r *records) { receiveFrom(t, r, "", standin.Answer+"x") }},
@@ -117,7 +128,7 @@
 	})}
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
-	c := newCaller(lookup, r, 1, nil, nil)
+	c := newCaller(lookup, r, 1, nil, nil, nil)
 	c.addresses, c.resolvedAt = []string{listener.Addr().String()}, time.Now()
 	require.Equal(t, served, c.request())
 }
@@ -128,7 +139,7 @@
 	r := newRecords()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	c := newCaller(lookup, r, 1, []string{"127.0.0.1:1"}, func() bool { return true })
+	c := newCaller(lookup, r, 1, []string{"127.0.0.1:1"}, nil, func() bool { return true })
 	c.run(ctx)
 	require.NotEmpty(t, r.violations)
 	require.Equal(t, LookupsAreServed, r.violations[0].Promise)
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -54,9 +54,11 @@
 	plain               []*plainTarget
 	entries, agents     []*process
 	// storeLinks are the links of the processes to the store, entries first.
-	storeLinks  []*proxy
-	directories []string
-	closers     []func()
+	storeLinks []*proxy
+	// directories are the addresses of the entries' directories, callerAddresses those for
+	// callers.
+	directories, callerAddresses []string
+	closers                      []func()
 
 	// mu guards configuration, the version of the newest configuration.
 	mu            sync.Mutex
@@ -119,6 +121,7 @@
 		return err
 	}
 	target := &plainTarget{number: n, store: s.store, link: link, address: address}
+	target.onCrash = func() { go s.replace(target, crashRestart) }
 	if err := target.start(); err != nil {
 		return err
 	}
@@ -166,6 +169,7 @@
 		return err
 	}
 	s.directories = append(s.directories, addresses[2])
+	s.callerAddresses = append(s.callerAddresses, addresses[0])
 	s.entries = append(s.entries, entry)
 	return nil
 }
@@ -255,7 +259,7 @@
 }
 
 // check checks the promises that only the whole run shows.
-func (s *system) check() {
+func (s *system) check(day Day, started time.Time) {
 	var executed []standin.ExecutedRequest
 	for _, target := range s.plain {
 		executed = append(executed, target.executed()...)
@@ -264,6 +268,7 @@
 		executed = append(executed, target.Executed()...)
 	}
 	s.records.checkExecuted(executed)
+	s.records.checkCrashingPart(executed, day, started)
 	if _, _, mixed := s.group.State(); mixed > 0 {
 		s.records.broken(OneMapPerStep, "%d steps on different maps", mixed)
 	}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -17,6 +17,8 @@
 	number int
 	store  *standin.Store
 	link   *proxy
+	// onCrash replaces the target after a request with crashingPart.
+	onCrash func()
 	// replacing is held while an incarnation is replaced; it is taken before mu.
 	replacing sync.Mutex
 
@@ -39,6 +41,8 @@
 		return err
 	}
 	p.current = &standin.Target{ID: fmt.Sprintf("plain-%d-%d", p.number, len(p.all)), Service: "plain", FailureDomain: failureDomain}
+	p.current.Crash = p.onCrash
+	p.current.SetFaults(standin.TargetFaults{CrashOnPart: crashingPart})
 	p.all = append(p.all, p.current)
 	p.server = &http.Server{Handler: p.current}
 	go func(server *http.Server) { _ = server.Serve(listener) }(p.server)
@@ -78,6 +82,7 @@
 func (p *plainTarget) setFaults(faults standin.TargetFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	faults.CrashOnPart = crashingPart
 	p.current.SetFaults(faults)
 }
 
