--- a/Makefile
+++ b/Makefile
@@ -63,8 +63,10 @@
 SEED ?= 100
 SEEDS ?= 50
 
-soak:
-	$(GO) run ./internal/soakrun --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) --report build/soak/report.json
+soak: build
+	mkdir -p build/soak
+	$(BIN)/verbenaseam soak --seed $(SEED) --seeds $(SEEDS) --jobs $(JOBS) \
+		--results build/soak/results.json --report build/soak/report.html
 
 generate:
 	$(GO) generate ./api/...
--- a/daemon/tool/tool.go
+++ b/daemon/tool/tool.go
@@ -71,6 +71,7 @@
 	must(parser.AddCommand("dev", "Run the whole system on loopback", "", &devRun{tool: t}))
 	must(parser.AddCommand("demo", "Run the whole system on loopback and send it a mix of requests", "", &demoRun{tool: t}))
 	must(parser.AddCommand("standins", "Run stand-ins for the platform, engines and services named in the settings files of a directory", "", &standinsRun{tool: t}))
+	must(parser.AddCommand("soak", "Play days of faults against the platform's programs and check promises", "", &soakRun{tool: t}))
 	must(parser.AddCommand("completion", "Print a shell completion script", "", &completionScript{tool: t}))
 	return parser
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -60,18 +60,19 @@
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		judged := c.judging()
+		sent := time.Now()
 		outcome := c.request()
-		c.records.count(c.kind, outcome)
-		if judged && c.kind == lookup && outcome != served {
+		c.records.count(c.kind, outcome, sent)
+		if judged && c.kind == lookup && outcome != Served {
 			c.records.broken(LookupsAreServed, "a lookup ended: %s", outcome)
 		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(2 * pauseBetween))))
 	}
 }
 
-// served is the outcome of a request that was served; other outcomes are statuses, or words
+// Served is the outcome of a request that was served; other outcomes are statuses, or words
 // for what happened.
-const served = "served"
+const Served = "served"
 
 // request sends one request, with the retries that its kind allows, and returns the outcome.
 func (c *caller) request() string {
@@ -175,7 +176,7 @@
 	if string(body) != standin.Answer {
 		c.records.broken(AnswerIsWhole, "%s got %q", sent.id, body)
 	}
-	return served, 0, false
+	return Served, 0, false
 }
 
 // receiveStream reads a stream and checks that its events have the IDs from 1, and that it
@@ -190,7 +191,7 @@
 				c.records.broken(StreamIsWhole, "%s looks complete after %d of %d events", sent.id, events, streamEvents)
 			}
 			if events == streamEvents {
-				return served
+				return Served
 			}
 			return "cut"
 		}
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -76,17 +77,27 @@
 
 // records holds what callers and targets have seen. It is safe for concurrent use.
 type records struct {
-	started time.Time
-
 	// mu guards the fields below; it is a leaf lock.
 	mu sync.Mutex
+	// started is when the day began.
+	started time.Time
 	// sent holds all attempts by ID, refused the status of those that were refused as not
 	// run.
 	sent       map[string]attempt
 	refused    map[string]int
 	violations []Violation
-	// outcomes counts requests by kind and outcome.
+	// outcomes counts requests by kind and outcome, samples are the requests themselves.
 	outcomes map[requestKind]map[string]int
+	samples  []Sample
+}
+
+// Sample is a request of a caller, with its retries.
+type Sample struct {
+	Kind string
+	// At is the time of the day at which it was sent, Took the time until its end.
+	At, Took time.Duration
+	// Outcome is "served", a status, or a word for what happened.
+	Outcome string
 }
 
 func newRecords() *records {
@@ -113,10 +124,20 @@
 	r.refused[sent.id] = status
 }
 
-// count counts the outcome of a request.
-func (r *records) count(kind requestKind, outcome string) {
+// latencyObjective is that of the routes of lookups and orders, see standin.Configuration.
+const latencyObjective = 300 * time.Millisecond
+
+// IsLate reports whether a request was served after the latency objective of its route. Streams,
+// whose objective is the time to the first event, are never late here.
+func (s Sample) IsLate() bool {
+	return s.Outcome == Served && s.Kind != string(chat) && s.Took > latencyObjective
+}
+
+// count counts a request that was sent at the given time and has just ended.
+func (r *records) count(kind requestKind, outcome string, sent time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.samples = append(r.samples, Sample{string(kind), sent.Sub(r.started), time.Since(sent), outcome})
 	if r.outcomes[kind] == nil {
 		r.outcomes[kind] = map[string]int{}
 	}
@@ -132,6 +153,19 @@
 	}
 }
 
+// startDay sets the beginning of the times of a day.
+func (r *records) startDay(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.started = at
+}
+
+// IsRefusal reports whether an outcome is a status that promises that the request has not run.
+func IsRefusal(outcome string) bool {
+	status, err := strconv.Atoi(outcome)
+	return err == nil && promisesNotRun(status)
+}
+
 // promisesNotRun reports whether a status promises that the request has not run.
 func promisesNotRun(status int) bool {
 	switch status {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"debug/buildinfo"
 	"fmt"
 	"os"
 	"os/exec"
@@ -22,10 +23,17 @@
 
 // Result is the result of a run.
 type Result struct {
-	Seed       uint64
+	Seed uint64
+	// Build is the build of the programs.
+	Build      string
+	Day        Day
 	Violations []Violation
 	// Outcomes counts requests by kind and outcome.
 	Outcomes map[string]map[string]int
+	// Samples are all requests, in the order in which they ended. Length is the length of
+	// the day.
+	Samples []Sample
+	Length  time.Duration
 }
 
 // BuildError means that the programs could not be built.
@@ -51,6 +59,54 @@
 	return nil
 }
 
+// MissingProgramError means that a directory lacks a program that the soak plays.
+type MissingProgramError struct {
+	File  string
+	Cause error
+}
+
+// Error implements error.
+func (e *MissingProgramError) Error() string {
+	return fmt.Sprintf("no program %s; make build builds it: %v", e.File, e.Cause)
+}
+
+// Unwrap returns the error of looking for the file.
+func (e *MissingProgramError) Unwrap() error { return e.Cause }
+
+// CheckBinaries reports whether a directory has the programs that the soak plays. It fails with
+// MissingProgramError.
+func CheckBinaries(directory string) error {
+	for _, program := range []string{entryProgram, agentProgram} {
+		file := filepath.Join(directory, program)
+		if _, err := os.Stat(file); err != nil {
+			return &MissingProgramError{File: file, Cause: err}
+		}
+	}
+	return nil
+}
+
+// buildOf returns the commit that the programs in a directory were built from, "unknown" if they
+// do not tell.
+func buildOf(binaries string) string {
+	info, err := buildinfo.ReadFile(filepath.Join(binaries, entryProgram))
+	if err != nil {
+		return unknownBuild
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value[:min(len(setting.Value), commitLength)]
+		}
+	}
+	return unknownBuild
+}
+
+const (
+	entryProgram, agentProgram = "verbenaseam-direct", "verbenaseam-rank"
+	unknownBuild               = "unknown"
+	// commitLength is the length to which commits are shortened.
+	commitLength = 7
+)
+
 // startTimeout is how long the system may take to become ready.
 const startTimeout = 15 * time.Second
 
@@ -73,9 +129,13 @@
 	}
 	config.Day.Entries = config.Entries
 	started := time.Now()
+	r.startDay(started)
 	s.play(ctx, config.Day)
 	s.check(config.Day, started)
-	result := Result{Seed: config.Day.Seed, Violations: r.violations, Outcomes: map[string]map[string]int{}}
+	result := Result{
+		Seed: config.Day.Seed, Build: buildOf(config.Binaries), Day: config.Day, Violations: r.violations, Outcomes: map[string]map[string]int{},
+		Samples: r.samples, Length: time.Since(started),
+	}
 	for kind, outcomes := range r.outcomes {
 		result.Outcomes[string(kind)] = outcomes
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,7 +17,7 @@
 )
 
 // TestDaysKeepPromises plays short days with fixed seeds. The longer runs are started by hand
-// (go run ./internal/soakrun --seeds 50).
+// (verbenaseam soak --seeds 50).
 func TestDaysKeepPromises(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts programs")
@@ -33,7 +33,7 @@
 			require.NoError(t, err)
 			require.Empty(t, result.Violations)
 			for _, kind := range []requestKind{lookup, order, chat} {
-				require.Positive(t, result.Outcomes[string(kind)][served], kind)
+				require.Positive(t, result.Outcomes[string(kind)][Served], kind)
 			}
 		})
 	}
@@ -130,7 +130,7 @@
 	t.Cleanup(func() { _ = server.Close() })
 	c := newCaller(lookup, r, 1, nil, nil, nil)
 	c.addresses, c.resolvedAt = []string{listener.Addr().String()}, time.Now()
-	require.Equal(t, served, c.request())
+	require.Equal(t, Served, c.request())
 }
 
 // TestUnservedLookupIsFound guards against a judged lookup that fails unnoticed, and against a
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -164,7 +164,7 @@
 	}
 	settings := fmt.Sprintf("[entry]\nname = edge-%d\nfailure_domain = %s\ncaller_address = %s\nready_address = %s\ndirectory_address = %s\npeer_address = %s\n[store]\naddress = %s\n",
 		n, failureDomain, addresses[0], addresses[1], addresses[2], addresses[3], store)
-	entry, err := newProcess(s.directory, s.binaries, "verbenaseam-direct", fmt.Sprintf("edge-%d", n), settings+Bounds, s.exited)
+	entry, err := newProcess(s.directory, s.binaries, entryProgram, fmt.Sprintf("edge-%d", n), settings+Bounds, s.exited)
 	if err != nil {
 		return err
 	}
@@ -209,7 +209,7 @@
 	}
 	settings := fmt.Sprintf("[rank]\nname = side-%d\nfailure_domain = %s\ntarget_address = %s\nservice = model\npeer_address = %s:%s\n[store]\naddress = %s\n",
 		n, failureDomain, address, host, peerPort, store)
-	agent, err := newProcess(s.directory, s.binaries, "verbenaseam-rank", fmt.Sprintf("side-%d", n), settings+Bounds, s.exited)
+	agent, err := newProcess(s.directory, s.binaries, agentProgram, fmt.Sprintf("side-%d", n), settings+Bounds, s.exited)
 	if err != nil {
 		return err
 	}
