Answer 504 when the connection times out before the context of a call

Cause: an attempt counted as out of time only if its context had ended. The connection to the target times out 100 ms after the deadline; on a busy host that came first. Change: an attempt that ends after the call's deadline is out of time. Evidence: TestConnectionThatTimesOutBeforeTheContextIsNoFault fails without (incomplete_answer).

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -222,7 +222,7 @@
 	request.OnHead = func(status int, header http.Header) { h.recordNotice(c, t, status, header) }
 	response, err := h.connections(t).Do(attemptCtx, request, false)
 	if err != nil {
-		v := withWatchdogCause(attemptCtx, classifyError(err, ctx.Err() != nil))
+		v := withWatchdogCause(attemptCtx, classifyError(err, h.ended(ctx, c)))
 		h.updateCrashEvidence(c, t, sent, err, v)
 		return nil, v
 	}
@@ -231,6 +231,12 @@
 	return response, v
 }
 
+// ended reports whether the caller of a call has disconnected or its deadline has passed. On a
+// busy host the connection may time out, by deadlineSlack later, before the context ends.
+func (h *Handler) ended(ctx context.Context, c *call) bool {
+	return ctx.Err() != nil || !h.clock.Now().Before(c.deadline)
+}
+
 // beginAttempt records that a call is sent to a target.
 func (h *Handler) beginAttempt(c *call, t *dispatch.Target) {
 	kind := "first"
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -36,7 +36,7 @@
 	defer response.Close()
 	body, err := readBody(response)
 	if err != nil {
-		truncated := truncatedVerdict(attemptCtx)
+		truncated := h.truncatedVerdict(attemptCtx, c)
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
 		h.updateCrashEvidence(c, t, h.clock.Now(), err, truncated)
@@ -59,9 +59,9 @@
 
 // truncatedVerdict returns the verdict on a response whose body was cut short. ctx
 // is the attempt's context.
-func truncatedVerdict(ctx context.Context) verdict {
+func (h *Handler) truncatedVerdict(ctx context.Context, c *call) verdict {
 	v := incomplete(dispatch.Failed, "response truncated")
-	if ctx.Err() != nil {
+	if h.ended(ctx, c) {
 		v = v.abandoned()
 	}
 	return withWatchdogCause(ctx, v)
@@ -103,7 +103,7 @@
 			out.finish(src.response)
 			return false, nil
 		}
-		v := truncatedVerdict(src.ctx)
+		v := h.truncatedVerdict(src.ctx, c)
 		if errors.Is(err, errCallerDisconnected) {
 			v = v.abandoned()
 		}
