--- a/request/forward/suspect.go
+++ b/request/forward/suspect.go
@@ -28,11 +28,8 @@
 // A suspect that may run is on trial from then on.
 func (h *Handler) refuseBeforeAttempt(c *call) *failure.Error {
 	refusal := h.refuseSuspect(c)
-	if _, trial := h.poison.AssessRequest(c.subject); refusal == nil && trial != 0 {
-		c.trial = trial
-		if !h.crashes.BeginTrial(trial, h.trialRank(trial)) {
-			c.trial, refusal = 0, newTrialRefusal()
-		}
+	if refusal == nil {
+		refusal = h.beginTrial(c)
 	}
 	if refusal != nil {
 		refusal.Outcome = c.attempts.Outcome()
@@ -40,6 +37,19 @@
 	return refusal
 }
 
+// beginTrial puts a suspect on trial. It returns the failure of one that may not be tried now.
+func (h *Handler) beginTrial(c *call) *failure.Error {
+	_, trial := h.poison.AssessRequest(c.subject)
+	if trial == 0 {
+		return nil
+	}
+	if !h.crashes.BeginTrial(trial, h.trialRank(trial)) {
+		return newTrialRefusal()
+	}
+	c.trial = trial
+	return nil
+}
+
 func newTrialRefusal() *failure.Error {
 	return failure.New(failure.Overloaded, failure.NotRun, "the request is suspected of crashing targets and on trial elsewhere").
 		WithRetryAfter(trialRetryAfter)
