--- a/request/poison/entries_test.go
+++ b/request/poison/entries_test.go
@@ -138,6 +138,7 @@
 		"evidence not stored":             {evidenceNotStored, lostEvidenceScenario},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			scenario := broken.scenario
 			scenario.storeAway = broken.fault == onlyNewestCrashes || broken.fault == trialsNotShared
 			scenario.fault = broken.fault
--- a/request/poison/parts_test.go
+++ b/request/poison/parts_test.go
@@ -41,7 +41,7 @@
 	return scenario
 }
 
-// requireLost returns the first parts of which too many sound requests were refused.
+// lost returns the first parts of which too many sound requests were refused.
 func (s *partsSim) lost() []string {
 	var lost []string
 	for first, outcome := range s.sound {
@@ -83,6 +83,7 @@
 		"evidence not shared": {evidenceKept, groupScenario},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			caught := func(fault partsFault) int {
 				count := 0
 				for seed := range uint64(20) {
