--- a/request/poison/entries_test.go
+++ b/request/poison/entries_test.go
@@ -17,27 +17,28 @@
 	maxPopularOutage = 10 * time.Second
 )
 
+func drawDuration(t *rapid.T, name string, low, high time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(int64(low), int64(high)).Draw(t, name))
+}
+
 func drawScenario(t *rapid.T) entriesScenario {
-	drawDuration := func(name string, low, high time.Duration) time.Duration {
-		return time.Duration(rapid.Int64Range(int64(low), int64(high)).Draw(t, name))
-	}
 	scenario := entriesScenario{
 		entries:           rapid.IntRange(2, 6).Draw(t, "entries"),
 		targets:           rapid.SampledFrom([]int{3, 6, 12}).Draw(t, "targets"),
-		resendEvery:       drawDuration("resend", 30*time.Millisecond, 3*time.Second),
+		resendEvery:       drawDuration(t, "resend", 30*time.Millisecond, 3*time.Second),
 		attempts:          rapid.IntRange(1, 3).Draw(t, "attempts"),
 		copies:            rapid.IntRange(1, 4).Draw(t, "copies"),
 		turnedAwayShare:   rapid.Float64Range(0, 0.8).Draw(t, "turned away"),
 		harmlessPerSecond: rapid.Float64Range(0, 20).Draw(t, "harmless"),
-		restart:           drawDuration("restart", 500*time.Millisecond, 5*time.Second),
+		restart:           drawDuration(t, "restart", 500*time.Millisecond, 5*time.Second),
 		keepsID:           rapid.Bool().Draw(t, "keepsID"),
 		lossShare:         rapid.Float64Range(0, 0.05).Draw(t, "loss"),
 	}
 	if rapid.Bool().Draw(t, "others crash") {
-		scenario.otherCrashes = drawDuration("other crashes", 500*time.Millisecond, 10*time.Second)
+		scenario.otherCrashes = drawDuration(t, "other crashes", 500*time.Millisecond, 10*time.Second)
 	}
 	if rapid.Bool().Draw(t, "entries restart") {
-		scenario.entryRestarts = drawDuration("entry restarts", 10*time.Second, time.Minute)
+		scenario.entryRestarts = drawDuration(t, "entry restarts", 10*time.Second, time.Minute)
 	}
 	return scenario
 }
--- a/request/poison/parts_test.go
+++ b/request/poison/parts_test.go
@@ -19,24 +19,21 @@
 )
 
 func drawPartsScenario(t *rapid.T) partsScenario {
-	drawDuration := func(name string, low, high time.Duration) time.Duration {
-		return time.Duration(rapid.Int64Range(int64(low), int64(high)).Draw(t, name))
-	}
 	scenario := partsScenario{
 		entries:           rapid.IntRange(1, 6).Draw(t, "entries"),
 		targets:           rapid.SampledFrom([]int{3, 12, 24}).Draw(t, "targets"),
 		lockStep:          rapid.Bool().Draw(t, "lock-step"),
 		crashingPerSecond: rapid.Float64Range(0.1, 10).Draw(t, "crashing"),
 		soundPerSecond:    rapid.Float64Range(1, 60).Draw(t, "sound"),
-		crashingFrom:      drawDuration("from", 0, 20*time.Second),
+		crashingFrom:      drawDuration(t, "from", 0, 20*time.Second),
 		attempts:          rapid.IntRange(1, 3).Draw(t, "attempts"),
 		firstParts:        rapid.IntRange(1, 100).Draw(t, "first parts"),
 		sameFirst:         rapid.Bool().Draw(t, "same first part"),
-		restart:           drawDuration("restart", time.Second, 5*time.Second),
+		restart:           drawDuration(t, "restart", time.Second, 5*time.Second),
 		lossShare:         rapid.Float64Range(0, 0.05).Draw(t, "loss"),
 	}
 	if rapid.Bool().Draw(t, "others crash") {
-		scenario.otherCrashes = drawDuration("other crashes", 5*time.Second, 30*time.Second)
+		scenario.otherCrashes = drawDuration(t, "other crashes", 5*time.Second, 30*time.Second)
 	}
 	return scenario
 }
