Search each read of a stream once for the ends of events

Cause: a pending event was searched from its start with each read of 4 KiB, quadratic up to the limit of 1 MiB. The race detector made it show; a real fault, since a target can send such bytes again and again. Change: only the new bytes are searched, and the one before them.

--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -56,8 +56,9 @@
 	var pending []byte
 	for {
 		n, err := response.Read(buffer)
+		searched := len(pending)
 		pending = append(pending, buffer[:n]...)
-		events, rest := splitCompleteEvents(pending)
+		events, rest := splitCompleteEvents(pending, searched)
 		if len(events) > 0 {
 			progress()
 			if writeErr := s.write(events, response.Status, begin); writeErr != nil {
@@ -78,13 +79,16 @@
 	}
 }
 
-// splitCompleteEvents splits data after its last complete event.
-func splitCompleteEvents(data []byte) (events, rest []byte) {
-	end := bytes.LastIndex(data, []byte("\n\n"))
+// splitCompleteEvents splits data after its last complete event. The first searched bytes hold
+// none, so that a long event is not searched from its start with each read.
+func splitCompleteEvents(data []byte, searched int) (events, rest []byte) {
+	from := max(searched-1, 0)
+	end := bytes.LastIndex(data[from:], []byte("\n\n"))
 	if end < 0 {
 		return nil, data
 	}
-	return data[:end+2], data[end+2:]
+	end += from + 2
+	return data[:end], data[end:]
 }
 
 // write writes events and skips those that the caller has already received.
