Record the limits that targets name, log who knows of them and since when

A response without the header lifts a limit only if its request was sent after the latest statement. Nothing keeps the limits yet. Leavings and limits share the choice of what a heartbeat reports.

--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -43,6 +43,7 @@
 		peers.RecordHeartbeat(received.Heartbeat, now)
 		require.LessOrEqual(t, len(peers.Releases(now)), 1)
 		dispatch.New(dispatch.Config{}).MergeLeavings(received.Leavings, now)
+		dispatch.New(dispatch.Config{}).MergeLimits(received.Limits, now)
 		if received.Evidence != nil {
 			tracker := poison.NewTracker(poison.Config{}, clock)
 			tracker.Merge(*received.Evidence)
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -147,7 +147,7 @@
 	encoded, err := cbor.Marshal(datagram{
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
-			Leavings: e.dispatcher.Leavings(e.clock.Now()), Release: e.release,
+			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: e.dispatcher.Limits(e.clock.Now()), Release: e.release,
 		}},
 		Evidence: h.evidence(e.clock.Now()),
 	})
@@ -208,6 +208,7 @@
 			}).Info("crashes heard of")
 		}
 		h.mergeLeavings(received.Peer.Name, received.Leavings, now)
+		h.mergeLimits(received.Peer.Name, received.Limits, now)
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
 			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
@@ -224,6 +225,20 @@
 	}
 }
 
+// mergeLimits records the limits that targets named to another entry.
+func (h *heartbeater) mergeLimits(peer string, limits []presence.TargetLimit, now time.Time) {
+	for _, changed := range h.entry.dispatcher.MergeLimits(limits, now) {
+		log := h.log.WithFields(logrus.Fields{
+			"target": changed.Target, "incarnation": changed.Incarnation, "source": peer, "age_ms": changed.AgeMillis,
+		})
+		if changed.Lifted {
+			log.Info("target no longer limits its requests")
+			continue
+		}
+		log.WithField("per_second", changed.PerSecond).Info("target limits its requests")
+	}
+}
+
 // applyTargetReport applies what an agent reports of the target on its host.
 func (h *heartbeater) applyTargetReport(report presence.TargetReport, now time.Time) {
 	if h.entry.dispatcher.SetSlowdown(report.Address, report.Slowdown, now) {
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -69,7 +69,7 @@
 		ConstLabels: constLabels,
 	})
 	m.targetNotices = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, and responses that asked for a pause.",
+		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, responses that asked for a pause, limits of requests that targets named or lifted.",
 		ConstLabels: constLabels,
 	}, []string{"service", "notice"})
 	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices)
@@ -108,7 +108,8 @@
 // SetRefusedPromptParts sets the number of prompt parts whose requests are refused.
 func (m *Metrics) SetRefusedPromptParts(count int) { m.refusedParts.Set(float64(count)) }
 
-// CountTargetNotice counts a notice of a target of a service: "leaving", or "pause".
+// CountTargetNotice counts a notice of a target of a service: "leaving", "pause", "limit" or
+// "limit_lifted".
 func (m *Metrics) CountTargetNotice(service, notice string) {
 	m.targetNotices.WithLabelValues(service, notice).Inc()
 }
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -41,6 +41,8 @@
 	Leavings []TargetLeaving `cbor:"9,keyasint,omitempty"`
 	// Release is the build of the process and the versions of datagrams that it speaks.
 	Release release.Info `cbor:"10,keyasint,omitempty"`
+	// Limits are what targets told the process of how many requests they take.
+	Limits []TargetLimit `cbor:"11,keyasint,omitempty"`
 }
 
 // Versions is the versions of the datagrams between entries that this build speaks.
@@ -64,6 +66,23 @@
 	return time.Duration(max(l.AgeMillis, 0)) * time.Millisecond
 }
 
+// TargetLimit reports how many requests a second an incarnation of a target said that it
+// takes from all processes together.
+type TargetLimit struct {
+	Target      string `cbor:"1,keyasint"`
+	Incarnation string `cbor:"2,keyasint"`
+	// PerSecond is the limit, unless Lifted says that the target names none any more.
+	PerSecond float64 `cbor:"3,keyasint"`
+	Lifted    bool    `cbor:"4,keyasint,omitempty"`
+	// AgeMillis is how long ago it said so, by the sender's clock.
+	AgeMillis int64 `cbor:"5,keyasint"`
+}
+
+// Age returns how long ago the target said so; never negative.
+func (l TargetLimit) Age() time.Duration {
+	return time.Duration(max(l.AgeMillis, 0)) * time.Millisecond
+}
+
 // StoreStatus is what a process knows of the platform's store.
 type StoreStatus struct {
 	// OperatorChange and TargetsChange are the store's versions at the latest changes of
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -45,10 +45,12 @@
 	generation uint64
 	// lastSequence is the sequence number of the latest Waiter.
 	lastSequence uint64
-	// leaving holds the incarnations that said that they leave. nextLeaving is the position
-	// of the one that Leavings reported last, in turn.
-	leaving     map[incarnationID]leavingNotice
-	nextLeaving int
+	// leaving holds the incarnations that said that they leave.
+	leaving        map[incarnationID]leavingNotice
+	leavingReports reportTurn
+	// limits holds the limits that incarnations have named.
+	limits       map[incarnationID]*rateLimit
+	limitReports reportTurn
 	// pauses holds the pauses that incarnations have asked for.
 	pauses map[incarnationID]*pause
 }
@@ -59,6 +61,7 @@
 		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
+		limits: map[incarnationID]*rateLimit{},
 	}
 }
 
@@ -300,6 +303,7 @@
 	defer d.mu.Unlock()
 	d.dropLeavings(now)
 	d.dropPauses(now)
+	d.dropLimits(now)
 	d.grantAll(now)
 }
 
--- a/request/dispatch/leaving.go
+++ b/request/dispatch/leaving.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
-	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/presence"
@@ -15,11 +13,6 @@
 	leavingTTL = 10 * time.Minute
 	// reportedLeavingTTL is how long it believes another process that says so.
 	reportedLeavingTTL = 30 * time.Second
-	// leavingSpan is how long each heartbeat reports a target that leaves. Later ones
-	// report one target at a time, in turn.
-	leavingSpan = 3 * time.Second
-	// maxLeavingsReported is the maximum number of leaving targets in a heartbeat.
-	maxLeavingsReported = 8
 )
 
 // incarnationID identifies an incarnation of a target.
@@ -138,26 +131,15 @@
 func (d *Dispatcher) Leavings(now time.Time) []presence.TargetLeaving {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.leaving) == 0 {
-		return nil
-	}
-	var recent, earlier []incarnationID
-	for _, id := range slices.SortedFunc(maps.Keys(d.leaving), compareIncarnations) {
-		switch notice := d.leaving[id]; {
-		case !notice.own:
-		case now.Sub(notice.at) < leavingSpan && len(recent) < maxLeavingsReported-1:
-			recent = append(recent, id)
-		default:
-			earlier = append(earlier, id)
+	own := map[incarnationID]time.Time{}
+	for id, notice := range d.leaving {
+		if notice.own {
+			own[id] = notice.at
 		}
 	}
-	if len(earlier) > 0 {
-		d.nextLeaving = (d.nextLeaving + 1) % len(earlier)
-		recent = append(recent, earlier[d.nextLeaving])
-	}
 	var reports []presence.TargetLeaving
-	for _, id := range recent {
-		reports = append(reports, presence.NewTargetLeaving(id.target, id.incarnation, now.Sub(d.leaving[id].at)))
+	for _, id := range d.leavingReports.next(own, now) {
+		reports = append(reports, presence.NewTargetLeaving(id.target, id.incarnation, now.Sub(own[id])))
 	}
 	return reports
 }
--- a/request/dispatch/leaving_test.go
+++ b/request/dispatch/leaving_test.go
@@ -91,7 +91,7 @@
 	reported := map[string]bool{}
 	for range targets {
 		reports := d.Leavings(at(time.Second))
-		require.LessOrEqual(t, len(reports), maxLeavingsReported)
+		require.LessOrEqual(t, len(reports), maxReported)
 		for _, report := range reports {
 			reported[report.Target] = true
 		}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -219,7 +219,7 @@
 func (h *Handler) send(ctx, attemptCtx context.Context, c *call, t *dispatch.Target) (*direct.Response, verdict) {
 	sent := h.clock.Now()
 	request := c.outgoingRequest(&h.headers, t, sent)
-	request.OnHead = func(status int, header http.Header) { h.recordNotice(c, t, status, header) }
+	request.OnHead = func(status int, header http.Header) { h.recordNotice(c, t, sent, status, header) }
 	response, err := h.connections(t).Do(attemptCtx, request, false)
 	if err != nil {
 		v := withWatchdogCause(attemptCtx, classifyError(err, h.ended(ctx, c)))
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -19,6 +19,8 @@
 	// Leaving is set by a target that is about to exit. RetryAfter is, with status 503, for
 	// how many seconds a target wants no requests from this process.
 	Leaving, RetryAfter string
+	// Limit is how many requests a second a target takes from all processes together.
+	Limit string
 	// NotRun is set by a target that has not run the request.
 	NotRun string
 	// Signature is the target's signature of its response.
--- a/request/forward/notice_test.go
+++ b/request/forward/notice_test.go
@@ -26,7 +26,7 @@
 // TestNoticeOfAnotherTargetIsIgnored guards against a target that gets no more requests
 // because the one that now has its address leaves, or asks for a pause.
 func TestNoticeOfAnotherTargetIsIgnored(t *testing.T) {
-	h := &Headers{Instance: "Instance", Leaving: "Leaving", RetryAfter: "Retry-After"}
+	h := &Headers{Instance: "Instance", Leaving: "Leaving", RetryAfter: "Retry-After", Limit: "Limit", Signature: "Signature"}
 	header := http.Header{"Instance": {"b"}, "Leaving": {"1"}, "Retry-After": {"2"}}
 	require.Equal(t, notice{}, decodeNotice(h, http.StatusMisdirectedRequest, header, "a"))
 	require.Equal(t, notice{leaving: true}, decodeNotice(h, http.StatusMisdirectedRequest, header, "b"))
@@ -34,3 +34,22 @@
 	header.Set("Leaving", "0")
 	require.Equal(t, notice{}, decodeNotice(h, http.StatusOK, header, "b"))
 }
+
+// TestLimitIsParsedAsRequestsPerSecond guards against a limit that is not seen, made up of a
+// value that is none, or lifted by bytes that the target has not made.
+func TestLimitIsParsedAsRequestsPerSecond(t *testing.T) {
+	h := &Headers{Instance: "Instance", Limit: "Limit", Signature: "Signature", NotRun: "Not-Run"}
+	signed := func(name, value string) http.Header { return http.Header{"Signature": {"s"}, name: {value}} }
+	for text, want := range map[string]float64{"2.2": 2.2, " 3 ": 3, "0": 0, "1e3": 1000} {
+		n := decodeNotice(h, http.StatusOK, signed("Limit", text), "a")
+		require.Equal(t, notice{limit: limitNamed, limitPerSecond: want}, n, "%q", text)
+	}
+	for _, text := range []string{"-1", "NaN", "Inf", "-Inf", "many", "2 a second"} {
+		require.Equal(t, notice{}, decodeNotice(h, http.StatusOK, signed("Limit", text), "a"), "%q", text)
+	}
+	require.Equal(t, notice{limit: limitNone}, decodeNotice(h, http.StatusOK, signed("Other", "x"), "a"))
+	require.Equal(t, notice{limit: limitNone}, decodeNotice(h, http.StatusServiceUnavailable, http.Header{"Not-Run": {"1"}}, "a"))
+	require.Equal(t, notice{}, decodeNotice(h, http.StatusOK, http.Header{}, "a"), "neither signed nor marked as not run")
+	other := http.Header{"Instance": {"b"}, "Limit": {"2"}, "Not-Run": {"1"}}
+	require.Equal(t, notice{}, decodeNotice(h, http.StatusMisdirectedRequest, other, "a"), "of another target")
+}
