Keep to the limits that targets name, over all entries together

Cause: nothing read the limit (logs of: all entries know it from 6.1 s on, the target got too much from 9.1 s on). Change: entries divide 4 s of the limit in whole requests and space them; heartbeats share what targets say; an entry that starts announces itself, is told all limits at once, and until then sends one request at a time to a target that has not answered. Requests for which the limits leave no place are refused at once; other targets get what one cannot take.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -75,10 +75,10 @@
 	handler    *forward.Handler
 	metrics    *metrics.Metrics
 
-	// evidenceChanged asks for a heartbeat at once, to share new evidence of crashes;
-	// evidence keeps it in the store.
-	evidenceChanged chan struct{}
-	evidence        *evidenceKeeper
+	// newsForPeers asks for a heartbeat at once.
+	newsForPeers chan struct{}
+	// evidence keeps the evidence of crashes in the store.
+	evidence *evidenceKeeper
 	// processes are this entry and those it knows of, which share limits and trials.
 	processes atomic.Pointer[dispatch.Processes]
 	// version is the configuration in force, nil before the first one.
@@ -113,12 +113,13 @@
 			Name: s.Name, Incarnation: rand.Uint64(), CallerAddress: s.CallerAddress,
 			PeerAddress: s.PeerAddress, FailureDomain: s.FailureDomain,
 		},
-		release:         release.NewInfo(presence.Versions),
-		peers:           presence.NewPeerTable(s.Name, peerTimeout),
-		evidenceChanged: make(chan struct{}, 1),
+		release:      release.NewInfo(presence.Versions),
+		peers:        presence.NewPeerTable(s.Name, peerTimeout),
+		newsForPeers: make(chan struct{}, 1),
 		dispatcher: dispatch.New(dispatch.Config{
 			FailureDomain: s.FailureDomain,
 			Warmup:        dispatch.Warmup{Share: s.Bounds.WarmupShare, Slack: s.Bounds.WarmupSlack},
+			LearnsLimits:  true,
 		}),
 	}
 	e.bounds.Store(&s.Bounds)
@@ -159,12 +160,30 @@
 // written to the store.
 func (e *Entry) shareEvidence() {
 	e.evidence.changed()
+	e.notifyPeers()
+}
+
+// notifyPeers asks for a heartbeat, unless one is due already.
+func (e *Entry) notifyPeers() {
 	select {
-	case e.evidenceChanged <- struct{}{}:
+	case e.newsForPeers <- struct{}{}:
 	default:
 	}
 }
 
+// learnTime is how long after it knows the other entries this entry has heard from them of all
+// limits that targets have named. They answer its first heartbeat; one may be lost.
+const learnTime = 500 * time.Millisecond
+
+// joinPeers announces this entry to those that it has learned of from the store.
+func (e *Entry) joinPeers() {
+	e.setProcesses()
+	if e.peersLoaded.CompareAndSwap(false, true) {
+		e.dispatcher.LearnLimitsUntil(e.clock.Now().Add(learnTime))
+		e.notifyPeers()
+	}
+}
+
 // trialRank returns the rank of this entry in the order of all entries that a fingerprint
 // determines.
 func (e *Entry) trialRank(fingerprint uint64) int {
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,14 +120,13 @@
 	}
 }
 
-// sendOnChange sends a heartbeat whenever the entry has new evidence of a crash, until ctx
-// is done.
+// sendOnChange sends a heartbeat whenever the entry has news for its peers, until ctx is done.
 func (h *heartbeater) sendOnChange(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-h.entry.evidenceChanged:
+		case <-h.entry.newsForPeers:
 			h.send()
 		}
 	}
@@ -142,12 +142,25 @@
 func (h *heartbeater) send() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	e := h.entry
+	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(e.clock.Now()))
+	now := e.clock.Now()
+	for _, name := range e.peers.Dead(now) {
+		e.dispatcher.SetPeerLoad(name, nil, now)
+	}
+	e.setProcesses()
+	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
+	e.storeWatch.update(e.peers.Ready(now))
+}
+
+// sendTo sends a heartbeat with the given limits to some peers. The caller holds mu.
+func (h *heartbeater) sendTo(addresses []string, limits []presence.TargetLimit) {
 	e := h.entry
 	h.sequence++
 	encoded, err := cbor.Marshal(datagram{
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
-			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: e.dispatcher.Limits(e.clock.Now()), Release: e.release,
+			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
 		}},
 		Evidence: h.evidence(e.clock.Now()),
 	})
@@ -155,7 +168,7 @@
 		h.log.WithError(err).Error("heartbeat cannot be encoded")
 		return
 	}
-	for _, address := range e.peers.Addresses() {
+	for _, address := range addresses {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
 			h.log.WithError(err).WithField("peer", address).Debug("peer address cannot be parsed")
@@ -165,13 +178,19 @@
 			h.log.WithError(err).WithField("peer", address).Debug("sending the heartbeat failed")
 		}
 	}
-	now := e.clock.Now()
-	for _, name := range e.peers.Dead(now) {
-		e.dispatcher.SetPeerLoad(name, nil, now)
+}
+
+// maxLimitsAtStart is the maximum number of limits in a datagram to an entry that has started.
+const maxLimitsAtStart = 32
+
+// sendLimits sends all limits that targets have told this entry to a peer that has started.
+func (h *heartbeater) sendLimits(peer presence.Peer) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	limits := h.entry.dispatcher.AllLimits(h.entry.clock.Now())
+	for chunk := range slices.Chunk(limits, maxLimitsAtStart) {
+		h.sendTo([]string{peer.PeerAddress}, chunk)
 	}
-	e.setProcesses()
-	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
-	e.storeWatch.update(e.peers.Ready(now))
 }
 
 // setProcesses updates the parts of this entry in the limits that apply to all entries
@@ -209,6 +228,9 @@
 		}
 		h.mergeLeavings(received.Peer.Name, received.Leavings, now)
 		h.mergeLimits(received.Peer.Name, received.Limits, now)
+		if !h.entry.peers.HasHeard(received.Peer) && received.Peer.Name != h.entry.self.Name {
+			h.sendLimits(received.Peer)
+		}
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
 			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -58,11 +58,7 @@
 	targets := &snapshotNotifier{Observer: e.targets, done: func() { e.targetsLoaded.Store(true) }}
 	operator := newOperatorObserver(e)
 	peers := &snapshotNotifier{
-		Observer: &peerObserver{entry: e, log: logs.Component(e.logger, "peers")},
-		done: func() {
-			e.setProcesses()
-			e.peersLoaded.Store(true)
-		},
+		Observer: &peerObserver{entry: e, log: logs.Component(e.logger, "peers")}, done: e.joinPeers,
 	}
 	events := e.storeWatch.events
 	followTable := func(cfg follow.Config) {
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -189,6 +189,14 @@
 	return true
 }
 
+// HasHeard reports whether a heartbeat of this incarnation of a peer has been recorded.
+func (t *PeerTable) HasHeard(peer Peer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.peers[peer.Name]
+	return state != nil && !state.heardAt.IsZero() && state.lastHeartbeat.Peer.Incarnation == peer.Incarnation
+}
+
 // Addresses returns the heartbeat addresses of all peers, sorted.
 func (t *PeerTable) Addresses() []string {
 	t.mu.Lock()
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -13,7 +13,7 @@
 	var bestScore float64
 	skipEjected, limitSlow := d.skipsEjected(pool, now), d.limitsSlow(pool, now)
 	for _, t := range pool.targets {
-		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) {
+		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
 			continue
 		}
 		if skipEjected && t.health.ejected(now) {
@@ -56,11 +56,11 @@
 }
 
 // usableShare returns the share of a pool's usable targets that match a predicate. Those
-// that pause have no capacity to spare and do not count.
+// that pause or name a limit have no capacity to spare and do not count.
 func (d *Dispatcher) usableShare(pool *pool, now time.Time, matches func(*Target) bool) float64 {
 	count, usable := 0, 0
 	for _, t := range pool.targets {
-		if !t.usable(d.domainsOut) || t.pause.active(now) {
+		if !t.usable(d.domainsOut) || t.pause.active(now) || t.limited() {
 			continue
 		}
 		usable++
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -27,6 +27,9 @@
 	FailureDomain string
 	// Warmup limits the requests to cold targets.
 	Warmup Warmup
+	// LearnsLimits is set for a process that has just started and hears from others of the
+	// limits that targets have named, until LearnLimitsUntil.
+	LearnsLimits bool
 }
 
 // Dispatcher distributes requests among targets.
@@ -51,6 +54,9 @@
 	// limits holds the limits that incarnations have named.
 	limits       map[incarnationID]*rateLimit
 	limitReports reportTurn
+	// learning is Config.LearnsLimits. It ends at learningUntil; zero if that is not known yet.
+	learning      bool
+	learningUntil time.Time
 	// pauses holds the pauses that incarnations have asked for.
 	pauses map[incarnationID]*pause
 }
@@ -61,7 +67,7 @@
 		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
-		limits: map[incarnationID]*rateLimit{},
+		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits,
 	}
 }
 
@@ -145,6 +151,7 @@
 	added.setRegistration(registration, now)
 	added.saidLeaving = d.leaving[added.incarnationID()].valid(now)
 	added.pause = d.pauseOf(added.incarnationID())
+	added.rateLimit = d.limits[added.incarnationID()]
 	pool.targets[registration.ID] = added
 	d.grant(pool, now)
 	return replaced
@@ -199,23 +206,28 @@
 			return t, nil
 		}
 	}
-	if !d.canServeLater(pool, &work, now) {
-		return nil, nil
-	}
 	d.lastSequence++
 	w := &Waiter{work: work, granted: make(chan *Target, 1), sequence: d.lastSequence}
+	if !d.canServeLater(pool, &work, pool.waiting.ahead(w), now) {
+		return nil, nil
+	}
 	pool.waiting.add(w)
 	return nil, w
 }
 
-// canServeLater reports whether there is a usable target that the work was not sent
-// to yet and that does not pause until the work is taken out of the queue.
-func (d *Dispatcher) canServeLater(pool *pool, work *Request, now time.Time) bool {
+// canServeLater reports whether there are usable targets that the work was not sent to yet
+// and that take more requests, by their pauses and limits, than those ahead of it in the
+// queue until the work is taken out of it.
+func (d *Dispatcher) canServeLater(pool *pool, work *Request, ahead int, now time.Time) bool {
+	starts := 0
 	for _, t := range pool.targets {
 		if !t.usable(d.domainsOut) || work.tried(t) {
 			continue
 		}
 		if !t.pause.active(now) || t.pause.resumesAt.Before(work.QueueDeadline) {
+			starts += d.limitStarts(t, now, work.QueueDeadline)
+		}
+		if starts > ahead {
 			return true
 		}
 	}
@@ -237,6 +249,9 @@
 func (t *Target) take(now time.Time) {
 	t.running++
 	t.pause.startsSince++
+	if t.limited() {
+		t.rateLimit.lastStart = now
+	}
 	t.recordSend(now)
 }
 
@@ -305,6 +320,7 @@
 	d.dropPauses(now)
 	d.dropLimits(now)
 	d.grantAll(now)
+	d.rejectAllHopeless(now)
 }
 
 func (d *Dispatcher) grantAll(now time.Time) {
@@ -313,6 +329,16 @@
 	}
 }
 
+// rejectAllHopeless ends the wait of requests behind others for which the limits that all
+// targets of their service name leave no place.
+func (d *Dispatcher) rejectAllHopeless(now time.Time) {
+	for _, pool := range d.pools {
+		if len(pool.waiting) > 0 && pool.limited(d.domainsOut) {
+			d.rejectHopeless(pool, now)
+		}
+	}
+}
+
 // grant assigns targets to the waiters of a pool in queue order. A waiter that was
 // already sent to some targets and finds none of the others free is skipped, so that
 // it does not block those behind it.
--- a/request/dispatch/limit.go
+++ b/request/dispatch/limit.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/presence"
@@ -25,6 +26,10 @@
 	// statedAt is when it last said so to any process, ownAt when to this process; zero
 	// for never. changedAt is when this process learned of the rate, or of its end.
 	statedAt, ownAt, changedAt time.Time
+	// lastStart is when this process last sent the target a request, or when its part of the
+	// limit began.
+	lastStart time.Time
+	part      limitPart
 }
 
 // same reports whether both state the same rate, or both none.
@@ -43,15 +48,17 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	t.limitKnown = true
 	return d.applyLimit(t.incarnationID(), rateLimit{perSecond: perSecond, statedAt: now, ownAt: now}, now)
 }
 
-// LiftLimit records that a target named no limit in the response to a request that was sent
-// at the given time. That says nothing if it has named one since. It reports whether that is
-// news.
-func (d *Dispatcher) LiftLimit(t *Target, sent, now time.Time) bool {
+// RecordNoLimit records that a target named no limit in the response to a request that was
+// sent at the given time. That lifts an earlier limit unless it has named one since. It
+// reports whether a limit is lifted.
+func (d *Dispatcher) RecordNoLimit(t *Target, sent, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	t.limitKnown = true
 	known := d.limits[t.incarnationID()]
 	if known == nil || known.lifted || sent.Before(known.statedAt) {
 		return false
@@ -73,6 +80,7 @@
 		return false
 	}
 	changed := !known.same(&stated)
+	begins := known.lifted && !stated.lifted
 	if changed {
 		known.perSecond, known.lifted, known.ownAt, known.changedAt = stated.perSecond, stated.lifted, time.Time{}, now
 	}
@@ -80,6 +88,12 @@
 	if !stated.ownAt.IsZero() {
 		known.ownAt = stated.ownAt
 	}
+	if begins {
+		d.beginLimit(id, known, now)
+	}
+	if changed {
+		d.setLimit(id, known, now)
+	}
 	return changed
 }
 
@@ -109,14 +123,31 @@
 func (d *Dispatcher) Limits(now time.Time) []presence.TargetLimit {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	return d.reportLimits(d.limitReports.next(d.ownLimits(), now), now)
+}
+
+// AllLimits returns all that targets told this process of their limits, for a process that
+// has just started.
+func (d *Dispatcher) AllLimits(now time.Time) []presence.TargetLimit {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reportLimits(slices.SortedFunc(maps.Keys(d.ownLimits()), compareIncarnations), now)
+}
+
+// ownLimits returns when this process learned of the limits that targets told it.
+func (d *Dispatcher) ownLimits() map[incarnationID]time.Time {
 	own := map[incarnationID]time.Time{}
 	for id, limit := range d.limits {
 		if !limit.ownAt.IsZero() {
 			own[id] = limit.changedAt
 		}
 	}
+	return own
+}
+
+func (d *Dispatcher) reportLimits(ids []incarnationID, now time.Time) []presence.TargetLimit {
 	var reports []presence.TargetLimit
-	for _, id := range d.limitReports.next(own, now) {
+	for _, id := range ids {
 		limit := d.limits[id]
 		reports = append(reports, presence.TargetLimit{
 			Target: id.target, Incarnation: id.incarnation, PerSecond: limit.perSecond, Lifted: limit.lifted,
@@ -128,13 +159,13 @@
 
 // dropLimits forgets the limits that were lifted, or of incarnations that have ended.
 func (d *Dispatcher) dropLimits(now time.Time) {
-	maps.DeleteFunc(d.limits, func(id incarnationID, limit *rateLimit) bool {
+	for id, limit := range d.limits {
 		age := now.Sub(limit.statedAt)
-		if limit.lifted {
-			return age >= liftedTTL
+		if limit.lifted && age >= liftedTTL || age >= limitTTL && !d.registered(id) {
+			delete(d.limits, id)
+			d.setLimit(id, nil, now)
 		}
-		return age >= limitTTL && !d.registered(id)
-	})
+	}
 }
 
 // registered reports whether an incarnation is registered.
--- a/request/dispatch/limit_test.go
+++ b/request/dispatch/limit_test.go
@@ -27,11 +27,11 @@
 	only := d.pool("s").targets["t0"]
 	require.True(t, d.RecordLimit(only, 2.2, at(time.Second)))
 	require.False(t, d.RecordLimit(only, 2.2, at(2*time.Second)), "known")
-	require.False(t, d.LiftLimit(only, at(2*time.Second-time.Millisecond), at(3*time.Second)))
+	require.False(t, d.RecordNoLimit(only, at(2*time.Second-time.Millisecond), at(3*time.Second)))
 	require.Equal(t, 2.2, limitOf(d, "t0"))
-	require.True(t, d.LiftLimit(only, at(2*time.Second), at(3*time.Second)))
+	require.True(t, d.RecordNoLimit(only, at(2*time.Second), at(3*time.Second)))
 	require.True(t, math.IsNaN(limitOf(d, "t0")))
-	require.False(t, d.LiftLimit(only, at(4*time.Second), at(4*time.Second)), "known")
+	require.False(t, d.RecordNoLimit(only, at(4*time.Second), at(4*time.Second)), "known")
 }
 
 // TestLatestStatementOfALimitCounts guards against limits that entries give back to each other
--- a/request/dispatch/pause.go
+++ b/request/dispatch/pause.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -116,13 +115,3 @@
 	defer d.mu.Unlock()
 	return t.usable(d.domainsOut) && !t.pause.active(now)
 }
-
-// rejectHopeless ends the wait of requests that no target can serve in time any more.
-func (d *Dispatcher) rejectHopeless(pool *pool, now time.Time) {
-	for _, w := range slices.Clone(pool.waiting) {
-		if !d.canServeLater(pool, &w.work, now) {
-			pool.waiting.remove(w)
-			w.granted <- nil
-		}
-	}
-}
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"container/heap"
 	"time"
 )
@@ -47,11 +48,22 @@
 func (q waitQueue) Len() int { return len(q) }
 
 // Less implements heap.Interface.
-func (q waitQueue) Less(i, j int) bool {
-	if q[i].work.Urgency != q[j].work.Urgency {
-		return q[i].work.Urgency < q[j].work.Urgency
+func (q waitQueue) Less(i, j int) bool { return compareWaiters(q[i], q[j]) < 0 }
+
+// compareWaiters orders waiters by urgency and then by arrival.
+func compareWaiters(a, b *Waiter) int {
+	return cmp.Or(cmp.Compare(a.work.Urgency, b.work.Urgency), cmp.Compare(a.sequence, b.sequence))
+}
+
+// ahead returns the number of waiters that go before w.
+func (q waitQueue) ahead(w *Waiter) int {
+	count := 0
+	for _, other := range q {
+		if compareWaiters(other, w) < 0 {
+			count++
+		}
 	}
-	return q[i].sequence < q[j].sequence
+	return count
 }
 
 // Swap implements heap.Interface.
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -30,6 +30,10 @@
 	saidLeaving bool
 	// pause is the pause that the target has asked for; never nil.
 	pause *pause
+	// rateLimit is the limit that the target has named, also one that it has lifted; may be nil.
+	rateLimit *rateLimit
+	// limitKnown is set once the target has told this process whether it has a limit.
+	limitKnown bool
 	// fullUntil ends the pause after the target refused a request for lack of
 	// capacity.
 	fullUntil time.Time
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -169,6 +169,9 @@
 
 // noTarget returns the failure of a call that no target can take in time.
 func (h *Handler) noTarget(c *call) *failure.Error {
+	if h.dispatcher.IsLimited(c.service) {
+		return h.newFailure(c, failure.NoTarget, "the limits that the targets name leave no place for the request")
+	}
 	return h.newFailure(c, failure.NoTarget, "no target can take the request")
 }
 
--- a/request/forward/notice.go
+++ b/request/forward/notice.go
@@ -102,7 +102,7 @@
 	case n.limit == limitNamed && h.dispatcher.RecordLimit(t, n.limitPerSecond, now):
 		h.metrics.CountTargetNotice(t.Service(), "limit")
 		log.WithField("per_second", n.limitPerSecond).Info("target limits its requests")
-	case n.limit == limitNone && header.Get(h.headers.Attempt) == c.id && h.dispatcher.LiftLimit(t, sent, now):
+	case n.limit == limitNone && header.Get(h.headers.Attempt) == c.id && h.dispatcher.RecordNoLimit(t, sent, now):
 		h.metrics.CountTargetNotice(t.Service(), "limit_lifted")
 		log.Info("target no longer limits its requests")
 	}
