--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -49,6 +50,8 @@
 	LinkReset   FaultKind = "link reset"
 	LinkDelayed FaultKind = "link delayed"
 	LinkSilent  FaultKind = "link silent"
+	// TargetLimits makes a target name a limit of requests a second.
+	TargetLimits FaultKind = "target limits its requests"
 	// NewConfiguration gives out a later version of the configuration.
 	NewConfiguration FaultKind = "new configuration"
 )
@@ -60,6 +63,9 @@
 	LateCommands, LinkReset, LinkDelayed, LinkSilent, NewConfiguration,
 }
 
+// noticeKinds are drawn apart from the others, on some days.
+var noticeKinds = []FaultKind{TargetLimits}
+
 // Fault is a fault that begins at a time of the day and lasts for a time. Subject selects
 // the process, target or link that it concerns; it is taken modulo their number.
 type Fault struct {
@@ -104,6 +110,11 @@
 	faultsPerSecond = 1.2
 	// crashingDays is the number of days of which one has requests with crashingPart.
 	crashingDays = 3
+	// noticeDays is the number of days of which one has noticeFaults faults of noticeKinds. They
+	// last noticeTime longer than others.
+	noticeDays   = 2
+	noticeFaults = 4
+	noticeTime   = 4 * time.Second
 )
 
 // DrawDay draws a day from a seed, with faults that begin within the given time.
@@ -119,18 +130,40 @@
 			Subject: random.IntN(maxSubjects),
 		})
 	}
-	slices.SortFunc(day.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	slices.SortFunc(day.Faults, byTime)
 	if random.IntN(crashingDays) == 0 {
 		day.CrashingFrom = warmup + time.Duration(random.Int64N(int64(trouble)))
 	}
+	if random.IntN(noticeDays) == 0 {
+		day.Faults = append(day.Faults, drawNotices(random, trouble)...)
+		slices.SortFunc(day.Faults, byTime)
+	}
 	return day
 }
 
+func byTime(a, b Fault) int { return cmp.Compare(a.At, b.At) }
+
+// drawNotices draws faults of noticeKinds.
+func drawNotices(random *rand.Rand, trouble time.Duration) []Fault {
+	var faults []Fault
+	for range noticeFaults {
+		faults = append(faults, Fault{
+			At:      warmup + time.Duration(random.Int64N(int64(trouble))),
+			For:     noticeTime + time.Duration(random.Int64N(int64(maxFaultTime))),
+			Kind:    noticeKinds[random.IntN(len(noticeKinds))],
+			Subject: random.IntN(maxSubjects),
+		})
+	}
+	return faults
+}
+
 // maxSubjects is a multiple of the number of entries, agents and targets.
 const maxSubjects = 12
 
 // LastFaultEnds returns when the last fault has ended, which may be a shutdown.
-func (d Day) LastFaultEnds() time.Duration { return warmup + d.Trouble + maxFaultTime + grace }
+func (d Day) LastFaultEnds() time.Duration {
+	return warmup + d.Trouble + noticeTime + maxFaultTime + grace
+}
 
 // Length returns the length of the day.
 func (d Day) Length() time.Duration { return d.LastFaultEnds() + recovery + judged }
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -32,6 +32,8 @@
 	// CrashingPartIsRefused: requests with a part that crashes targets reach few of them once
 	// it has crashed some.
 	CrashingPartIsRefused Promise = "a part that crashes targets is refused"
+	// LimitIsKept: a target that names a limit gets no more from all entries together.
+	LimitIsKept Promise = "a target's limit is kept"
 	// StandinsWork: the stand-ins of the soak start again. It is no promise of the system, but
 	// a run without them says nothing.
 	StandinsWork Promise = "the stand-ins of the soak work"
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -47,7 +47,12 @@
 	for _, fault := range DrawDay(1, 10*time.Minute).Faults {
 		kinds[fault.Kind] = true
 	}
-	require.Len(t, kinds, len(faultKinds), "every kind occurs in a long day")
+	for seed := range uint64(10) {
+		for _, fault := range DrawDay(seed, time.Minute).Faults {
+			kinds[fault.Kind] = true
+		}
+	}
+	require.Len(t, kinds, len(faultKinds)+len(noticeKinds), "every kind occurs in long days")
 }
 
 // TestBrokenPromisesAreFound guards against checks that cannot fail.
@@ -102,6 +107,9 @@
 			}
 			r.checkCrashingPart(executed, Day{Entries: 1}, started)
 		}},
+		"limit is exceeded": {LimitIsKept, func(r *records) {
+			r.checkLimit(arrivalsEvery(r, 200*time.Millisecond, standin.Arrival{Limit: limitPerSecond}), Day{Entries: 1}, time.Unix(1000, 0))
+		}},
 		"answer of another request": {AnswerIsWhole, func(r *records) { receiveFrom(t, r, "another", standin.Answer) }},
 		"answer with other bytes":   {AnswerIsWhole, func(r *records) { receiveFrom(t, r, "", standin.Answer+"x") }},
 	} {
@@ -114,6 +122,17 @@
 	}
 }
 
+// arrivalsEvery returns arrivals like one from one entry at an interval.
+func arrivalsEvery(r *records, interval time.Duration, like standin.Arrival) []standin.Arrival {
+	var all []standin.Arrival
+	for n := range 30 {
+		like.AttemptID = r.begin(lookup, paths[lookup], 0).id
+		like.At = time.Unix(1000, 0).Add(time.Duration(n) * interval)
+		all = append(all, like)
+	}
+	return all
+}
+
 // receiveFrom lets a caller receive an answer for the given attempt, its own one if empty.
 func receiveFrom(t *testing.T, r *records, attemptID, body string) {
 	t.Helper()
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -269,11 +269,30 @@
 	}
 	s.records.checkExecuted(executed)
 	s.records.checkCrashingPart(executed, day, started)
+	for _, arrivals := range s.arrivals() {
+		s.records.checkLimit(arrivals, day, started)
+	}
 	if _, _, mixed := s.group.State(); mixed > 0 {
 		s.records.broken(OneMapPerStep, "%d steps on different maps", mixed)
 	}
 }
 
+// arrivals returns what has reached each incarnation of a target.
+func (s *system) arrivals() [][]standin.Arrival {
+	var all [][]standin.Arrival
+	for _, place := range s.plain {
+		place.mu.Lock()
+		for _, incarnation := range place.all {
+			all = append(all, incarnation.Arrivals())
+		}
+		place.mu.Unlock()
+	}
+	for _, target := range s.rankTargets {
+		all = append(all, target.Arrivals())
+	}
+	return all
+}
+
 // close ends all processes and stand-ins.
 func (s *system) close() {
 	for _, p := range s.processes() {
