--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -143,8 +143,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	e := h.entry
-	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(e.clock.Now()))
 	now := e.clock.Now()
+	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(now), h.evidence(now))
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
 	}
@@ -153,8 +153,8 @@
 	e.storeWatch.update(e.peers.Ready(now))
 }
 
-// sendTo sends a heartbeat with the given limits to some peers. The caller holds mu.
-func (h *heartbeater) sendTo(addresses []string, limits []presence.TargetLimit) {
+// sendTo sends a heartbeat with the given limits and evidence to some peers. The caller holds mu.
+func (h *heartbeater) sendTo(addresses []string, limits []presence.TargetLimit, evidence *poison.Evidence) {
 	e := h.entry
 	h.sequence++
 	encoded, err := cbor.Marshal(datagram{
@@ -162,7 +162,7 @@
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
 			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
 		}},
-		Evidence: h.evidence(e.clock.Now()),
+		Evidence: evidence,
 	})
 	if err != nil {
 		h.log.WithError(err).Error("heartbeat cannot be encoded")
@@ -189,7 +189,7 @@
 	defer h.mu.Unlock()
 	limits := h.entry.dispatcher.AllLimits(h.entry.clock.Now())
 	for chunk := range slices.Chunk(limits, maxLimitsAtStart) {
-		h.sendTo([]string{peer.PeerAddress}, chunk)
+		h.sendTo([]string{peer.PeerAddress}, chunk, nil)
 	}
 }
 
