Soak: targets that ask for rest, checked from what reaches them

Nothing is changed in the product. The soak gets targets that ask for 3 s, with real entries that are killed, frozen and cut off; faults of the store excuse nothing.

--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -50,7 +50,9 @@
 	LinkReset   FaultKind = "link reset"
 	LinkDelayed FaultKind = "link delayed"
 	LinkSilent  FaultKind = "link silent"
-	// TargetLimits makes a target name a limit of requests a second.
+	// TargetRests makes a target refuse with a time of some seconds, TargetLimits name a limit of
+	// requests a second.
+	TargetRests  FaultKind = "target rests"
 	TargetLimits FaultKind = "target limits its requests"
 	// NewConfiguration gives out a later version of the configuration.
 	NewConfiguration FaultKind = "new configuration"
@@ -64,7 +66,7 @@
 }
 
 // noticeKinds are drawn apart from the others, on some days.
-var noticeKinds = []FaultKind{TargetLimits}
+var noticeKinds = []FaultKind{TargetRests, TargetLimits}
 
 // Fault is a fault that begins at a time of the day and lasts for a time. Subject selects
 // the process, target or link that it concerns; it is taken modulo their number.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -23,8 +23,9 @@
 	storeDelay = 300 * time.Millisecond
 	// pauseSeconds is the pause that a target asks for.
 	pauseSeconds = "0.5"
-	// limitPerSecond is the limit that a target names.
-	limitPerSecond = "2"
+	// restSeconds is the pause that a target asks for which rests, limitPerSecond the limit that
+	// one names.
+	restSeconds, limitPerSecond = "3", "2"
 	// breakAfter is the number of events after which a target cuts off a stream.
 	breakAfter = 5
 	// staleRegistration is how long the registration of a crashed target stays.
@@ -115,7 +116,7 @@
 	faults := map[FaultKind]standin.TargetFaults{
 		TargetPauses: {Refuse: true, RetryAfter: pauseSeconds}, TargetHangs: {Hang: true},
 		TargetBreaks: {BreakAfter: breakAfter}, TargetFails: {Status: http.StatusInternalServerError},
-		TargetLimits: {Limit: limitPerSecond},
+		TargetRests: {Refuse: true, RetryAfter: restSeconds}, TargetLimits: {Limit: limitPerSecond},
 	}
 	switch f.Kind {
 	case TargetCrashes:
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -32,6 +32,9 @@
 	// CrashingPartIsRefused: requests with a part that crashes targets reach few of them once
 	// it has crashed some.
 	CrashingPartIsRefused Promise = "a part that crashes targets is refused"
+	// RestIsGranted: a target that has asked an entry for some seconds of rest gets next to
+	// nothing from it in that time.
+	RestIsGranted Promise = "a target that asks for rest gets it"
 	// LimitIsKept: a target that names a limit gets no more from all entries together.
 	LimitIsKept Promise = "a target's limit is kept"
 	// StandinsWork: the stand-ins of the soak start again. It is no promise of the system, but
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -107,6 +107,9 @@
 			}
 			r.checkCrashingPart(executed, Day{Entries: 1}, started)
 		}},
+		"resting target gets requests": {RestIsGranted, func(r *records) {
+			r.checkRest(arrivalsEvery(r, 300*time.Millisecond, standin.Arrival{RetryAfter: restSeconds}), Day{Entries: 1}, time.Unix(1000, 0))
+		}},
 		"limit is exceeded": {LimitIsKept, func(r *records) {
 			r.checkLimit(arrivalsEvery(r, 200*time.Millisecond, standin.Arrival{Limit: limitPerSecond}), Day{Entries: 1}, time.Unix(1000, 0))
 		}},
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -270,6 +270,7 @@
 	s.records.checkExecuted(executed)
 	s.records.checkCrashingPart(executed, day, started)
 	for _, arrivals := range s.arrivals() {
+		s.records.checkRest(arrivals, day, started)
 		s.records.checkLimit(arrivals, day, started)
 	}
 	if _, _, mixed := s.group.State(); mixed > 0 {
