--- a/request/dispatch/limit_part.go
+++ b/request/dispatch/limit_part.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 )
 
@@ -138,18 +137,3 @@
 	}
 	return found
 }
-
-// rejectHopeless ends the wait of requests that no target can serve in time any more.
-func (d *Dispatcher) rejectHopeless(pool *pool, now time.Time) {
-	waiting := slices.Clone(pool.waiting)
-	slices.SortFunc(waiting, compareWaiters)
-	ahead := 0
-	for _, w := range waiting {
-		if d.canServeLater(pool, &w.work, ahead, now) {
-			ahead++
-			continue
-		}
-		pool.waiting.remove(w)
-		w.granted <- nil
-	}
-}
--- a/request/dispatch/limit_sim_test.go
+++ b/request/dispatch/limit_sim_test.go
@@ -347,7 +347,7 @@
 		{File: "choose.go", Old: "!d.limitAllows(t, now)", New: "!d.limitAllows(t, now) && len(pool.waiting) == 0"},
 	}},
 	{"what is sent does not count", []mutant.Edit{
-		{File: "dispatcher.go", Old: "		t.rateLimit.lastStart = now\n", New: ""},
+		{File: "acquire.go", Old: "		t.rateLimit.lastStart = now\n", New: ""},
 	}},
 	{"entries that have just started send freely", []mutant.Edit{
 		{File: "limit_part.go", Old: "return t.limitKnown || t.running == 0 || !d.learnsLimits(now)", New: "return true"},
--- /dev/null
+++ b/request/dispatch/load.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import "time"
+
+// Load returns the number of requests of this process at each target, by target ID.
+func (d *Dispatcher) Load() map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	load := map[string]int{}
+	for _, pool := range d.pools {
+		for id, t := range pool.targets {
+			if t.running > 0 {
+				load[id] = t.running
+			}
+		}
+	}
+	return load
+}
+
+// SetPeerLoad sets the number of requests of another process at each target, by
+// target ID. A nil load removes those of the process.
+func (d *Dispatcher) SetPeerLoad(process string, load map[string]int, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, pool := range d.pools {
+		for id, t := range pool.targets {
+			if count := load[id]; count > 0 {
+				t.peerLoad[process] = count
+			} else {
+				delete(t.peerLoad, process)
+			}
+		}
+	}
+	d.grantAll(now)
+}
