Spread requests by old load reports over the least loaded targets

With many entries the loads by which an entry chooses are up to 300 ms old, and all entries choose the targets that were the least loaded when the others last reported. They fill up, look silent, and their streams are moved.

Package request/balance estimates how many requests the others have started since their reports (requests reported, times the age of the report, divided by the mean time of a request), fills the least loaded targets with them up to one relative load, and draws a target with a probability proportional to its part. Processes whose reports arrive at least every 120 ms don't count, so that up to 32 entries choose the least loaded target as before. The dispatcher records when each process has reported, and learns the mean time of requests per service from its own.

A target keeps the sum of its peers' loads, and one pass over a slice of targets decides on exclusions, instead of two over a map.

--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -14,7 +14,7 @@
 	pool := d.pool(work.Service)
 	if len(pool.waiting) == 0 || pool.waiting[0].work.Urgency > work.Urgency {
 		if t := d.choose(pool, &work, now); t != nil {
-			t.take(now)
+			pool.take(t, now)
 			return t, nil
 		}
 	}
@@ -58,7 +58,8 @@
 }
 
 // take counts a request as running on the target and records when it was sent.
-func (t *Target) take(now time.Time) {
+func (p *pool) take(t *Target, now time.Time) {
+	p.residence.Start(now)
 	t.running++
 	t.pause.startsSince++
 	if t.limited() {
@@ -99,7 +100,7 @@
 			skipped = append(skipped, first)
 			continue
 		}
-		t.take(now)
+		pool.take(t, now)
 		first.granted <- t
 	}
 	for _, w := range skipped {
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -3,16 +3,17 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"verbenaseam.example/verbenaseam/request/balance"
 )
 
-// choose returns the least loaded target that can run the work now, or nil if there
-// is none. Among equally loaded targets it prefers those in this process's failure
-// domain, because traffic between failure domains is expensive.
+// choose returns the target that gets the work, or nil if none can run it now. Among
+// equally loaded targets it prefers those in this process's failure domain, because
+// traffic between failure domains is expensive.
 func (d *Dispatcher) choose(pool *pool, work *Request, now time.Time) *Target {
-	var best *Target
-	var bestScore float64
-	skipEjected, limitSlow := d.skipsEjected(pool, now), d.limitsSlow(pool, now)
-	for _, t := range pool.targets {
+	d.candidates, d.eligible = d.candidates[:0], d.eligible[:0]
+	skipEjected, limitSlow := d.exclusions(pool, now)
+	for _, t := range pool.list {
 		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
 			continue
 		}
@@ -23,53 +24,41 @@
 		if t.load() >= limit || d.warmupExhausted(t, now) {
 			continue
 		}
-		score := d.score(t, limit)
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
+		candidate := balance.Candidate{Load: float64(t.load()), Capacity: float64(limit)}
+		if t.registration.FailureDomain != d.failureDomain {
+			candidate.Penalty = remotePenalty
 		}
+		d.candidates = append(d.candidates, candidate)
+		d.eligible = append(d.eligible, t)
 	}
-	return best
-}
-
-// score returns the target's relative load with adjustments; lower is better.
-func (d *Dispatcher) score(t *Target, limit int) float64 {
-	score := float64(t.load()) / float64(limit)
-	if t.registration.FailureDomain != d.failureDomain {
-		score += remotePenalty
+	chosen := d.chooser.Choose(d.candidates, pool.reports.Unseen(pool.residence.Mean(), now), rand.Float64)
+	if chosen < 0 {
+		return nil
 	}
-	return score + rand.Float64()*tieJitter
+	return d.eligible[chosen]
 }
 
-const (
-	// remotePenalty is how much higher the relative load of a target in this process's
-	// failure domain may be before one in another domain is chosen.
-	remotePenalty = 0.02
-	// tieJitter randomises the choice among equally loaded targets, so that processes
-	// do not all choose the same one.
-	tieJitter = 0.01
-)
-
-// skipsEjected reports whether ejected targets of a pool get no requests. If more than
-// maxEjectedShare of the usable ones are ejected, they are used anyway.
-func (d *Dispatcher) skipsEjected(pool *pool, now time.Time) bool {
-	return d.usableShare(pool, now, func(t *Target) bool { return t.health.ejected(now) }) <= maxEjectedShare
-}
+// remotePenalty is how much higher the relative load of a target in this process's
+// failure domain may be before one in another domain is chosen.
+const remotePenalty = 0.02
 
-// usableShare returns the share of a pool's usable targets that match a predicate. Those
-// that pause or name a limit have no capacity to spare and do not count.
-func (d *Dispatcher) usableShare(pool *pool, now time.Time, matches func(*Target) bool) float64 {
-	count, usable := 0, 0
-	for _, t := range pool.targets {
+// exclusions reports whether ejected targets of a pool get no requests, and whether slow
+// ones get fewer than their capacity. If more than maxEjectedShare or maxSlowShare of the
+// usable ones are ejected or slow, they are used like the others. Those that pause or name a
+// limit have no capacity to spare and do not count.
+func (d *Dispatcher) exclusions(pool *pool, now time.Time) (skipEjected, limitSlow bool) {
+	ejected, slow, usable := 0, 0, 0
+	for _, t := range pool.list {
 		if !t.usable(d.domainsOut) || t.pause.active(now) || t.limited() {
 			continue
 		}
 		usable++
-		if matches(t) {
-			count++
+		if t.health.ejected(now) {
+			ejected++
+		}
+		if t.slow(now) {
+			slow++
 		}
 	}
-	if usable == 0 {
-		return 0
-	}
-	return float64(count) / float64(usable)
+	return float64(ejected) <= maxEjectedShare*float64(usable), float64(slow) <= maxSlowShare*float64(usable)
 }
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/balance"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -13,7 +15,13 @@
 type pool struct {
 	service *config.Service
 	targets map[string]*Target
+	// list holds the same targets, because iterating over a map is slow.
+	list    []*Target
 	waiting waitQueue
+	// residence is how long this process's requests stay at a target, reports how many the
+	// other processes have, and since when that is known.
+	residence balance.Residence
+	reports   balance.Reports
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
 	usualWait    usualWait
@@ -21,6 +29,18 @@
 	nextReassign time.Time
 }
 
+// add adds a target.
+func (p *pool) add(t *Target) {
+	p.targets[t.ID()] = t
+	p.list = append(p.list, t)
+}
+
+// remove removes a target.
+func (p *pool) remove(t *Target) {
+	delete(p.targets, t.ID())
+	p.list = slices.DeleteFunc(p.list, func(other *Target) bool { return other == t })
+}
+
 // Config holds the settings of a Dispatcher.
 type Config struct {
 	// FailureDomain is the failure domain of this process.
@@ -59,6 +79,12 @@
 	learningUntil time.Time
 	// pauses holds the pauses that incarnations have asked for.
 	pauses map[incarnationID]*pause
+
+	// chooser, candidates and eligible are used by choose alone; eligible holds the targets
+	// of the candidates.
+	chooser    balance.Chooser
+	candidates []balance.Candidate
+	eligible   []*Target
 }
 
 // New returns a Dispatcher without targets.
@@ -141,7 +167,7 @@
 		}
 		old.gone = true
 		replaced = old
-		delete(pool.targets, registration.ID)
+		pool.remove(old)
 	}
 	pool := d.pool(registration.Service)
 	added := &Target{
@@ -152,7 +178,7 @@
 	added.saidLeaving = d.leaving[added.incarnationID()].valid(now)
 	added.pause = d.pauseOf(added.incarnationID())
 	added.rateLimit = d.limits[added.incarnationID()]
-	pool.targets[registration.ID] = added
+	pool.add(added)
 	d.grant(pool, now)
 	return replaced
 }
@@ -165,7 +191,7 @@
 	for _, pool := range d.pools {
 		if t := pool.targets[id]; t != nil {
 			t.gone = true
-			delete(pool.targets, id)
+			pool.remove(t)
 			removed = t
 		}
 	}
--- a/request/dispatch/ejection.go
+++ b/request/dispatch/ejection.go
@@ -48,4 +48,4 @@
 }
 
 // ejected reports whether the target is ejected.
-func (h *health) ejected(now time.Time) bool { return now.Before(h.ejectedUntil) }
+func (h *health) ejected(now time.Time) bool { return h.ejections > 0 && now.Before(h.ejectedUntil) }
--- a/request/dispatch/load.go
+++ b/request/dispatch/load.go
@@ -23,13 +23,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, pool := range d.pools {
+		total := 0
 		for id, t := range pool.targets {
-			if count := load[id]; count > 0 {
-				t.peerLoad[process] = count
-			} else {
-				delete(t.peerLoad, process)
-			}
+			count := max(load[id], 0)
+			t.setPeerLoad(process, count)
+			total += count
+		}
+		if load == nil {
+			pool.reports.Remove(process)
+			continue
 		}
+		pool.reports.Record(process, total, now)
 	}
 	d.grantAll(now)
 }
--- a/request/dispatch/release.go
+++ b/request/dispatch/release.go
@@ -32,7 +32,9 @@
 func (d *Dispatcher) Release(t *Target, result Result, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	pool := d.pool(t.registration.Service)
 	t.running--
+	pool.residence.End(now)
 	switch result {
 	case Served:
 		t.health.recordSuccess()
@@ -45,7 +47,7 @@
 	case AddressReused:
 		t.gone = true
 	}
-	d.grant(d.pool(t.registration.Service), now)
+	d.grant(pool, now)
 }
 
 // downAfter is how long a service must have made no progress to count as down.
--- a/request/dispatch/slowdown.go
+++ b/request/dispatch/slowdown.go
@@ -85,15 +85,10 @@
 		return false
 	}
 	pool := d.pool(t.registration.Service)
-	if now.Before(pool.nextReassign) || !d.limitsSlow(pool, now) || t.load() <= t.limit(true, now) {
+	_, limitSlow := d.exclusions(pool, now)
+	if now.Before(pool.nextReassign) || !limitSlow || t.load() <= t.limit(true, now) {
 		return false
 	}
 	pool.nextReassign = now.Add(reassignInterval * time.Duration(d.processes.Count()))
 	return true
 }
-
-// limitsSlow reports whether slow targets of a pool get fewer requests than their
-// capacity.
-func (d *Dispatcher) limitsSlow(pool *pool, now time.Time) bool {
-	return d.usableShare(pool, now, func(t *Target) bool { return t.slow(now) }) <= maxSlowShare
-}
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -19,6 +19,8 @@
 	// counts that other processes report, by process.
 	running  int
 	peerLoad map[string]int
+	// peerTotal is the sum of peerLoad.
+	peerTotal int
 	// coldUntil is when the target's warm-up ends.
 	coldUntil time.Time
 	// sends holds the times of this process's requests to the target within
@@ -64,12 +66,16 @@
 func (t *Target) FailureDomain() string { return t.registration.FailureDomain }
 
 // load returns how many requests all known processes have at the target.
-func (t *Target) load() int {
-	total := t.running
-	for _, count := range t.peerLoad {
-		total += count
+func (t *Target) load() int { return t.running + t.peerTotal }
+
+// setPeerLoad sets the number of requests of another process.
+func (t *Target) setPeerLoad(process string, count int) {
+	t.peerTotal += count - t.peerLoad[process]
+	if count > 0 {
+		t.peerLoad[process] = count
+	} else {
+		delete(t.peerLoad, process)
 	}
-	return total
 }
 
 // setRegistration updates the target from its latest registration.
