Deliver no late, truncated or falsely refused response

Cause: a response without the echoed request ID was accepted on a reused connection, so a late second copy of one reached the next caller; the body of a late response to GET was read as the response to a HEAD request; a buffered HTTP/1.1 response with neither a length nor chunks was taken as whole; an aborted stream looked complete to an HTTP/1.0 caller; events without IDs were sent twice after a resumption; signed 503, 429 and 408 of a target that had run the request were passed on, which states that it has not run; a panic in the handler kept the request's slot at its target.

Change: a response without an ID is accepted only as the first of its connection, which is then not reused; HEAD requests end their connection; the entry gives requests without an ID one. Buffered HTTP/1.1 successes without length or chunks count as incomplete. Streams whose last event has no ID aren't resumed. A panic releases the slot and is logged.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -22,6 +22,10 @@
 	Header http.Header
 	// Length is the length of the body, -1 if it is not known in advance.
 	Length int64
+	// MayBeTruncated is set if the body, when read to its end, may be cut off: an HTTP/1.1
+	// response that has neither a length nor chunks ends with its connection, which also
+	// ends when the target crashes. Of HTTP/1.0 servers nothing better can be expected.
+	MayBeTruncated bool
 
 	exchange *exchange
 	body     io.ReadCloser
@@ -43,8 +47,11 @@
 	// idleTimeout is how long the connection may be idle before it must not be used
 	// any more.
 	idleTimeout time.Duration
-	// reusable is set if the response has a length or is chunked, and the target keeps
-	// the connection open.
+	// first is set if the connection has carried no exchange before, so that no late
+	// response can arrive on it.
+	first bool
+	// reusable is set if the response has a length or is chunked, the target keeps the
+	// connection open and late responses on it can be told from those to later requests.
 	reusable bool
 }
 
@@ -65,6 +72,7 @@
 	// reports.
 	_ = c.SetDeadline(request.Deadline)
 	e.detach = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	e.first, c.carried = !c.carried, true
 	if n, err := c.Write(request.encode()); err != nil {
 		e.end(false)
 		return nil, &ExchangeError{Sent: n > 0, Cause: errors.Join(ctx.Err(), err)}
@@ -90,7 +98,8 @@
 }
 
 // receive reads the head of the response. It skips late responses to earlier
-// requests, but fails at one that is delimited only by the close of the connection.
+// requests, but fails at one whose end is not known: one that is delimited only by the
+// close of the connection, or any if the request is a HEAD request.
 func (e *exchange) receive(request *Request) (*Response, error) {
 	for range maxResponsesRead {
 		e.conn.limits.limit(maxHeadBytes)
@@ -106,16 +115,15 @@
 			request.OnHead(response.StatusCode, response.Header)
 		}
 		id := response.Header.Get(request.IDHeader)
-		if id != "" && id != request.ID {
-			if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-				return nil, &ResponseMismatchError{Want: request.ID, Got: id}
-			}
-			if err := discardLateBody(response.Body); err != nil {
-				return nil, err
-			}
-			continue
+		if id == request.ID && id != "" || id == "" && e.first {
+			return e.newResponse(request, response), nil
+		}
+		if id == "" || !delimited(response) || request.Method == http.MethodHead {
+			return nil, &ResponseMismatchError{Want: request.ID, Got: id}
+		}
+		if err := discardLateBody(response.Body); err != nil {
+			return nil, err
 		}
-		return e.newResponse(response), nil
 	}
 	return nil, &ResponseMismatchError{Want: request.ID}
 }
@@ -129,15 +137,23 @@
 	return err
 }
 
+// delimited reports whether a response has a length or is chunked.
+func delimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // newResponse returns the Response and records whether the connection can be reused,
-// and how long it may be idle.
-func (e *exchange) newResponse(response *http.Response) *Response {
-	delimited := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	e.reusable = delimited && !response.Close
+// and how long it may be idle. It is not reused after a response without the request's ID,
+// whose late copies would match any request, nor after a HEAD request, whose late copies
+// have a length but no body.
+func (e *exchange) newResponse(request *Request, response *http.Response) *Response {
+	identified := response.Header.Get(request.IDHeader) != "" && request.Method != http.MethodHead
+	e.reusable = delimited(response) && !response.Close && identified
 	e.idleTimeout = idleTimeout(response.Header)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		exchange: e, body: response.Body,
+		MayBeTruncated: !delimited(response) && response.ProtoAtLeast(1, 1) && request.Method != http.MethodHead,
+		exchange:       e, body: response.Body,
 	}
 }
 
--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -59,8 +59,9 @@
 	reader *bufio.Reader
 	// limits is what reader reads from.
 	limits *limitedReader
-	// reused is set if the connection has been returned to the pool before.
-	reused bool
+	// reused is set if the connection has been returned to the pool before, carried once a
+	// request is written to it.
+	reused, carried bool
 	// expires is the time from which the idle connection is no longer used, because
 	// the target may close it.
 	expires time.Time
--- a/connection/direct/request.go
+++ b/connection/direct/request.go
@@ -22,7 +22,7 @@
 	Deadline time.Time
 	// IDHeader is the header by which a response is matched with its request, and ID
 	// is its value. A response with another value is rejected; a response without the
-	// header is accepted.
+	// header is accepted as the first one of its connection only.
 	IDHeader, ID string
 	// OnHead, if not nil, is called with the head of each response that arrives on the
 	// connection before the one to this request, and of that one.
--- a/daemon/direct/caller_timeouts.go
+++ b/daemon/direct/caller_timeouts.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// SetLinger sets the socket option of the same name, so that a response can be cut off.
+func (c *callerConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // trackConnState is the http.Server.ConnState hook that starts and stops the timeouts
 // of a callerConn.
 func trackConnState(accepted net.Conn, state http.ConnState) {
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -56,6 +56,8 @@
 	// the total time in the dispatcher's queue.
 	target    string
 	queueWait time.Duration
+	// held is the target that the call holds a slot at while an attempt runs, or nil.
+	held *dispatch.Target
 }
 
 // newCall resolves the route and the organisation of a request and reads its body.
@@ -66,7 +68,7 @@
 	if version == nil {
 		return nil, failure.New(failure.NotReady, failure.NotRun, "this entry has no configuration yet").WithRetryAfter(time.Second)
 	}
-	c := &call{id: r.Header.Get(h.headers.Attempt), request: r, version: version, started: h.clock.Now()}
+	c := &call{id: attemptID(r.Header.Get(h.headers.Attempt)), request: r, version: version, started: h.clock.Now()}
 	if err := c.setRoute(&h.headers); err != nil {
 		return c, err
 	}
@@ -94,6 +96,15 @@
 	return c, nil
 }
 
+// attemptID returns the ID that a caller gave to its request, or a new one. Without an ID, a
+// late response to one request could be taken for that to another.
+func attemptID(given string) string {
+	if given != "" {
+		return given
+	}
+	return strconv.FormatUint(rand.Uint64(), 36)
+}
+
 // minAttemptTime is the least remaining time for which a retry is worthwhile.
 const minAttemptTime = 20 * time.Millisecond
 
@@ -245,6 +256,7 @@
 	remaining := max(c.deadline.Sub(now).Milliseconds(), 1)
 	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(names.Expect, t.ID())
+	header.Set(names.Attempt, c.id)
 	if c.lastEventID != "" {
 		header.Set(names.LastEvent, c.lastEventID)
 	}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -71,6 +71,12 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var c *call
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.endPanic(w, r, c, cause)
+		}
+	}()
 	c, err := h.newCall(w, r)
 	if err != nil {
 		h.respondFailure(w, r, c, err)
@@ -210,7 +216,7 @@
 		if response != nil {
 			h.drainResponse(response)
 		}
-		h.dispatcher.Release(t, v.result, h.clock.Now())
+		h.release(c, t, v.result)
 		return shouldRetry, h.finalFailure(c, v)
 	}
 	return h.relayBuffered(ctx, attemptCtx, w, c, t, response, v, watchdog.progress)
@@ -249,7 +255,7 @@
 	h.metrics.CountAttempt(kind)
 	c.work.Tried = append(c.work.Tried, t)
 	c.firstEvent, c.ran = time.Time{}, false
-	c.target = t.ID()
+	c.target, c.held = t.ID(), t
 }
 
 // drainResponse reads a short response to its end and closes it, so that the
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -20,6 +20,9 @@
 // errResponseTooLong means that a body is longer than responseLimit.
 const errResponseTooLong = streamError("response exceeds the size limit")
 
+// errNoLength means that nothing shows whether a body is whole.
+const errNoLength = streamError("response has neither a length nor chunks")
+
 // readBody reads the whole body of a response.
 func readBody(response io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(response, responseLimit+1))
@@ -35,16 +38,19 @@
 func (h *Handler) relayBuffered(ctx, attemptCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, response *direct.Response, v verdict, progress func()) (shouldRetry bool, failed *failure.Error) {
 	defer response.Close()
 	body, err := readBody(response)
+	if err == nil && v.success() && response.MayBeTruncated {
+		err = errNoLength
+	}
 	if err != nil {
 		truncated := h.truncatedVerdict(attemptCtx, c)
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
 		h.updateCrashEvidence(c, t, h.clock.Now(), err, truncated)
-		h.dispatcher.Release(t, truncated.result, h.clock.Now())
+		h.release(c, t, truncated.result)
 		return shouldRetry, h.finalFailure(c, truncated)
 	}
 	progress()
-	h.dispatcher.Release(t, v.result, h.clock.Now())
+	h.release(c, t, v.result)
 	if v.success() {
 		h.recordSuccess(c)
 	}
@@ -98,7 +104,7 @@
 		c.lastEventID = out.lastID
 		if err == nil {
 			src.watchdog.stop()
-			h.dispatcher.Release(src.target, dispatch.Served, h.clock.Now())
+			h.release(c, src.target, dispatch.Served)
 			h.recordSuccess(c)
 			out.finish(src.response)
 			return false, nil
@@ -109,7 +115,7 @@
 		}
 		src.watchdog.stop()
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, v)
-		h.dispatcher.Release(src.target, v.result, h.clock.Now())
+		h.release(c, src.target, v.result)
 		shouldRetry := h.endFailedAttempt(ctx, c, v)
 		if !out.started {
 			return shouldRetry, h.finalFailure(c, v)
@@ -117,6 +123,9 @@
 		if !shouldRetry {
 			h.abortStream(c, v.reason)
 		}
+		if out.unidentified {
+			h.abortStream(c, "the last event has no ID to resume after")
+		}
 		src = h.resumeStream(ctx, c)
 	}
 }
@@ -151,7 +160,7 @@
 			h.drainResponse(response)
 		}
 		watchdog.stop()
-		h.dispatcher.Release(t, v.result, h.clock.Now())
+		h.release(c, t, v.result)
 		if !h.endFailedAttempt(ctx, c, v) {
 			h.abortStream(c, v.reason)
 		}
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -44,8 +44,11 @@
 	control *http.ResponseController
 	// started is set once the response head has been written.
 	started bool
-	// lastID is the ID of the last event written.
+	// lastID is the ID of the last event written that has one.
 	lastID string
+	// unidentified is set if an event with data but without an ID was written after that
+	// one. Another target cannot know that the caller has it.
+	unidentified bool
 }
 
 // copy relays complete events until the stream ends; it returns nil if the stream
@@ -110,7 +113,9 @@
 			return errCallerDisconnected
 		}
 		if id != "" {
-			s.lastID = id
+			s.lastID, s.unidentified = id, false
+		} else if hasData(event) {
+			s.unidentified = true
 		}
 	}
 	if s.started && s.control.Flush() != nil {
@@ -139,6 +144,11 @@
 	return ""
 }
 
+// hasData reports whether an event has data. One without is a comment, or sets options.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // isNewer reports whether the event with the given ID comes after the one with
 // lastID. IDs that are not integers are always taken as newer.
 func isNewer(id, lastID string) bool {
--- a/request/forward/verdict.go
+++ b/request/forward/verdict.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"strconv"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
@@ -83,6 +84,16 @@
 	return v
 }
 
+// statesNotRun reports whether a status states to callers that a request has not run and never
+// will.
+func statesNotRun(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // classifyResponse returns the verdict on the head of a response to a request that
 // was sent to the target with the given ID.
 func classifyResponse(h *Headers, status int, header http.Header, id string) verdict {
@@ -99,6 +110,10 @@
 	if !signed {
 		return incomplete(dispatch.Failed, "response is not signed")
 	}
+	if statesNotRun(status) {
+		// Without Headers.NotRun the request may have run, here or at an earlier target.
+		return incomplete(dispatch.Failed, "target responded "+strconv.Itoa(status)+" without stating that the request has not run")
+	}
 	if status < http.StatusMultipleChoices {
 		return verdict{deliver: true, result: dispatch.Served}
 	}
