Lose no request of callers' connections in a planned stop

Cause: http.Server.Shutdown closes the listener at once, which resets connections that the kernel has accepted and Serve has not, and closes connections whose next request has arrived in part, or arrives after the end of a stream that began before the stop.

Change: the entry closes its listener once no connection has arrived for 250 ms (1 s at most) and none is queued, serves a connection's next request with Connection: close, and closes connections that have been idle for 250 ms without unread bytes. Readiness, directory and metrics servers finish requests in flight for up to 100 ms.

What remains: a request that crosses on the network the close of a connection that has been idle for 250 ms; it does not run.

--- a/daemon/direct/caller_timeouts.go
+++ b/daemon/direct/caller_timeouts.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -26,27 +27,47 @@
 type callerListener struct {
 	net.Listener
 	timeouts func() callerTimeouts
+
+	// mu guards the fields below. The locks of connections are acquired while it is held.
+	mu sync.Mutex
+	// open holds the connections that are not closed yet.
+	open map[*callerConn]bool
+	// acceptedAt is when the last connection was accepted.
+	acceptedAt time.Time
+	// ended is set once the listener accepts no more connections.
+	ended bool
+}
+
+func newCallerListener(listener net.Listener, timeouts func() callerTimeouts) *callerListener {
+	return &callerListener{Listener: listener, timeouts: timeouts, open: map[*callerConn]bool{}}
 }
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err != nil {
+		l.ended = l.ended || errors.Is(err, net.ErrClosed)
 		return nil, err
 	}
-	return &callerConn{Conn: accepted, timeouts: l.timeouts}, nil
+	c := &callerConn{Conn: accepted, listener: l, idle: true, idleSince: time.Now()}
+	l.open[c], l.acceptedAt = true, c.idleSince
+	return c, nil
 }
 
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
-	timeouts func() callerTimeouts
+	listener *callerListener
 
 	// mu guards the fields below. No other lock is acquired while it is held.
 	mu    sync.Mutex
 	timer *time.Timer
-	// idle is set until the first byte of the next request arrives.
-	idle bool
+	// idle is set until the first byte of the next request arrives, idleSince is when the
+	// connection was accepted or the last response had been sent.
+	idle      bool
+	idleSince time.Time
 }
 
 // Read implements net.Conn. The first byte of a request starts the header timeout.
@@ -65,7 +86,7 @@
 	defer c.mu.Unlock()
 	if c.idle {
 		c.idle = false
-		c.closeAfter(c.timeouts().Header)
+		c.closeAfter(c.listener.timeouts().Header)
 	}
 }
 
@@ -97,12 +118,15 @@
 	if !ok {
 		return
 	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		c.listener.remove(c)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
 	case http.StateNew, http.StateIdle:
-		c.idle = true
-		c.closeAfter(c.timeouts().Idle)
+		c.idle, c.idleSince = true, time.Now()
+		c.closeAfter(c.listener.timeouts().Idle)
 	default:
 		// The headers have been read, or the connection is closed.
 		c.idle = false
--- a/daemon/direct/caller_timeouts_test.go
+++ b/daemon/direct/caller_timeouts_test.go
@@ -25,9 +25,9 @@
 	s.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(w, r.Body)
 	}))
-	s.server.Listener = &callerListener{s.server.Listener, func() callerTimeouts {
+	s.server.Listener = newCallerListener(s.server.Listener, func() callerTimeouts {
 		return callerTimeouts{Idle: time.Duration(s.idle.Load()), Header: time.Duration(s.header.Load())}
-	}}
+	})
 	s.server.Config.ConnState = trackConnState
 	s.server.Start()
 	t.Cleanup(s.server.Close)
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -27,6 +26,8 @@
 	// shutdownMargin is the time reserved at the end of the grace period for what Run does
 	// after shutDown.
 	shutdownMargin = 700 * time.Millisecond
+	// finishOthersTimeout limits finishOthers, which must fit into shutdownMargin too.
+	finishOthersTimeout = 100 * time.Millisecond
 )
 
 // Run implements command.Daemon.
@@ -47,6 +48,7 @@
 	e.shutDown(abort, servers, heartbeats)
 	e.unregister()
 	stop()
+	servers.finishOthers()
 	servers.close()
 	wg.Wait()
 	e.log.WithField("ran_s", e.clock.Since(started).Seconds()).Info("stopped")
@@ -182,8 +184,9 @@
 	// others are the servers for readiness, the directory and metrics.
 	others []*http.Server
 	// listeners are those of callers and others, in that order.
-	listeners  []net.Listener
-	peerSocket *net.UDPConn
+	listeners      []net.Listener
+	callerListener *callerListener
+	peerSocket     *net.UDPConn
 }
 
 // listen opens all sockets.
@@ -207,7 +210,8 @@
 			return nil, &ListenError{Address: address, Cause: err}
 		}
 		if len(s.listeners) == 0 {
-			listener = &callerListener{listener, e.callerTimeouts}
+			s.callerListener = newCallerListener(listener, e.callerTimeouts)
+			listener = s.callerListener
 		}
 		s.listeners = append(s.listeners, listener)
 	}
@@ -246,6 +250,17 @@
 	}
 }
 
+// finishOthers lets the servers for readiness, the directory and metrics finish requests that
+// have arrived; they take milliseconds.
+func (s *servers) finishOthers() {
+	ctx, cancel := context.WithTimeout(context.Background(), finishOthersTimeout)
+	defer cancel()
+	for _, server := range s.others {
+		// close aborts what is left.
+		_ = server.Shutdown(ctx)
+	}
+}
+
 func (s *servers) close() {
 	for _, server := range append([]*http.Server{s.callers}, s.others...) {
 		_ = server.Close()
@@ -283,8 +298,8 @@
 	e.sleep(abort, directoryTTL)
 	ctx, cancel := context.WithTimeout(abort, max(deadline.Sub(e.clock.Now()), 0))
 	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		e.log.WithError(err).Warn("shutdown did not complete; aborting requests in flight")
+	if left := s.callerListener.drain(ctx); left > 0 {
+		e.log.WithField("connections", left).Warn("shutdown did not complete; aborting requests in flight")
 	}
 }
 
