Deliver responses that end with their connection

Targets may send such responses; they are whole when the connection ends with a close, and not when it is reset.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -22,10 +22,6 @@
 	Header http.Header
 	// Length is the length of the body, -1 if it is not known in advance.
 	Length int64
-	// MayBeTruncated is set if the body, when read to its end, may be cut off: an HTTP/1.1
-	// response that has neither a length nor chunks ends with its connection, which also
-	// ends when the target crashes. Of HTTP/1.0 servers nothing better can be expected.
-	MayBeTruncated bool
 
 	exchange *exchange
 	body     io.ReadCloser
@@ -152,8 +148,7 @@
 	e.idleTimeout = idleTimeout(response.Header)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		MayBeTruncated: !delimited(response) && response.ProtoAtLeast(1, 1) && request.Method != http.MethodHead,
-		exchange:       e, body: response.Body,
+		exchange: e, body: response.Body,
 	}
 }
 
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -20,9 +20,6 @@
 // errResponseTooLong means that a body is longer than responseLimit.
 const errResponseTooLong = streamError("response exceeds the size limit")
 
-// errNoLength means that nothing shows whether a body is whole.
-const errNoLength = streamError("response has neither a length nor chunks")
-
 // readBody reads the whole body of a response.
 func readBody(response io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(response, responseLimit+1))
@@ -38,9 +35,6 @@
 func (h *Handler) relayBuffered(ctx, attemptCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, response *direct.Response, v verdict, progress func()) (shouldRetry bool, failed *failure.Error) {
 	defer response.Close()
 	body, err := readBody(response)
-	if err == nil && v.success() && response.MayBeTruncated {
-		err = errNoLength
-	}
 	if err != nil {
 		truncated := h.truncatedVerdict(attemptCtx, c)
 		// endFailedAttempt was already called if the response head was a failure.
