Let four of many entries follow the store for all

Each of 70 entries made 28 calls to the store in 48 s: 5 at its start, then long polls of three tables, each of which ends with every change. With more than eight live entries only the frequent pollers now follow the tables, and forward changed rows in datagrams that name the versions which they cover. The others make no calls after their start; they ask the store if they miss a change, and follow it themselves if no poller can.

The pollers are spread over failure domains, so that the loss of one does not take all four, and an entry tells its peers at once that it has lost the store.

The tests of store_watch construct the watch with a peer and a log instead of a name; what they check is unchanged.

--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -7,9 +7,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/internal/corpus"
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/poison"
@@ -44,6 +48,12 @@
 		require.LessOrEqual(t, len(peers.Releases(now)), 1)
 		dispatch.New(dispatch.Config{}).MergeLeavings(received.Leavings, now)
 		dispatch.New(dispatch.Config{}).MergeLimits(received.Limits, now)
+		w := newStoreWatch(presence.Peer{Name: "self"}, logrus.NewEntry(logs.Discard()))
+		w.relay(follow.RelayConfig{Table: platform.TableTargets})
+		w.handleStatus(received.Peer.Name, received.Store)
+		if received.Changes != nil {
+			w.offer(*received.Changes)
+		}
 		if received.Evidence != nil {
 			tracker := poison.NewTracker(poison.Config{}, clock)
 			tracker.Merge(*received.Evidence)
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -123,11 +123,12 @@
 		}),
 	}
 	e.bounds.Store(&s.Bounds)
-	e.storeWatch = newStoreWatch(s.Name)
+	e.storeWatch = newStoreWatch(e.self, logs.Component(cfg.Logger, "store"))
 	e.targets = newTargetObserver(e.dispatcher, e.clock, logs.Component(cfg.Logger, "targets"))
 	e.budgets = newRetryBudgets(s.Bounds)
 	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
+	e.metrics.Registry().MustRegister(e.storeWatch.followsStore)
 	e.builds = release.NewObserver(e.metrics.Registry(), logs.Component(cfg.Logger, "peers"))
 	e.poison = poison.NewTracker(poison.Config{TrialAfterCrashes: refuseAfterCrashes, RefuseAfterCrashes: refuseAfterCrashes}, e.clock)
 	crashes := poison.NewCrashDetector(poison.DetectorConfig{
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/process/release"
@@ -76,6 +77,9 @@
 	presence.Datagram
 	// Evidence reports target crashes and clearances; nil for none.
 	Evidence *poison.Evidence `cbor:"6,keyasint,omitempty"`
+	// Changes are those of a table of the store that the sender follows for the receiver;
+	// nil for none.
+	Changes *follow.Batch `cbor:"14,keyasint,omitempty"`
 }
 
 const (
@@ -144,7 +148,7 @@
 	defer h.mu.Unlock()
 	e := h.entry
 	now := e.clock.Now()
-	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(now), h.evidence(now))
+	h.sendTo(e.peers.Addresses(), datagram{Evidence: h.evidence(now)}, e.dispatcher.Limits(now))
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
 	}
@@ -153,17 +157,16 @@
 	e.storeWatch.update(e.peers.Ready(now))
 }
 
-// sendTo sends a heartbeat with the given limits and evidence to some peers. The caller holds mu.
-func (h *heartbeater) sendTo(addresses []string, limits []presence.TargetLimit, evidence *poison.Evidence) {
+// sendTo sends a heartbeat with the given limits, and with the other parts of the datagram,
+// to some peers. The caller holds mu.
+func (h *heartbeater) sendTo(addresses []string, message datagram, limits []presence.TargetLimit) {
 	e := h.entry
 	h.sequence++
-	encoded, err := cbor.Marshal(datagram{
-		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
-			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
-			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
-		}},
-		Evidence: evidence,
-	})
+	message.Heartbeat = presence.Heartbeat{
+		Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
+		Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
+	}
+	encoded, err := cbor.Marshal(message)
 	if err != nil {
 		h.log.WithError(err).Error("heartbeat cannot be encoded")
 		return
@@ -189,7 +192,18 @@
 	defer h.mu.Unlock()
 	limits := h.entry.dispatcher.AllLimits(h.entry.clock.Now())
 	for chunk := range slices.Chunk(limits, maxLimitsAtStart) {
-		h.sendTo([]string{peer.PeerAddress}, chunk, nil)
+		h.sendTo([]string{peer.PeerAddress}, datagram{}, chunk)
+	}
+}
+
+// forwardChanges sends changes of a table to the entries that do not follow it, each batch
+// with a heartbeat, since releases without changes take every datagram for one.
+func (h *heartbeater) forwardChanges(changes []follow.Batch, pollers []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	addresses := h.entry.peers.AddressesExcept(pollers)
+	for i := range changes {
+		h.sendTo(addresses, datagram{Changes: &changes[i]}, nil)
 	}
 }
 
@@ -221,6 +235,9 @@
 			h.applyTargetReport(*received.TargetReport, now)
 			continue
 		}
+		if received.Changes != nil {
+			h.entry.storeWatch.offer(*received.Changes)
+		}
 		if received.Evidence != nil && h.entry.poison.Merge(*received.Evidence) {
 			h.log.WithFields(logrus.Fields{
 				"peer": received.Peer.Name, "crashes": len(received.Evidence.Crashes), "clearances": len(received.Evidence.Clearances),
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -60,9 +60,10 @@
 	peers := &snapshotNotifier{
 		Observer: &peerObserver{entry: e, log: logs.Component(e.logger, "peers")}, done: e.joinPeers,
 	}
-	events := e.storeWatch.events
+	e.storeWatch.forward, e.storeWatch.onLost = heartbeats.forwardChanges, e.notifyPeers
 	followTable := func(cfg follow.Config) {
-		cfg.Reader, cfg.Log, cfg.Events = e.store, log, events
+		cfg.Reader, cfg.Log, cfg.Events = e.store, log, e.storeWatch.events
+		cfg.Relay = e.storeWatch.relay(follow.RelayConfig{Table: cfg.Table, Settle: e.awaitPeers})
 		wg.Go(func() { follow.Table(ctx, cfg) })
 	}
 	followTable(follow.Config{
@@ -75,7 +76,7 @@
 		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(targetsBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
 	followTable(follow.Config{
-		Table: platform.TableEntries, Observer: peers, Position: follow.NewPosition(),
+		Table: platform.TableEntries, Observer: peers, Position: e.storeWatch.entries,
 		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(entriesBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
 	wg.Go(func() {
@@ -125,6 +126,23 @@
 	}
 }
 
+// settleCheckInterval is the time between two checks whether all other entries are heard.
+const settleCheckInterval = 20 * time.Millisecond
+
+// awaitPeers waits until the entries in the store are heard, so that an entry which needs not
+// follow a table knows it before its first long poll. It waits no longer than for more changes
+// of targets, and not at all if there are few entries.
+func (e *Entry) awaitPeers(ctx context.Context) {
+	deadline := e.clock.Now().Add(e.batchDelay(targetsBatchDelay)())
+	for e.clock.Now().Before(deadline) && ctx.Err() == nil {
+		known := 1 + len(e.peers.Names())
+		if e.peersLoaded.Load() && (known <= maxPollingEntries || e.storeWatch.liveEntries() >= known) {
+			return
+		}
+		e.sleep(ctx, settleCheckInterval)
+	}
+}
+
 // registrationMaxBackoff returns the maximum backoff of the tables of targets and
 // entries. They must be read again well before the store counts as reachable, which it
 // does settings.Bounds.Contact after a disturbance.
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -81,6 +81,8 @@
 	MaxBackoff time.Duration
 	// Events is shared by all tables of a process.
 	Events *StoreEvents
+	// Relay, if not nil, exchanges the table's changes with other processes.
+	Relay *Relay
 }
 
 // StoreEvents broadcasts failures and recoveries of a store to all its followers. On
@@ -163,22 +165,24 @@
 	failures int
 	// hinted is set if the last long poll was abandoned because of a hint.
 	hinted bool
+	// changedAt is a version after which the table has no changes up to version.
+	changedAt uint64
+	// regainedAt is when the store could be read again after its last outage.
+	regainedAt time.Time
 }
 
 // step reads the whole table, or waits for its next changes.
 func (f *follower) step(ctx context.Context) error {
 	if !f.synced {
-		timeout := min(minReadTimeout<<min(f.failures/2, 8), maxReadTimeout)
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		rows, version, err := f.Reader.Read(ctx, f.Table)
+		rows, version, err := f.readTable(ctx)
 		if err != nil {
 			return err
 		}
 		f.takeSnapshot(rows, version)
+		f.Relay.settle(ctx)
 		return nil
 	}
-	rows, version, err := f.feed(ctx)
+	rows, version, relayed, err := f.feed(ctx)
 	var lost *platform.HistoryLostError
 	if errors.As(err, &lost) {
 		f.synced = false
@@ -192,27 +196,48 @@
 		f.log.WithFields(logrus.Fields{"era": restored.After, "known": f.version.Number}).Warn("store restored from an older copy; reading the whole table")
 		return err
 	}
-	if f.hinted = errors.Is(err, errHinted); f.hinted {
+	if f.hinted = errors.Is(err, errHinted) || errors.Is(err, errNothingForwarded); f.hinted {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	f.version.Number = max(f.version.Number, version.Number)
+	if len(rows) == 0 {
+		f.Position.fed(rows, f.version)
+		return nil
+	}
+	if !relayed {
+		f.Relay.publish(rows, f.changedAt, f.version, f.disturbed())
+	}
+	f.changedAt = max(f.changedAt, latestChange(rows))
 	f.Position.fed(rows, f.version)
-	if len(rows) > 0 {
-		f.Observer.OnChanges(rows)
+	f.Observer.OnChanges(rows)
+	if !f.Relay.receiving() {
 		f.sleep(ctx, f.BatchDelay())
 	}
 	return nil
 }
 
+// readTable reads the whole table.
+func (f *follower) readTable(ctx context.Context) ([]platform.Row, platform.Version, error) {
+	timeout := min(minReadTimeout<<min(f.failures/2, 8), maxReadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return f.Reader.Read(ctx, f.Table)
+}
+
+// disturbed reports whether the store failed shortly before.
+func (f *follower) disturbed() bool {
+	return f.failures > 0 || !f.regainedAt.IsZero() && time.Since(f.regainedAt) < disturbanceSpan
+}
+
 // takeSnapshot passes on the rows of the whole table. If they are of another era than the
 // rows known before, it is an outage of the store for the observer, also if no call failed:
 // the copy from which the store was restored may lack rows that will be written again.
 func (f *follower) takeSnapshot(rows []platform.Row, version platform.Version) {
 	unnoticed := f.read && version.Era != f.version.Era && f.failures == 0
-	f.read, f.synced, f.version = true, true, version
+	f.read, f.synced, f.version, f.changedAt = true, true, version, version.Number
 	f.Position.read(rows, version)
 	if unnoticed {
 		f.Observer.OnStoreLost()
@@ -223,10 +248,12 @@
 
 // feed waits for the next changes. A failure of another call to the store, and a hint,
 // end a long poll early. Before long polls after a hint, a short one asks for changes, so
-// that the store's version is known even if there are none.
-func (f *follower) feed(ctx context.Context) ([]platform.Row, platform.Version, error) {
+// that the store's version is known even if there are none. It reports whether the changes
+// were forwarded by a peer.
+func (f *follower) feed(ctx context.Context) ([]platform.Row, platform.Version, bool, error) {
 	if f.failures > 0 || f.hinted {
-		return f.Reader.Feed(ctx, f.Table, f.version, probeWait)
+		rows, version, err := f.Reader.Feed(ctx, f.Table, f.version, probeWait)
+		return rows, version, false, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -240,11 +267,19 @@
 		case <-ctx.Done():
 		}
 	}()
-	rows, version, err := f.Reader.Feed(ctx, f.Table, f.version, f.FeedWait())
+	relayed := f.Relay.receiving()
+	var rows []platform.Row
+	var version platform.Version
+	var err error
+	if relayed {
+		rows, version, err = f.Relay.await(ctx, f.version)
+	} else {
+		rows, version, err = f.Reader.Feed(ctx, f.Table, f.version, f.FeedWait())
+	}
 	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, ErrInterrupted) || errors.Is(cause, errHinted)) {
 		err = cause
 	}
-	return rows, version, err
+	return rows, version, relayed, err
 }
 
 // recordResult counts failures, and reports the first one and the recovery to the
@@ -254,11 +289,12 @@
 	case err != nil && f.failures == 0:
 		f.log.WithError(err).Warn("store lost")
 		f.Observer.OnStoreLost()
-		if !errors.Is(err, ErrInterrupted) {
+		if !errors.Is(err, ErrInterrupted) && !errors.Is(err, errOutageForwarded) {
 			f.Events.failed.send()
 		}
 	case err == nil && f.failures > 0:
 		f.log.WithField("failures", f.failures).Info("store regained")
+		f.regainedAt = time.Now()
 		f.Observer.OnStoreRegained()
 		f.Events.recovered.send()
 	}
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -94,6 +94,9 @@
 	TargetsEra  uint64 `cbor:"5,keyasint,omitempty"`
 	// Lost is set while the process cannot read the store.
 	Lost bool `cbor:"3,keyasint,omitempty"`
+	// EntriesChange is the same for the table of entries, EntriesEra its era.
+	EntriesChange uint64 `cbor:"6,keyasint,omitempty"`
+	EntriesEra    uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // SlowdownThreshold is the slowdown at and above which a target counts as slow.
@@ -209,6 +212,21 @@
 	return all
 }
 
+// AddressesExcept returns the heartbeat addresses of all peers but those with the given
+// names, sorted.
+func (t *PeerTable) AddressesExcept(names []string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var all []string
+	for name, state := range t.peers {
+		if !slices.Contains(names, name) {
+			all = append(all, state.peer.PeerAddress)
+		}
+	}
+	sort.Strings(all)
+	return all
+}
+
 // alive reports whether a heartbeat of the peer arrived within the timeout.
 func (t *PeerTable) alive(state *peerState, now time.Time) bool {
 	return !state.heardAt.IsZero() && now.Sub(state.heardAt) <= t.timeout
