Send nothing to targets whose address a later one has

Cause: after all hosts had lost power, entries knew the registrations of the earlier incarnations, which stay for some seconds, beside those of the later ones at the same addresses.

Change: of several registrations at one address only the one that started last gets requests; the crash detector learns that the others have ended. Without start times nothing changes.

--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -150,8 +150,8 @@
 }
 
 // Register adds or updates a target from its registration. A target that restarted
-// under its ID, or that changed its service or address, replaces the old one, which is
-// then returned; otherwise the result is nil.
+// under its ID, that changed its service or address, or that started at the address of
+// another one replaces the old one, which is then returned; otherwise the result is nil.
 func (d *Dispatcher) Register(registration target.Registration, now time.Time) (replaced *Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -178,11 +178,43 @@
 	added.saidLeaving = d.leaving[added.incarnationID()].valid(now)
 	added.pause = d.pauseOf(added.incarnationID())
 	added.rateLimit = d.limits[added.incarnationID()]
+	if earlier := d.endEarlierAt(added); earlier != nil {
+		replaced = earlier
+	}
 	pool.add(added)
 	d.grant(pool, now)
 	return replaced
 }
 
+// endEarlierAt compares a new target with others at its address, of which only the one that
+// started last can still exist, and marks the others as gone. It returns one that the new
+// target has replaced, or nil. After the loss of all hosts the registrations of earlier
+// incarnations remain for some seconds, and requests to them only find that the address belongs
+// to another target.
+func (d *Dispatcher) endEarlierAt(added *Target) (replaced *Target) {
+	for _, pool := range d.pools {
+		for _, t := range pool.targets {
+			if t.registration.Address != added.registration.Address {
+				continue
+			}
+			if !t.gone && t.startedBefore(added) {
+				t.gone = true
+				replaced = t
+			}
+			if added.startedBefore(t) {
+				added.gone = true
+			}
+		}
+	}
+	return replaced
+}
+
+// startedBefore reports whether the target started before another, as far as both say when.
+func (t *Target) startedBefore(other *Target) bool {
+	own := t.registration.StartedAt.UnixMilli()
+	return own > 0 && own < other.registration.StartedAt.UnixMilli()
+}
+
 // Remove removes a target whose registration was deleted and returns it, or nil if there
 // is none with the ID.
 func (d *Dispatcher) Remove(id string) (removed *Target) {
