Reject messages whose numbers stop an agent

Cause: sums of numbers from datagrams overflowed before they were compared with a bound (the first layer or rank of a map's part, the offset of counts, the planner's rank in a directive), so that an index out of range ended the agent.

The agent has no recover on purpose: its state decides on map switches, and a restart derives it from the engine.

--- a/version/expertmap/recovery.go
+++ b/version/expertmap/recovery.go
@@ -126,7 +126,7 @@
 	for _, known := range r.known {
 		id := known.Proposal.ID
 		seen := slices.ContainsFunc(proposals, func(p Proposal) bool { return p.ID == id })
-		if seen || known.Proposal.Group != a.group || known.Proposal.From != a.current || r.aborted(id) {
+		if seen || known.Proposal.Group != a.group || known.Proposal.Proposer >= a.size || known.Proposal.From != a.current || r.aborted(id) {
 			continue
 		}
 		if known.Promised || r.committed(known.Proposal) {
--- a/version/expertmap/vote.go
+++ b/version/expertmap/vote.go
@@ -113,6 +113,9 @@
 	if message.Proposal == nil || !a.inGroup(message.Proposal.Group) || a.recovery != nil {
 		return
 	}
+	if message.Proposal.Holder >= a.size || message.Proposal.Proposer >= a.size {
+		return
+	}
 	proposal := *message.Proposal
 	found := a.find(proposal.ID)
 	if found == nil {
--- a/version/rebalance/delta.go
+++ b/version/rebalance/delta.go
@@ -157,10 +157,17 @@
 	return next, next.Sum() == d.Sum
 }
 
-// maxExpertsOrRanks is the maximum number of experts per layer, and of ranks, in a
-// received delta.
-const maxExpertsOrRanks = 1 << 16
+const (
+	// maxExpertsOrRanks is the maximum number of experts per layer, and of ranks, in a
+	// received delta.
+	maxExpertsOrRanks = 1 << 16
+	// maxExpertsOfMap and maxListsOfMap are the maximum numbers of experts and of lists of
+	// experts in a received delta. Both maxima per layer together would take gigabytes.
+	maxExpertsOfMap = 1 << 20
+	maxListsOfMap   = 1 << 20
+)
 
 func (d *Delta) hasValidShape() bool {
-	return d.Layers > 0 && d.Layers <= maxLayers && d.Experts > 0 && d.Experts <= maxExpertsOrRanks && d.Ranks > 0 && d.Ranks <= maxExpertsOrRanks
+	return d.Layers > 0 && d.Layers <= maxLayers && d.Experts > 0 && d.Experts <= maxExpertsOrRanks && d.Ranks > 0 && d.Ranks <= maxExpertsOrRanks &&
+		d.Layers*d.Experts <= maxExpertsOfMap && d.Layers*d.Ranks <= maxListsOfMap
 }
--- a/version/rebalance/demand.go
+++ b/version/rebalance/demand.go
@@ -37,7 +37,7 @@
 // add adds the selections of consecutive experts, given as count levels. first is
 // the index of the first expert among those of all layers, layer after layer.
 func (d *demand) add(first int, levels []byte, now time.Time) {
-	if first < 0 || first+len(levels) > d.layers*d.experts {
+	if first < 0 || first > d.layers*d.experts-len(levels) {
 		return
 	}
 	last := len(d.slices) - 1
--- a/version/rebalance/map_parts.go
+++ b/version/rebalance/map_parts.go
@@ -234,13 +234,14 @@
 // maxLayers bounds the number of layers of a received map.
 const maxLayers = 4096
 
-// inRange reports whether the part lies within its map.
+// inRange reports whether the part lies within its map. The differences cannot overflow, as the
+// sums could.
 func (p *MapPart) inRange() bool {
-	if p.Layers <= 0 || p.Layers > maxLayers || p.FirstLayer < 0 || p.FirstLayer+len(p.Experts) > p.Layers || p.FirstRank < 0 {
+	if p.Layers <= 0 || p.Layers > maxLayers || p.FirstLayer < 0 || p.FirstLayer > p.Layers-len(p.Experts) || p.FirstRank < 0 {
 		return false
 	}
 	for _, ranks := range p.Experts {
-		if p.FirstRank+len(ranks) > p.Ranks {
+		if p.FirstRank > p.Ranks-len(ranks) {
 			return false
 		}
 	}
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -192,10 +192,10 @@
 
 // Host returns the host address of a rank, or false if the planner does not know it.
 func (d *Directive) Host(rank int) (netip.Addr, bool) {
-	offset := rank * hostBytes
-	if rank < 0 || offset+hostBytes > len(d.Hosts) {
+	if rank < 0 || rank >= len(d.Hosts)/hostBytes {
 		return netip.Addr{}, false
 	}
+	offset := rank * hostBytes
 	host := netip.AddrFrom4([hostBytes]byte(d.Hosts[offset : offset+hostBytes]))
 	return host, host != netip.IPv4Unspecified()
 }
