Keep one malformed message from taking an entry down

Cause: an empty datagram registered an entry without a name, which then counted for good among those that share limits and trials, as did a row like {} of the table of entries; ages over some 292 years overflowed, so that a target counted as leaving for decades; one row of the store with a value of another type or no base64 made its whole table unreadable; a panic at a datagram, at a row or in the handler of a link's stream ended the process; any error of the socket ended the receipt of heartbeats for good.

Ticks, the agent's loop and handlers of link messages have no recover on purpose: they change states that must not go on from an unknown one.

--- a/connection/link/dispatch.go
+++ b/connection/link/dispatch.go
@@ -1,5 +1,12 @@
 package link
 
+import (
+	"fmt"
+	"runtime/debug"
+
+	"github.com/sirupsen/logrus"
+)
+
 // readLoop reads messages and dispatches their frames until the link ends.
 func (l *Link) readLoop() {
 	for {
@@ -202,8 +209,20 @@
 // goroutine.
 func (l *Link) runHandler(s *Stream) {
 	defer l.releaseAccepted()
+	defer s.finishServing()
+	defer l.endPanic()
 	l.config.Handler.ServeStream(s.Context(), l, s)
-	s.finishServing()
+}
+
+// endPanic is deferred while the handler of a stream runs. A panic ends only its stream, whose
+// peer learns that there is no response. Handlers of messages run without it: they change the
+// state of protocols that must not continue from an unknown one.
+func (l *Link) endPanic() {
+	if cause := recover(); cause != nil {
+		l.config.Logger.WithFields(logrus.Fields{
+			"part": logPart, "peer": l.Peer().Name, "panic": fmt.Sprint(cause), "stack": string(debug.Stack()),
+		}).Error("stream handler panicked; the stream is cancelled")
+	}
 }
 
 // releaseAccepted removes one stream from the count of accepted streams.
--- a/connection/link/link_test.go
+++ b/connection/link/link_test.go
@@ -45,6 +45,8 @@
 		return
 	case "no-response":
 		return
+	case "panic":
+		panic("a fault of the handler")
 	case "wait":
 		<-s.Context().Done()
 		return
@@ -203,6 +205,24 @@
 	require.Empty(t, acceptor.Links())
 }
 
+// TestPanicOfAHandlerEndsItsStreamOnly guards against a request whose handler panics and takes the
+// process down with all its links.
+func TestPanicOfAHandlerEndsItsStreamOnly(t *testing.T) {
+	l, _ := connect(t, testConfig("entry", nil), testConfig("agent", newEchoHandler()))
+	for range 3 {
+		s, err := l.Open(t.Context(), testHead{Name: "panic"}, nil, true)
+		require.NoError(t, err)
+		var head testHead
+		var cancelled *CancelledError
+		require.ErrorAs(t, s.ReceiveHead(t.Context(), &head), &cancelled)
+		require.True(t, cancelled.Remote)
+	}
+	s, err := l.Open(t.Context(), testHead{Name: "respond-early"}, nil, true)
+	require.NoError(t, err)
+	var head testHead
+	require.NoError(t, s.ReceiveHead(t.Context(), &head))
+}
+
 func TestMessagesAndVersionsAreDelivered(t *testing.T) {
 	entry, agent := testConfig("entry", nil), testConfig("agent", newEchoHandler())
 	handler := agent.Handler.(*echoHandler)
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -203,38 +206,60 @@
 	e.targets.setProcesses(processes.Count())
 }
 
+// receiveErrorPause is the pause after an error of the socket, which may last.
+const receiveErrorPause = 100 * time.Millisecond
+
 // receive processes datagrams until the socket is closed.
 func (h *heartbeater) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, _, err := h.socket.ReadFromUDP(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		var received datagram
-		if err := cbor.Unmarshal(buffer[:n], &received); err != nil {
-			h.log.WithError(err).Warn("datagram cannot be decoded; dropped")
-			continue
-		}
-		now := h.entry.clock.Now()
-		if received.TargetReport != nil {
-			h.applyTargetReport(*received.TargetReport, now)
+		if err != nil {
+			h.log.WithError(err).Warn("receiving datagrams failed; trying again")
+			time.Sleep(receiveErrorPause)
 			continue
 		}
-		if received.Evidence != nil && h.entry.poison.Merge(*received.Evidence) {
-			h.log.WithFields(logrus.Fields{
-				"peer": received.Peer.Name, "crashes": len(received.Evidence.Crashes), "clearances": len(received.Evidence.Clearances),
-			}).Info("crashes heard of")
-		}
-		h.mergeLeavings(received.Peer.Name, received.Leavings, now)
-		h.mergeLimits(received.Peer.Name, received.Limits, now)
-		if !h.entry.peers.HasHeard(received.Peer) && received.Peer.Name != h.entry.self.Name {
-			h.sendLimits(received.Peer)
-		}
-		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
-			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
-			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
+		h.handle(buffer[:n], h.entry.clock.Now())
+	}
+}
+
+// handle processes a datagram. A panic drops the datagram: what it changes are reports that the
+// next ones replace, and each part of the entry is consistent when its lock is free.
+func (h *heartbeater) handle(data []byte, now time.Time) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.log.WithFields(logrus.Fields{"panic": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("datagram dropped: its handling panicked")
 		}
+	}()
+	var received datagram
+	if err := cbor.Unmarshal(data, &received); err != nil {
+		h.log.WithError(err).Warn("datagram cannot be decoded; dropped")
+		return
+	}
+	if received.TargetReport != nil {
+		h.applyTargetReport(*received.TargetReport, now)
+		return
+	}
+	if !received.Peer.Valid() {
+		h.log.WithField("peer", received.Peer.Name).Warn("heartbeat without a name or an address; dropped")
+		return
+	}
+	if received.Evidence != nil && h.entry.poison.Merge(*received.Evidence) {
+		h.log.WithFields(logrus.Fields{
+			"peer": received.Peer.Name, "crashes": len(received.Evidence.Crashes), "clearances": len(received.Evidence.Clearances),
+		}).Info("crashes heard of")
+	}
+	h.mergeLeavings(received.Peer.Name, received.Leavings, now)
+	h.mergeLimits(received.Peer.Name, received.Limits, now)
+	if !h.entry.peers.HasHeard(received.Peer) && received.Peer.Name != h.entry.self.Name {
+		h.sendLimits(received.Peer)
+	}
+	if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
+		h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
+		h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
 	}
 }
 
--- a/daemon/follow/follow.go
+++ b/daemon/follow/follow.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -138,7 +140,7 @@
 func Table(ctx context.Context, cfg Config) {
 	f := &follower{Config: cfg, log: cfg.Log.WithField("table", cfg.Table)}
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		err := f.guardedStep(ctx)
 		if ctx.Err() != nil {
 			return
 		}
@@ -165,6 +167,25 @@
 	hinted bool
 }
 
+// PanicError means that the observer panicked at rows of a table.
+type PanicError struct{ Cause any }
+
+// Error implements error.
+func (e *PanicError) Error() string { return fmt.Sprintf("panic: %v", e.Cause) }
+
+// guardedStep is step with panics as errors. A row that nobody expected must not end a process
+// that serves without the store: for the observer it is an outage, after which the whole table
+// is read again.
+func (f *follower) guardedStep(ctx context.Context) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			f.synced, err = false, &PanicError{Cause: cause}
+			f.log.WithFields(logrus.Fields{"panic": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("rows of the table not processed")
+		}
+	}()
+	return f.step(ctx)
+}
+
 // step reads the whole table, or waits for its next changes.
 func (f *follower) step(ctx context.Context) error {
 	if !f.synced {
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"sort"
 	"sync"
@@ -24,6 +25,13 @@
 	FailureDomain              string
 }
 
+// Valid reports whether the peer has a name and an address for heartbeats, without which it
+// would count among the processes that share limits but could never be heard of.
+func (p Peer) Valid() bool {
+	_, err := netip.ParseAddrPort(p.PeerAddress)
+	return p.Name != "" && err == nil
+}
+
 // Heartbeat is what a process sends to its peers several times a second.
 type Heartbeat struct {
 	Peer Peer `cbor:"1,keyasint"`
@@ -61,11 +69,18 @@
 	return TargetLeaving{Target: target, Incarnation: incarnation, AgeMillis: age.Milliseconds()}
 }
 
-// Age returns how long ago the target said so; never negative.
-func (l TargetLeaving) Age() time.Duration {
-	return time.Duration(max(l.AgeMillis, 0)) * time.Millisecond
+// maxAge bounds the ages in heartbeats, whose conversion would overflow otherwise. It is longer
+// than anything is remembered.
+const maxAge = 24 * time.Hour
+
+// parseAge converts an age from the wire, which may be any number, to one from 0 to maxAge.
+func parseAge(millis int64) time.Duration {
+	return time.Duration(min(max(millis, 0), maxAge.Milliseconds())) * time.Millisecond
 }
 
+// Age returns how long ago the target said so; never negative.
+func (l TargetLeaving) Age() time.Duration { return parseAge(l.AgeMillis) }
+
 // TargetLimit reports how many requests a second an incarnation of a target said that it
 // takes from all processes together.
 type TargetLimit struct {
@@ -79,9 +94,7 @@
 }
 
 // Age returns how long ago the target said so; never negative.
-func (l TargetLimit) Age() time.Duration {
-	return time.Duration(max(l.AgeMillis, 0)) * time.Millisecond
-}
+func (l TargetLimit) Age() time.Duration { return parseAge(l.AgeMillis) }
 
 // StoreStatus is what a process knows of the platform's store.
 type StoreStatus struct {
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -175,10 +175,10 @@
 // Age makes the evidence older by a duration for which it was kept.
 func (e *Evidence) Age(by time.Duration) {
 	for i := range e.Crashes {
-		e.Crashes[i].AgeMillis += by.Milliseconds()
+		e.Crashes[i].AgeMillis = (parseAge(e.Crashes[i].AgeMillis) + by).Milliseconds()
 	}
 	for i := range e.Clearances {
-		e.Clearances[i].AgeMillis += by.Milliseconds()
+		e.Clearances[i].AgeMillis = (parseAge(e.Clearances[i].AgeMillis) + by).Milliseconds()
 	}
 }
 
@@ -249,8 +249,11 @@
 	return changed
 }
 
+// maxAge bounds the ages of evidence, whose conversion would overflow otherwise.
+const maxAge = 24 * time.Hour
+
 // parseAge converts an age from the wire. Negative ages count as 0, because no crash
 // or completion is in the future.
 func parseAge(milliseconds int64) time.Duration {
-	return time.Duration(max(milliseconds, 0)) * time.Millisecond
+	return time.Duration(min(max(milliseconds, 0), maxAge.Milliseconds())) * time.Millisecond
 }
