Weigh traffic between failure domains, and send work by pace

A fixed penalty decided when requests go to another failure domain, and a slow order target got as many requests as a fast one, preferably from its own failure domain.

Where the configuration states delays between failure domains, or the settings a delay or a price (section crossing), the penalty is now what a crossing costs (two delays, learned bytes times the price) relative to how much longer requests take at a full target. In lock-step groups it is at most half a request. With old loads requests cross only as far as their own failure domain's targets have no part of the expected load for them, as a share, so that all domains reach the same level. Elsewhere the penalty is 0.02 as before.

Targets of services without engines get requests by their pace, the response times of the faster targets divided by their own: a smaller limit, and a request counts as the longer work that it is there. Requests that get no response count as soon as they take longer than usual.

The entry logs changes of the share that crosses and of targets that become slow or normal, and counts requests by domain in verbenaseam_sent_requests_total.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -74,6 +74,8 @@
 	poison     *poison.Tracker
 	handler    *forward.Handler
 	metrics    *metrics.Metrics
+	// choices is used by tick alone.
+	choices *choiceReporter
 
 	// newsForPeers asks for a heartbeat at once.
 	newsForPeers chan struct{}
@@ -128,6 +130,8 @@
 	e.budgets = newRetryBudgets(s.Bounds)
 	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
+	e.choices = newChoiceReporter(e, logs.Component(cfg.Logger, "dispatch"))
+	e.dispatcher.SetCrossing(dispatch.Crossing(s.Crossing))
 	e.builds = release.NewObserver(e.metrics.Registry(), logs.Component(cfg.Logger, "peers"))
 	e.poison = poison.NewTracker(poison.Config{TrialAfterCrashes: refuseAfterCrashes, RefuseAfterCrashes: refuseAfterCrashes}, e.clock)
 	crashes := poison.NewCrashDetector(poison.DetectorConfig{
@@ -202,6 +206,7 @@
 	}
 	e.bounds.Store(&loaded.Bounds)
 	e.dispatcher.SetWarmup(dispatch.Warmup{Share: loaded.Bounds.WarmupShare, Slack: loaded.Bounds.WarmupSlack}, e.clock.Now())
+	e.dispatcher.SetCrossing(dispatch.Crossing(loaded.Crossing))
 	e.log.WithField("file", e.file).Info("settings reloaded")
 }
 
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -232,6 +232,7 @@
 			h.sendLimits(received.Peer)
 		}
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
+			h.entry.dispatcher.SetPeerDomain(received.Peer.Name, received.Peer.FailureDomain)
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
 			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
 		}
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -160,6 +160,7 @@
 func (e *Entry) tick() {
 	e.targets.tick()
 	e.dispatcher.Tick(e.clock.Now())
+	e.choices.tick(e.clock.Now())
 	e.logRefusedParts()
 }
 
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -33,6 +33,7 @@
 	targetCrashes    *prometheus.CounterVec
 	refusedParts     prometheus.Gauge
 	targetNotices    *prometheus.CounterVec
+	sentRequests     *prometheus.CounterVec
 }
 
 // New returns the metrics of a process with the given role. maxOrganisations is the
@@ -72,7 +73,11 @@
 		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, responses that asked for a pause, limits of requests that targets named or lifted.",
 		ConstLabels: constLabels,
 	}, []string{"service", "notice"})
-	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices)
+	m.sentRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_sent_requests_total", Help: "Requests sent to targets in this process's failure domain (own) and in others.",
+		ConstLabels: constLabels,
+	}, []string{"service", "domain"})
+	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices, m.sentRequests)
 	return m
 }
 
@@ -114,6 +119,13 @@
 	m.targetNotices.WithLabelValues(service, notice).Inc()
 }
 
+// AddCrossings counts requests that were sent to targets of a service, and how many of them
+// to other failure domains.
+func (m *Metrics) AddCrossings(service string, crossed, total uint64) {
+	m.sentRequests.WithLabelValues(service, "own").Add(float64(total - crossed))
+	m.sentRequests.WithLabelValues(service, "other").Add(float64(crossed))
+}
+
 // SetRetryBudget sets the number of retries that the retry budget allows.
 func (m *Metrics) SetRetryBudget(retries float64) { m.retryBudget.Set(retries) }
 
--- a/process/settings/direct.go
+++ b/process/settings/direct.go
@@ -41,6 +41,15 @@
 	DirectoryTTL time.Duration
 }
 
+// Crossing holds what the operators state about traffic between failure domains. Both are
+// optional.
+type Crossing struct {
+	// Delay is the one-way delay where the configuration of a service states none.
+	Delay time.Duration
+	// Price is the latency that is worth a megabyte of such traffic.
+	Price time.Duration
+}
+
 // Direct holds the settings of verbenaseam-direct.
 type Direct struct {
 	Name, FailureDomain, Region string
@@ -55,6 +64,7 @@
 	// MaxOpenFiles is the maximum number of open files of the process.
 	MaxOpenFiles int
 	Bounds       Bounds
+	Crossing     Crossing
 	Log          Log
 	// IgnoredKeys are the keys of the file that this build does not know and that the file
 	// allows to be ignored.
@@ -102,6 +112,8 @@
 	s.MaxOpenFiles = int(files)
 	r.address("store", "address", &s.StoreAddress, required)
 	readBounds(r, &s.Bounds)
+	r.duration("crossing", "delay", &s.Crossing.Delay, 0, maxDuration)
+	r.duration("crossing", "price", &s.Crossing.Price, 0, maxDuration)
 	readLog(r, &s.Log)
 	err = r.finish()
 	s.IgnoredKeys = r.ignored
--- a/process/settings/direct_test.go
+++ b/process/settings/direct_test.go
@@ -42,6 +42,20 @@
 	require.Equal(t, "json", loaded.Log.Format)
 }
 
+// TestCrossingIsOptional guards against an entry that does not start without the section.
+func TestCrossingIsOptional(t *testing.T) {
+	loaded, err := LoadDirect(writeSettings(t, directFile))
+	require.NoError(t, err)
+	require.Zero(t, loaded.Crossing)
+	loaded, err = LoadDirect(writeSettings(t, directFile+"[crossing]\ndelay = 500us\nprice = 2s\n"))
+	require.NoError(t, err)
+	require.Equal(t, Crossing{Delay: 500 * time.Microsecond, Price: 2 * time.Second}, loaded.Crossing)
+	_, err = LoadDirect(writeSettings(t, directFile+"[crossing]\ndelay = -1ms\nprice = much\n"))
+	var all KeyErrors
+	require.ErrorAs(t, err, &all)
+	require.Len(t, all, 2)
+}
+
 func TestLoadDirectReportsAllErrors(t *testing.T) {
 	broken := strings.NewReplacer("10.0.0.1:1", "somewhere", "0.2", "much", "= 5", "= -5").Replace(directFile) + "unknown = 1\n"
 	_, err := LoadDirect(writeSettings(t, broken))
--- a/request/balance/choose.go
+++ b/request/balance/choose.go
@@ -7,6 +7,8 @@
 	Load, Capacity float64
 	// Penalty is added to the relative load.
 	Penalty float64
+	// Remote is set for a target in another failure domain.
+	Remote bool
 }
 
 func (c *Candidate) relativeLoad() float64 { return c.Load/c.Capacity + c.Penalty }
@@ -34,29 +36,61 @@
 type Chooser struct{ below []int32 }
 
 // Choose returns the index of the candidate that gets the request, or -1 if there are none.
-// unseen is the number of requests that other processes are expected to have started since
-// they reported the loads; random returns numbers in [0, 1).
+// unseen is what other processes are expected to have started since they reported the loads;
+// random returns numbers in [0, 1).
 //
 // The unseen requests are most likely at the least loaded targets. They are distributed
 // over these so that all reach one relative load, the level, and a candidate is chosen with
 // a probability proportional to its part of them. Processes that decide by the same loads
 // thereby fill the targets evenly instead of all choosing the same one.
-func (c *Chooser) Choose(candidates []Candidate, unseen float64, random func() float64) int {
-	if unseen < minUnseen {
+//
+// With preferLocal set, requests cross to other failure domains only as far as the targets
+// of their own have no part for them: if the unseen requests of the own domain and this one
+// are fewer than the parts of its targets, all stay, otherwise a share of them. All domains
+// then still reach the same level, because what one has too many another has too few.
+func (c *Chooser) Choose(candidates []Candidate, unseen Unseen, preferLocal bool, random func() float64) int {
+	if unseen.Total < minUnseen {
 		return leastLoaded(candidates, random)
 	}
-	level := c.level(candidates, unseen)
-	total := 0.0
+	level := c.level(candidates, unseen.Total)
+	local, remote := 0.0, 0.0
 	for _, i := range c.below {
-		total += max(candidates[i].weight(level), 0)
+		if part := max(candidates[i].weight(level), 0); candidates[i].Remote {
+			remote += part
+		} else {
+			local += part
+		}
 	}
-	drawn := random() * total
+	if preferLocal {
+		if remote == 0 || local > 0 && random()*max(unseen.Local, ownRequest) < local {
+			remote = 0
+		} else {
+			local = 0
+		}
+	}
+	return c.draw(candidates, level, local, remote, random)
+}
+
+// ownRequest is the least number of requests in the own failure domain: the one that is
+// about to be sent.
+const ownRequest = 1
+
+// draw returns the index of a candidate with a probability proportional to its part. local
+// and remote are the sums of the parts, or 0 to draw no local or no remote ones.
+func (c *Chooser) draw(candidates []Candidate, level, local, remote float64, random func() float64) int {
+	last, drawn := -1, random()*(local+remote)
 	for _, i := range c.below {
-		if drawn -= max(candidates[i].weight(level), 0); drawn < 0 {
-			return int(i)
+		candidate := &candidates[i]
+		part := candidate.weight(level)
+		if part <= 0 || candidate.Remote && remote == 0 || !candidate.Remote && local == 0 {
+			continue
+		}
+		last = int(i)
+		if drawn -= part; drawn < 0 {
+			break
 		}
 	}
-	return leastLoaded(candidates, random)
+	return last
 }
 
 // leastLoaded returns the index of the candidate with the least relative load, or -1 if
--- a/request/balance/choose_test.go
+++ b/request/balance/choose_test.go
@@ -11,13 +11,13 @@
 func newRandom() func() float64 { return rand.New(rand.NewPCG(1, 2)).Float64 }
 
 // shares returns how often each candidate is chosen.
-func shares(candidates []Candidate, unseen float64) []float64 {
+func shares(candidates []Candidate, unseen Unseen, preferLocal bool) []float64 {
 	const draws = 20_000
 	var c Chooser
 	random := newRandom()
 	counts := make([]float64, len(candidates))
 	for range draws {
-		counts[c.Choose(candidates, unseen, random)] += 1.0 / draws
+		counts[c.Choose(candidates, unseen, preferLocal, random)] += 1.0 / draws
 	}
 	return counts
 }
@@ -25,26 +25,26 @@
 // TestFreshLoadsGiveTheLeastLoaded guards against a random choice where the loads are known.
 func TestFreshLoadsGiveTheLeastLoaded(t *testing.T) {
 	candidates := []Candidate{{Load: 4, Capacity: 10}, {Load: 3, Capacity: 10}, {Load: 6, Capacity: 24}}
-	require.InDelta(t, 1, shares(candidates, minUnseen/2)[2], 1e-9)
-	equal := shares([]Candidate{{Load: 3, Capacity: 10}, {Load: 3, Capacity: 10}, {Load: 3, Capacity: 10, Penalty: 0.02}}, 0)
+	require.InDelta(t, 1, shares(candidates, Unseen{Total: minUnseen / 2}, false)[2], 1e-9)
+	equal := shares([]Candidate{{Load: 3, Capacity: 10}, {Load: 3, Capacity: 10}, {Load: 3, Capacity: 10, Penalty: 0.02}}, Unseen{}, false)
 	require.InDelta(t, 0.5, equal[0], 0.02)
 	require.Zero(t, equal[2], "the penalty decides between equal loads")
 	var c Chooser
-	require.Equal(t, -1, c.Choose(nil, 0, newRandom()))
-	require.Equal(t, -1, c.Choose(nil, 5, newRandom()))
+	require.Equal(t, -1, c.Choose(nil, Unseen{}, false, newRandom()))
+	require.Equal(t, -1, c.Choose(nil, Unseen{Total: 5}, true, newRandom()))
 }
 
 // TestUnseenRequestsAreSharedByTheLeastLoaded guards against processes that all choose the
 // target with the least load, which the requests of the others have filled meanwhile.
 func TestUnseenRequestsAreSharedByTheLeastLoaded(t *testing.T) {
 	// Six requests raise the first three targets to 5 of 10 requests.
-	got := shares([]Candidate{{Load: 2, Capacity: 10}, {Load: 3, Capacity: 10}, {Load: 4, Capacity: 10}, {Load: 8, Capacity: 10}}, 6)
+	got := shares([]Candidate{{Load: 2, Capacity: 10}, {Load: 3, Capacity: 10}, {Load: 4, Capacity: 10}, {Load: 8, Capacity: 10}}, Unseen{Total: 6}, false)
 	require.InDelta(t, 3.0/6, got[0], 0.02)
 	require.InDelta(t, 2.0/6, got[1], 0.02)
 	require.InDelta(t, 1.0/6, got[2], 0.02)
 	require.Zero(t, got[3])
 	// More than there are slots: in proportion to the capacity.
-	got = shares([]Candidate{{Load: 0, Capacity: 5}, {Load: 0, Capacity: 15}}, 100)
+	got = shares([]Candidate{{Load: 0, Capacity: 5}, {Load: 0, Capacity: 15}}, Unseen{Total: 100}, false)
 	require.InDelta(t, 0.25, got[0], 0.02)
 }
 
@@ -73,8 +73,9 @@
 func TestChoiceDoesNotAllocate(t *testing.T) {
 	var c Chooser
 	candidates, random := manyCandidates(100), newRandom()
-	c.Choose(candidates, 50, random)
-	require.Zero(t, testing.AllocsPerRun(100, func() { c.Choose(candidates, 50, random) }))
+	choose := func() { c.Choose(candidates, Unseen{Total: 50, Local: 20}, true, random) }
+	choose()
+	require.Zero(t, testing.AllocsPerRun(100, choose))
 }
 
 func manyCandidates(count int) []Candidate {
@@ -91,7 +92,7 @@
 	candidates, random := manyCandidates(1000), newRandom()
 	b.ReportAllocs()
 	for b.Loop() {
-		c.Choose(candidates, 600, random)
+		c.Choose(candidates, Unseen{Total: 600, Local: 200}, true, random)
 	}
 }
 
@@ -123,15 +124,19 @@
 func TestReportsAgeTheLoads(t *testing.T) {
 	var r Reports
 	for n := range 5 {
-		r.Record("often", 10, start.Add(time.Duration(n)*100*time.Millisecond))
-		r.Record("rarely", 10, start.Add(time.Duration(n-4)*300*time.Millisecond+400*time.Millisecond))
+		r.Record("often", true, 10, start.Add(time.Duration(n)*100*time.Millisecond))
+		r.Record("rarely", false, 10, start.Add(time.Duration(n-4)*300*time.Millisecond+400*time.Millisecond))
 	}
-	now := start.Add(450 * time.Millisecond)
-	require.Zero(t, r.Unseen(0, now), "the mean time of requests is not known")
-	require.InDelta(t, 0.5, r.Unseen(time.Second, now), 1e-9, "the fresh reports do not count")
-	later := now.Add(250 * time.Millisecond)
-	require.InDelta(t, 6, r.Unseen(time.Second, later), 1e-9, "both have aged")
-	require.InDelta(t, 20, r.Unseen(10*time.Millisecond, later), 1e-9, "no more requests than there usually are")
+	unseen := func(mean, at time.Duration, local, total float64) {
+		t.Helper()
+		got := r.Unseen(mean, start.Add(at))
+		require.InDelta(t, local, got.Local, 1e-9)
+		require.InDelta(t, total, got.Total, 1e-9)
+	}
+	unseen(0, 450*time.Millisecond, 0, 0)
+	unseen(time.Second, 450*time.Millisecond, 0, 0.5)
+	unseen(time.Second, 700*time.Millisecond, 3, 6)
+	unseen(10*time.Millisecond, 700*time.Millisecond, 10, 20)
 	r.Remove("rarely")
-	require.InDelta(t, 3, r.Unseen(time.Second, later), 1e-9)
+	unseen(time.Second, 700*time.Millisecond, 3, 3)
 }
--- a/request/balance/reports.go
+++ b/request/balance/reports.go
@@ -17,20 +17,23 @@
 type Reports struct{ byProcess map[string]*report }
 
 type report struct {
+	// local is set for a process in this process's failure domain.
+	local    bool
 	requests int
 	arrived  time.Time
 	// interval is the usual time between two reports; 0 if there was one only.
 	interval time.Duration
 }
 
-// Record records a report of a process.
-func (r *Reports) Record(process string, requests int, now time.Time) {
+// Record records a report of a process; local is set if it is in this process's failure
+// domain.
+func (r *Reports) Record(process string, local bool, requests int, now time.Time) {
 	if r.byProcess == nil {
 		r.byProcess = map[string]*report{}
 	}
 	last := r.byProcess[process]
 	if last == nil {
-		r.byProcess[process] = &report{requests: requests, arrived: now}
+		r.byProcess[process] = &report{local: local, requests: requests, arrived: now}
 		return
 	}
 	interval := now.Sub(last.arrived)
@@ -38,24 +41,34 @@
 		last.interval = interval
 	}
 	last.interval += time.Duration(intervalShare * float64(interval-last.interval))
-	last.requests, last.arrived = requests, now
+	last.local, last.requests, last.arrived = local, requests, now
 }
 
 // Remove forgets a process.
 func (r *Reports) Remove(process string) { delete(r.byProcess, process) }
 
+// Unseen is a number of requests that other processes are expected to have started since
+// they reported.
+type Unseen struct {
+	// Total is of all processes, Local of those in this process's failure domain.
+	Total, Local float64
+}
+
 // Unseen returns the number of requests that the processes are expected to have started and
 // not completed since their reports, given the mean time of a request. Those of processes
 // whose reports are fresh do not count, and none if the mean is not known.
-func (r *Reports) Unseen(mean time.Duration, now time.Time) float64 {
+func (r *Reports) Unseen(mean time.Duration, now time.Time) (unseen Unseen) {
 	if mean <= 0 {
-		return 0
+		return unseen
 	}
-	unseen := 0.0
 	for _, last := range r.byProcess {
 		age := now.Sub(last.arrived)
 		if last.requests > 0 && max(age, last.interval) > freshInterval {
-			unseen += float64(last.requests) * min(float64(age)/float64(mean), 1)
+			started := float64(last.requests) * min(float64(age)/float64(mean), 1)
+			unseen.Total += started
+			if last.local {
+				unseen.Local += started
+			}
 		}
 	}
 	return unseen
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -14,7 +14,7 @@
 	pool := d.pool(work.Service)
 	if len(pool.waiting) == 0 || pool.waiting[0].work.Urgency > work.Urgency {
 		if t := d.choose(pool, &work, now); t != nil {
-			pool.take(t, now)
+			d.take(pool, t, now)
 			return t, nil
 		}
 	}
@@ -58,8 +58,12 @@
 }
 
 // take counts a request as running on the target and records when it was sent.
-func (p *pool) take(t *Target, now time.Time) {
-	p.residence.Start(now)
+func (d *Dispatcher) take(pool *pool, t *Target, now time.Time) {
+	pool.residence.Start(now)
+	pool.crossings.Total++
+	if t.registration.FailureDomain != d.failureDomain {
+		pool.crossings.Crossed++
+	}
 	t.running++
 	t.pause.startsSince++
 	if t.limited() {
@@ -100,7 +104,7 @@
 			skipped = append(skipped, first)
 			continue
 		}
-		pool.take(t, now)
+		d.take(pool, t, now)
 		first.granted <- t
 	}
 	for _, w := range skipped {
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -13,6 +13,8 @@
 func (d *Dispatcher) choose(pool *pool, work *Request, now time.Time) *Target {
 	d.candidates, d.eligible = d.candidates[:0], d.eligible[:0]
 	skipEjected, limitSlow := d.exclusions(pool, now)
+	mean := pool.residence.Mean()
+	penalty := d.penalties(pool, work, mean)
 	for _, t := range pool.list {
 		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
 			continue
@@ -21,26 +23,32 @@
 			continue
 		}
 		limit := t.limit(limitSlow, now)
-		if t.load() >= limit || d.warmupExhausted(t, now) {
+		if t.load() >= t.pacedLimit(limit) || d.warmupExhausted(t, now) {
 			continue
 		}
-		candidate := balance.Candidate{Load: float64(t.load()), Capacity: float64(limit)}
+		candidate := t.candidate(limit)
 		if t.registration.FailureDomain != d.failureDomain {
-			candidate.Penalty = remotePenalty
+			candidate.Remote = true
+			candidate.Penalty += penalty(t, limit)
 		}
 		d.candidates = append(d.candidates, candidate)
 		d.eligible = append(d.eligible, t)
 	}
-	chosen := d.chooser.Choose(d.candidates, pool.reports.Unseen(pool.residence.Mean(), now), rand.Float64)
+	chosen := d.chooser.Choose(d.candidates, pool.reports.Unseen(mean, now), d.weighsCrossing(pool), rand.Float64)
 	if chosen < 0 {
 		return nil
 	}
 	return d.eligible[chosen]
 }
 
-// remotePenalty is how much higher the relative load of a target in this process's
-// failure domain may be before one in another domain is chosen.
-const remotePenalty = 0.02
+// candidate returns the target as a candidate that may run the given number of requests. The
+// request to be sent counts as the longer work that it is at a slow target, so that an idle
+// one is no better than a fast one with some requests.
+func (t *Target) candidate(limit int) balance.Candidate {
+	return balance.Candidate{
+		Load: float64(t.load()), Capacity: float64(limit) / (1 + t.slowness), Penalty: t.slowness / float64(limit),
+	}
+}
 
 // exclusions reports whether ejected targets of a pool get no requests, and whether slow
 // ones get fewer than their capacity. If more than maxEjectedShare or maxSlowShare of the
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -22,6 +22,11 @@
 	// other processes have, and since when that is known.
 	residence balance.Residence
 	reports   balance.Reports
+	// nextPaces is when the paces of the targets are next updated, paceChanges what
+	// PaceChanges has not returned yet.
+	nextPaces   time.Time
+	paceChanges []PaceChange
+	crossings   CrossingCount
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
 	usualWait    usualWait
@@ -78,7 +83,10 @@
 	learning      bool
 	learningUntil time.Time
 	// pauses holds the pauses that incarnations have asked for.
-	pauses map[incarnationID]*pause
+	pauses   map[incarnationID]*pause
+	crossing Crossing
+	// peerDomains holds the failure domains of other processes.
+	peerDomains map[string]string
 
 	// chooser, candidates and eligible are used by choose alone; eligible holds the targets
 	// of the candidates.
@@ -93,7 +101,7 @@
 		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
-		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits,
+		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits, peerDomains: map[string]string{},
 	}
 }
 
@@ -227,6 +235,9 @@
 	d.dropLeavings(now)
 	d.dropPauses(now)
 	d.dropLimits(now)
+	for _, pool := range d.pools {
+		pool.updatePaces(now)
+	}
 	d.grantAll(now)
 	d.rejectAllHopeless(now)
 }
--- a/request/dispatch/load.go
+++ b/request/dispatch/load.go
@@ -17,6 +17,13 @@
 	return load
 }
 
+// SetPeerDomain sets the failure domain of another process, before its load is set.
+func (d *Dispatcher) SetPeerDomain(process, domain string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.peerDomains[process] = domain
+}
+
 // SetPeerLoad sets the number of requests of another process at each target, by
 // target ID. A nil load removes those of the process.
 func (d *Dispatcher) SetPeerLoad(process string, load map[string]int, now time.Time) {
@@ -30,10 +37,11 @@
 			total += count
 		}
 		if load == nil {
+			delete(d.peerDomains, process)
 			pool.reports.Remove(process)
 			continue
 		}
-		pool.reports.Record(process, total, now)
+		pool.reports.Record(process, d.peerDomains[process] == d.failureDomain, total, now)
 	}
 	d.grantAll(now)
 }
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -14,6 +14,8 @@
 	// Arrived is when the request arrived. QueueDeadline is when the caller of Acquire
 	// cancels the wait if the request is still in the queue.
 	Arrived, QueueDeadline time.Time
+	// Bytes is the expected size of the request and its response; 0 if it is not known.
+	Bytes float64
 	// Tried are the targets that the request was already sent to.
 	Tried []*Target
 }
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/balance"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -48,6 +49,12 @@
 	// until slowdownUntil.
 	slowdown      float64
 	slowdownUntil time.Time
+	// responses are the response times that this process has observed. slowness is how much
+	// longer they are than those of faster targets, as a share; reportedSlow is set while
+	// PaceChanges has reported the target as slow.
+	responses    balance.ResponseTimes
+	slowness     float64
+	reportedSlow bool
 }
 
 // ID returns the target's ID. A target that restarts may keep it; see Incarnation.
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -86,7 +86,7 @@
 	}
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEventID = r.Header.Get(h.headers.LastEvent)
-	c.work = dispatch.Request{Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline()}
+	c.work = dispatch.Request{Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline(), Bytes: h.transfers.expected(c.route.Name)}
 	c.attempts = retry.NewSession(retry.Policy{
 		MaxAttempts: c.route.Direct.MaxAttempts, NonIdempotent: !c.route.Idempotent, Deadline: c.deadline,
 		Budget: h.budget(c.service), MinAttemptTime: minAttemptTime,
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -55,6 +55,7 @@
 	trialRank   func(fingerprint uint64) int
 	checks      *targetChecks
 	metrics     *metrics.Metrics
+	transfers   transfers
 	clock       clockwork.Clock
 	log         *logrus.Entry
 }
@@ -198,6 +199,7 @@
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (shouldRetry bool, failed *failure.Error) {
 	h.beginAttempt(c, t)
 	attemptCtx, watchdog := h.startWatchdog(ctx, c, t)
+	sent := h.clock.Now()
 	response, v := h.send(ctx, attemptCtx, c, t)
 	if v.success() && c.route.Direct.Streams {
 		return h.relayStream(ctx, w, c, &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog})
@@ -210,10 +212,18 @@
 		if response != nil {
 			h.drainResponse(response)
 		}
+		if v.result == dispatch.Abandoned {
+			h.dispatcher.RecordResponse(t, h.clock.Since(sent), false, h.clock.Now())
+		}
 		h.dispatcher.Release(t, v.result, h.clock.Now())
 		return shouldRetry, h.finalFailure(c, v)
 	}
-	return h.relayBuffered(ctx, attemptCtx, w, c, t, response, v, watchdog.progress)
+	return h.relayBuffered(ctx, attemptCtx, w, c, t, response, v, func() {
+		watchdog.progress()
+		if v.success() {
+			h.dispatcher.RecordResponse(t, h.clock.Since(sent), true, h.clock.Now())
+		}
+	})
 }
 
 // send sends a call to a target and returns the verdict on the head of the
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -47,6 +47,7 @@
 	h.dispatcher.Release(t, v.result, h.clock.Now())
 	if v.success() {
 		h.recordSuccess(c)
+		h.transfers.record(c.route.Name, len(c.body)+len(body))
 	}
 	h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 	copyHeaders(w, response)
@@ -100,6 +101,7 @@
 			src.watchdog.stop()
 			h.dispatcher.Release(src.target, dispatch.Served, h.clock.Now())
 			h.recordSuccess(c)
+			h.transfers.record(c.route.Name, len(c.body)+out.read)
 			out.finish(src.response)
 			return false, nil
 		}
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -44,6 +44,8 @@
 	control *http.ResponseController
 	// started is set once the response head has been written.
 	started bool
+	// read is the number of bytes read from the target.
+	read int
 	// lastID is the ID of the last event written.
 	lastID string
 }
@@ -56,6 +58,7 @@
 	var pending []byte
 	for {
 		n, err := response.Read(buffer)
+		s.read += n
 		searched := len(pending)
 		pending = append(pending, buffer[:n]...)
 		events, rest := splitCompleteEvents(pending, searched)
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -54,11 +54,33 @@
 	// number of requests per second that a cold target can take; 0 means no limit.
 	Warmup     time.Duration
 	WarmupRate float64
+	// Delays are the one-way delays between failure domains; nil if none are stated.
+	Delays Delays
 	// Engine describes the inference engines of a model service; nil for other
 	// services.
 	Engine *Engine
 }
 
+// Delays holds one-way delays by the failure domains of sender and receiver. The key
+// AnyDomain stands for all that are not named.
+type Delays map[string]map[string]time.Duration
+
+// AnyDomain is the key of Delays for failure domains that are not named.
+const AnyDomain = "*"
+
+// Between returns the one-way delay between two different failure domains; false if it is
+// not stated.
+func (d Delays) Between(from, to string) (time.Duration, bool) {
+	for _, sender := range []string{from, AnyDomain} {
+		for _, receiver := range []string{to, AnyDomain} {
+			if delay, ok := d[sender][receiver]; ok {
+				return delay, true
+			}
+		}
+	}
+	return 0, false
+}
+
 // Engine describes the performance and capacity of each inference engine of a model
 // service.
 type Engine struct {
