Fill all targets below the common load alike; model old loads

A request now goes to any target below the common load in proportion to its capacity. The share that stays in the own failure domain is that of its targets in this capacity, over the domain's share of all requests.

A study (old-loads) compares the policies with 13 and 70 entries in front of one lock-step group.

--- a/internal/measure/load/studies.go
+++ b/internal/measure/load/studies.go
@@ -21,6 +21,7 @@
 		{Name: "fairness", Deterministic: true, Run: studyFairness},
 		{Name: "organisations-memory", Run: studyOrganisationMemory},
 		{Name: "domain-loss", Deterministic: true, Run: studyDomainLoss},
+		{Name: "old-loads", Deterministic: true, Run: studyOldLoads},
 		{Name: "decision-costs", Run: studyDecisionCosts},
 	}
 }
--- a/request/balance/choose.go
+++ b/request/balance/choose.go
@@ -13,11 +13,6 @@
 
 func (c *Candidate) relativeLoad() float64 { return c.Load/c.Capacity + c.Penalty }
 
-// weight is the number of requests by which the candidate is below a relative load.
-func (c *Candidate) weight(level float64) float64 {
-	return (level-c.Penalty)*c.Capacity - c.Load
-}
-
 const (
 	// tieJitter is the range of relative load in which targets count as equally loaded, so
 	// that processes do not all choose the same one.
@@ -39,54 +34,52 @@
 // unseen is what other processes are expected to have started since they reported the loads;
 // random returns numbers in [0, 1).
 //
-// The unseen requests are most likely at the least loaded targets. They are distributed
-// over these so that all reach one relative load, the level, and a candidate is chosen with
-// a probability proportional to its part of them. Processes that decide by the same loads
-// thereby fill the targets evenly instead of all choosing the same one.
+// The unseen requests are most likely at the least loaded targets, which they raise to one
+// relative load, the level. The targets below it are then equally loaded, and the request
+// goes to any of them with a probability proportional to its capacity. Processes that decide
+// by the same loads thereby fill the targets evenly instead of all choosing the same one. A
+// probability proportional to a target's part of the unseen requests would overfill those
+// that were the least loaded: they have got more than their part before.
 //
-// With preferLocal set, requests cross to other failure domains only as far as the targets
-// of their own have no part for them: if the unseen requests of the own domain and this one
-// are fewer than the parts of its targets, all stay, otherwise a share of them. All domains
-// then still reach the same level, because what one has too many another has too few.
+// With preferLocal set, requests stay in the own failure domain as far as their share of all
+// requests does not exceed its targets' share of the capacity below the level; otherwise a
+// share of them crosses. All domains then still reach the same level, because what one has
+// too many another has too few.
 func (c *Chooser) Choose(candidates []Candidate, unseen Unseen, preferLocal bool, random func() float64) int {
 	if unseen.Total < minUnseen {
 		return leastLoaded(candidates, random)
 	}
-	level := c.level(candidates, unseen.Total)
+	c.findBelow(candidates, unseen.Total)
 	local, remote := 0.0, 0.0
 	for _, i := range c.below {
-		if part := max(candidates[i].weight(level), 0); candidates[i].Remote {
-			remote += part
+		if candidates[i].Remote {
+			remote += candidates[i].Capacity
 		} else {
-			local += part
+			local += candidates[i].Capacity
 		}
 	}
-	if preferLocal {
-		if remote == 0 || local > 0 && random()*max(unseen.Local, ownRequest) < local {
+	if preferLocal && local > 0 && remote > 0 {
+		if random()*unseen.LocalShare < local/(local+remote) {
 			remote = 0
 		} else {
 			local = 0
 		}
 	}
-	return c.draw(candidates, level, local, remote, random)
+	return c.draw(candidates, local, remote, random)
 }
 
-// ownRequest is the least number of requests in the own failure domain: the one that is
-// about to be sent.
-const ownRequest = 1
-
-// draw returns the index of a candidate with a probability proportional to its part. local
-// and remote are the sums of the parts, or 0 to draw no local or no remote ones.
-func (c *Chooser) draw(candidates []Candidate, level, local, remote float64, random func() float64) int {
+// draw returns the index of a candidate below the level with a probability proportional to
+// its capacity. local and remote are the sums of the capacities, or 0 to draw no local or no
+// remote ones.
+func (c *Chooser) draw(candidates []Candidate, local, remote float64, random func() float64) int {
 	last, drawn := -1, random()*(local+remote)
 	for _, i := range c.below {
 		candidate := &candidates[i]
-		part := candidate.weight(level)
-		if part <= 0 || candidate.Remote && remote == 0 || !candidate.Remote && local == 0 {
+		if candidate.Remote && remote == 0 || !candidate.Remote && local == 0 {
 			continue
 		}
 		last = int(i)
-		if drawn -= part; drawn < 0 {
+		if drawn -= candidate.Capacity; drawn < 0 {
 			break
 		}
 	}
@@ -109,9 +102,9 @@
 	return best
 }
 
-// level returns the relative load that the candidates below it reach if they get the given
-// number of requests, and sets c.below to these candidates.
-func (c *Chooser) level(candidates []Candidate, requests float64) float64 {
+// findBelow sets c.below to the candidates below the relative load that they reach if they
+// get the given number of requests, and returns that load.
+func (c *Chooser) findBelow(candidates []Candidate, requests float64) (level float64) {
 	load, capacity := requests, 0.0
 	c.below = c.below[:0]
 	for i := range candidates {
@@ -120,10 +113,11 @@
 		capacity += candidates[i].Capacity
 	}
 	for range maxLevelPasses {
-		level, kept := load/capacity, 0
+		kept := 0
+		level = load / capacity
 		for _, i := range c.below {
 			candidate := &candidates[i]
-			if candidate.weight(level) > 0 {
+			if candidate.relativeLoad() < level {
 				c.below[kept] = i
 				kept++
 				continue
@@ -136,5 +130,5 @@
 		}
 		c.below = c.below[:kept]
 	}
-	return load / capacity
+	return level
 }
--- a/request/balance/reports.go
+++ b/request/balance/reports.go
@@ -47,29 +47,31 @@
 // Remove forgets a process.
 func (r *Reports) Remove(process string) { delete(r.byProcess, process) }
 
-// Unseen is a number of requests that other processes are expected to have started since
-// they reported.
+// Unseen is what other processes are expected to have started since they reported.
 type Unseen struct {
-	// Total is of all processes, Local of those in this process's failure domain.
-	Total, Local float64
+	// Total is the number of requests.
+	Total float64
+	// LocalShare is the share of all requests that processes in this process's failure
+	// domain have sent, from 0 to 1.
+	LocalShare float64
 }
 
-// Unseen returns the number of requests that the processes are expected to have started and
-// not completed since their reports, given the mean time of a request. Those of processes
-// whose reports are fresh do not count, and none if the mean is not known.
-func (r *Reports) Unseen(mean time.Duration, now time.Time) (unseen Unseen) {
-	if mean <= 0 {
-		return unseen
-	}
+// Unseen returns the requests that the processes are expected to have started and not
+// completed since their reports, given the mean time of a request and the number that this
+// process has at the targets. Those of processes whose reports are fresh do not count, and
+// none if the mean is not known.
+func (r *Reports) Unseen(mean time.Duration, own int, now time.Time) Unseen {
+	// The request to be sent is one of the own ones.
+	started, local, all := 0.0, own+1, own+1
 	for _, last := range r.byProcess {
+		all += last.requests
+		if last.local {
+			local += last.requests
+		}
 		age := now.Sub(last.arrived)
-		if last.requests > 0 && max(age, last.interval) > freshInterval {
-			started := float64(last.requests) * min(float64(age)/float64(mean), 1)
-			unseen.Total += started
-			if last.local {
-				unseen.Local += started
-			}
+		if last.requests > 0 && mean > 0 && max(age, last.interval) > freshInterval {
+			started += float64(last.requests) * min(float64(age)/float64(mean), 1)
 		}
 	}
-	return unseen
+	return Unseen{Total: started, LocalShare: float64(local) / float64(all)}
 }
--- a/request/balance/residence.go
+++ b/request/balance/residence.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// Running returns the number of requests that run now.
+func (r *Residence) Running() int { return r.running }
+
 // minEnded is the least number of requests, as they count, from which a mean is derived.
 const minEnded = 1
 
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -34,7 +34,8 @@
 		d.candidates = append(d.candidates, candidate)
 		d.eligible = append(d.eligible, t)
 	}
-	chosen := d.chooser.Choose(d.candidates, pool.reports.Unseen(mean, now), d.weighsCrossing(pool), rand.Float64)
+	unseen := pool.reports.Unseen(mean, pool.residence.Running(), now)
+	chosen := d.chooser.Choose(d.candidates, unseen, d.weighsCrossing(pool), rand.Float64)
 	if chosen < 0 {
 		return nil
 	}
