Learn paces faster, keep slots where most targets are slow, study both

A study (slow-orders) runs 13 dispatchers before an order service with one target in each of three failure domains, one of them 12 times as slow for 10 of 30 s.

The smaller limit of slow targets applies only while at most half of a service's targets are slow: requests were rejected while slots were free. The dispatcher takes its randomness from its configuration, so that the study is the same in each run.

--- a/internal/measure/load/studies.go
+++ b/internal/measure/load/studies.go
@@ -22,6 +22,7 @@
 		{Name: "organisations-memory", Run: studyOrganisationMemory},
 		{Name: "domain-loss", Deterministic: true, Run: studyDomainLoss},
 		{Name: "old-loads", Deterministic: true, Run: studyOldLoads},
+		{Name: "slow-orders", Deterministic: true, Run: studySlowOrders},
 		{Name: "decision-costs", Run: studyDecisionCosts},
 	}
 }
--- a/request/balance/pace.go
+++ b/request/balance/pace.go
@@ -12,10 +12,10 @@
 	paceWindow = 4 * time.Second
 	// paceDoubt is the number of responses for which a target is assumed to be as fast as
 	// the others, so that single ones do not change the choice by much.
-	paceDoubt = 3
+	paceDoubt = 2
 	// maxResponses is the number of responses that the mean is taken of, at most, so that a
 	// target with many requests is tried again as soon as one with few.
-	maxResponses = 16
+	maxResponses = 8
 	// paceTolerance is the ratio of response times up to which a target counts as equally
 	// fast: the means of a few responses differ by chance, and other failure domains are
 	// farther away.
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/request/balance"
@@ -16,14 +16,14 @@
 	mean := pool.residence.Mean()
 	penalty := d.penalties(pool, work, mean)
 	for _, t := range pool.list {
-		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
+		if !t.usable(d.domainsOut) || work.tried(t) || t.full(now) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
 			continue
 		}
 		if skipEjected && t.health.ejected(now) {
 			continue
 		}
 		limit := t.limit(limitSlow, now)
-		if t.load() >= t.pacedLimit(limit) || d.warmupExhausted(t, now) {
+		if t.load() >= pool.pacedLimit(t, limit) || d.warmupExhausted(t, now) {
 			continue
 		}
 		candidate := t.candidate(limit)
@@ -35,7 +35,7 @@
 		d.eligible = append(d.eligible, t)
 	}
 	unseen := pool.reports.Unseen(mean, pool.residence.Running(), now)
-	chosen := d.chooser.Choose(d.candidates, unseen, d.weighsCrossing(pool), rand.Float64)
+	chosen := d.chooser.Choose(d.candidates, unseen, d.weighsCrossing(pool), d.random)
 	if chosen < 0 {
 		return nil
 	}
@@ -46,9 +46,12 @@
 // request to be sent counts as the longer work that it is at a slow target, so that an idle
 // one is no better than a fast one with some requests.
 func (t *Target) candidate(limit int) balance.Candidate {
-	return balance.Candidate{
-		Load: float64(t.load()), Capacity: float64(limit) / (1 + t.slowness), Penalty: t.slowness / float64(limit),
+	candidate := balance.Candidate{Load: float64(t.load()), Capacity: float64(limit)}
+	if t.slowness > 0 {
+		candidate.Penalty = t.slowness / candidate.Capacity
+		candidate.Capacity /= 1 + t.slowness
 	}
+	return candidate
 }
 
 // exclusions reports whether ejected targets of a pool get no requests, and whether slow
@@ -56,6 +59,9 @@
 // usable ones are ejected or slow, they are used like the others. Those that pause or name a
 // limit have no capacity to spare and do not count.
 func (d *Dispatcher) exclusions(pool *pool, now time.Time) (skipEjected, limitSlow bool) {
+	if !slices.ContainsFunc(pool.list, (*Target).hasFault) {
+		return true, true
+	}
 	ejected, slow, usable := 0, 0, 0
 	for _, t := range pool.list {
 		if !t.usable(d.domainsOut) || t.pause.active(now) || t.limited() {
@@ -71,3 +77,9 @@
 	}
 	return float64(ejected) <= maxEjectedShare*float64(usable), float64(slow) <= maxSlowShare*float64(usable)
 }
+
+// hasFault reports whether the target may be ejected or slow.
+func (t *Target) hasFault() bool { return t.health.ejections > 0 || t.slowdown > 0 }
+
+// full reports whether the target has refused a request for lack of capacity a moment ago.
+func (t *Target) full(now time.Time) bool { return !t.fullUntil.IsZero() && now.Before(t.fullUntil) }
--- a/request/dispatch/crossing_test.go
+++ b/request/dispatch/crossing_test.go
@@ -110,6 +110,29 @@
 	require.Equal(t, "t0", take(t, d, now).ID())
 }
 
+// TestMostlySlowTargetsKeepTheirSlots guards against requests that are rejected while slots
+// are free, because all targets but one are slow.
+func TestMostlySlowTargetsKeepTheirSlots(t *testing.T) {
+	for slow, want := range map[int]int{1: 13, 2: 18} {
+		d := newDispatcher(3, 6)
+		for range 50 {
+			for n, to := range d.pool("s").list {
+				elapsed := 30 * time.Millisecond
+				if n < slow {
+					elapsed *= 12
+				}
+				d.RecordResponse(to, elapsed, true, start)
+			}
+		}
+		d.Tick(start)
+		total := 0
+		for _, count := range fill(d, start) {
+			total += count
+		}
+		require.Equal(t, want, total, "%d slow", slow)
+	}
+}
+
 // TestEnginesAreNotPaced guards against engines that get fewer requests for long ones.
 func TestEnginesAreNotPaced(t *testing.T) {
 	d := newDispatcher(0, 0)
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -26,6 +27,8 @@
 	// PaceChanges has not returned yet.
 	nextPaces   time.Time
 	paceChanges []PaceChange
+	// limitsPaced is set if slower targets may run fewer requests than their capacity.
+	limitsPaced bool
 	crossings   CrossingCount
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
@@ -55,12 +58,16 @@
 	// LearnsLimits is set for a process that has just started and hears from others of the
 	// limits that targets have named, until LearnLimitsUntil.
 	LearnsLimits bool
+	// Random returns numbers in [0, 1) for the choice of targets; nil for the process's
+	// random source.
+	Random func() float64
 }
 
 // Dispatcher distributes requests among targets.
 type Dispatcher struct {
 	failureDomain string
 	warmup        Warmup
+	random        func() float64
 
 	// mu guards the fields below and those of Targets.
 	mu    sync.Mutex
@@ -97,8 +104,11 @@
 
 // New returns a Dispatcher without targets.
 func New(cfg Config) *Dispatcher {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	return &Dispatcher{
-		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
+		random: cfg.Random, failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
 		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits, peerDomains: map[string]string{},
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -50,13 +50,18 @@
 		}
 	}
 	reference := balance.Reference(all, now)
+	slower := 0
 	for _, t := range p.list {
 		t.slowness = 1/t.responses.Pace(reference, now) - 1
+		if t.slowness > 0 {
+			slower++
+		}
 		if slow := t.slowness > 1/slowPace-1 || t.reportedSlow && t.slowness > 1/normalPace-1; slow != t.reportedSlow {
 			t.reportedSlow = slow
 			p.paceChanges = append(p.paceChanges, PaceChange{Target: t.ID(), Service: t.Service(), Pace: 1 / (1 + t.slowness), Slow: slow})
 		}
 	}
+	p.limitsPaced = float64(slower) <= maxSlowShare*float64(len(p.list))
 }
 
 // PaceChanges returns the changes since the last call.
@@ -72,7 +77,11 @@
 }
 
 // pacedLimit returns how many requests a target may run so that each is finished in the time
-// that the others take, at least 1 of them if it may run any.
-func (t *Target) pacedLimit(limit int) int {
+// that the others take, at least 1 of them if it may run any. If most targets are slow, the
+// others cannot do their work, and late responses are better than none.
+func (p *pool) pacedLimit(t *Target, limit int) int {
+	if t.slowness == 0 || !p.limitsPaced {
+		return limit
+	}
 	return int(math.Ceil(float64(limit) / (1 + t.slowness)))
 }
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -96,7 +96,7 @@
 // usable reports whether the target may get new requests, now or after a pause: it is
 // registered, is not leaving, and its failure domain is not among domainsOut.
 func (t *Target) usable(domainsOut map[string]bool) bool {
-	return !t.gone && !t.registration.Leaving && !t.saidLeaving && !domainsOut[t.registration.FailureDomain]
+	return !t.gone && !t.registration.Leaving && !t.saidLeaving && (len(domainsOut) == 0 || !domainsOut[t.registration.FailureDomain])
 }
 
 // ConnectionLimit returns how many connections one of several processes may open to
