--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/request/balance"
@@ -13,40 +13,55 @@
 func (d *Dispatcher) choose(pool *pool, work *Request, now time.Time) *Target {
 	d.candidates, d.eligible = d.candidates[:0], d.eligible[:0]
 	skipEjected, limitSlow := d.exclusions(pool, now)
+	mean := pool.residence.Mean()
+	penalty := d.penalties(pool, work, mean)
 	for _, t := range pool.list {
-		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
+		if !t.usable(d.domainsOut) || work.tried(t) || t.full(now) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
 			continue
 		}
 		if skipEjected && t.health.ejected(now) {
 			continue
 		}
 		limit := t.limit(limitSlow, now)
-		if t.load() >= limit || d.warmupExhausted(t, now) {
+		if t.load() >= pool.pacedLimit(t, limit) || d.warmupExhausted(t, now) {
 			continue
 		}
-		candidate := balance.Candidate{Load: float64(t.load()), Capacity: float64(limit)}
+		candidate := t.candidate(limit)
 		if t.registration.FailureDomain != d.failureDomain {
-			candidate.Penalty = remotePenalty
+			candidate.Remote = true
+			candidate.Penalty += penalty(t, limit)
 		}
 		d.candidates = append(d.candidates, candidate)
 		d.eligible = append(d.eligible, t)
 	}
-	chosen := d.chooser.Choose(d.candidates, pool.reports.Unseen(pool.residence.Mean(), now), rand.Float64)
+	unseen := pool.reports.Unseen(mean, pool.residence.Running(), now)
+	chosen := d.chooser.Choose(d.candidates, unseen, d.weighsCrossing(pool), d.random)
 	if chosen < 0 {
 		return nil
 	}
 	return d.eligible[chosen]
 }
 
-// remotePenalty is how much higher the relative load of a target in this process's
-// failure domain may be before one in another domain is chosen.
-const remotePenalty = 0.02
+// candidate returns the target as a candidate that may run the given number of requests. The
+// request to be sent counts as the longer work that it is at a slow target, so that an idle
+// one is no better than a fast one with some requests.
+func (t *Target) candidate(limit int) balance.Candidate {
+	candidate := balance.Candidate{Load: float64(t.load()), Capacity: float64(limit)}
+	if t.slowness > 0 {
+		candidate.Penalty = t.slowness / candidate.Capacity
+		candidate.Capacity /= 1 + t.slowness
+	}
+	return candidate
+}
 
 // exclusions reports whether ejected targets of a pool get no requests, and whether slow
 // ones get fewer than their capacity. If more than maxEjectedShare or maxSlowShare of the
 // usable ones are ejected or slow, they are used like the others. Those that pause or name a
 // limit have no capacity to spare and do not count.
 func (d *Dispatcher) exclusions(pool *pool, now time.Time) (skipEjected, limitSlow bool) {
+	if !slices.ContainsFunc(pool.list, (*Target).hasFault) {
+		return true, true
+	}
 	ejected, slow, usable := 0, 0, 0
 	for _, t := range pool.list {
 		if !t.usable(d.domainsOut) || t.pause.active(now) || t.limited() {
@@ -62,3 +77,9 @@
 	}
 	return float64(ejected) <= maxEjectedShare*float64(usable), float64(slow) <= maxSlowShare*float64(usable)
 }
+
+// hasFault reports whether the target may be ejected or slow.
+func (t *Target) hasFault() bool { return t.health.ejections > 0 || t.slowdown > 0 }
+
+// full reports whether the target has refused a request for lack of capacity a moment ago.
+func (t *Target) full(now time.Time) bool { return !t.fullUntil.IsZero() && now.Before(t.fullUntil) }
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strconv"
 	"sync"
@@ -22,6 +23,13 @@
 	// other processes have, and since when that is known.
 	residence balance.Residence
 	reports   balance.Reports
+	// nextPaces is when the paces of the targets are next updated, paceChanges what
+	// PaceChanges has not returned yet.
+	nextPaces   time.Time
+	paceChanges []PaceChange
+	// limitsPaced is set if slower targets may run fewer requests than their capacity.
+	limitsPaced bool
+	crossings   CrossingCount
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
 	usualWait    usualWait
@@ -50,12 +58,16 @@
 	// LearnsLimits is set for a process that has just started and hears from others of the
 	// limits that targets have named, until LearnLimitsUntil.
 	LearnsLimits bool
+	// Random returns numbers in [0, 1) for the choice of targets; nil for the process's
+	// random source.
+	Random func() float64
 }
 
 // Dispatcher distributes requests among targets.
 type Dispatcher struct {
 	failureDomain string
 	warmup        Warmup
+	random        func() float64
 
 	// mu guards the fields below and those of Targets.
 	mu    sync.Mutex
@@ -78,7 +90,10 @@
 	learning      bool
 	learningUntil time.Time
 	// pauses holds the pauses that incarnations have asked for.
-	pauses map[incarnationID]*pause
+	pauses   map[incarnationID]*pause
+	crossing Crossing
+	// peerDomains holds the failure domains of other processes.
+	peerDomains map[string]string
 
 	// chooser, candidates and eligible are used by choose alone; eligible holds the targets
 	// of the candidates.
@@ -89,11 +104,14 @@
 
 // New returns a Dispatcher without targets.
 func New(cfg Config) *Dispatcher {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	return &Dispatcher{
-		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
+		random: cfg.Random, failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
-		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits,
+		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits, peerDomains: map[string]string{},
 	}
 }
 
@@ -259,6 +277,9 @@
 	d.dropLeavings(now)
 	d.dropPauses(now)
 	d.dropLimits(now)
+	for _, pool := range d.pools {
+		pool.updatePaces(now)
+	}
 	d.grantAll(now)
 	d.rejectAllHopeless(now)
 }
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/balance"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -48,6 +49,12 @@
 	// until slowdownUntil.
 	slowdown      float64
 	slowdownUntil time.Time
+	// responses are the response times that this process has observed. slowness is how much
+	// longer they are than those of faster targets, as a share; reportedSlow is set while
+	// PaceChanges has reported the target as slow.
+	responses    balance.ResponseTimes
+	slowness     float64
+	reportedSlow bool
 }
 
 // ID returns the target's ID. A target that restarts may keep it; see Incarnation.
@@ -89,7 +96,7 @@
 // usable reports whether the target may get new requests, now or after a pause: it is
 // registered, is not leaving, and its failure domain is not among domainsOut.
 func (t *Target) usable(domainsOut map[string]bool) bool {
-	return !t.gone && !t.registration.Leaving && !t.saidLeaving && !domainsOut[t.registration.FailureDomain]
+	return !t.gone && !t.registration.Leaving && !t.saidLeaving && (len(domainsOut) == 0 || !domainsOut[t.registration.FailureDomain])
 }
 
 // ConnectionLimit returns how many connections one of several processes may open to
