Limit slow targets only if others can do their work

A target that names a limit counted as capacity for the work of a slow one, so that the only other target got half of its capacity.

Change: targets that pause, name a limit or are not usable don't count, as for ejection and slowdowns.

--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -278,7 +278,7 @@
 	d.dropPauses(now)
 	d.dropLimits(now)
 	for _, pool := range d.pools {
-		pool.updatePaces(now)
+		pool.updatePaces(d.domainsOut, now)
 	}
 	d.grantAll(now)
 	d.rejectAllHopeless(now)
--- a/request/dispatch/pace.go
+++ b/request/dispatch/pace.go
@@ -37,8 +37,9 @@
 // of engines report their slowdown, and the requests to them differ in length.
 func (p *pool) paced() bool { return p.service == nil || p.service.Engine == nil }
 
-// updatePaces derives the paces of the targets of a pool.
-func (p *pool) updatePaces(now time.Time) {
+// updatePaces derives the paces of the targets of a pool. domainsOut are the failure domains
+// out of service.
+func (p *pool) updatePaces(domainsOut map[string]bool, now time.Time) {
 	if now.Before(p.nextPaces) {
 		return
 	}
@@ -50,18 +51,22 @@
 		}
 	}
 	reference := balance.Reference(all, now)
-	slower := 0
+	slower, usable := 0, 0
 	for _, t := range p.list {
 		t.slowness = 1/t.responses.Pace(reference, now) - 1
-		if t.slowness > 0 {
-			slower++
+		// Targets that pause or name a limit have no capacity for the work of slow ones.
+		if t.usable(domainsOut) && !t.pause.active(now) && !t.limited() {
+			usable++
+			if t.slowness > 0 {
+				slower++
+			}
 		}
 		if slow := t.slowness > 1/slowPace-1 || t.reportedSlow && t.slowness > 1/normalPace-1; slow != t.reportedSlow {
 			t.reportedSlow = slow
 			p.paceChanges = append(p.paceChanges, PaceChange{Target: t.ID(), Service: t.Service(), Pace: 1 / (1 + t.slowness), Slow: slow})
 		}
 	}
-	p.limitsPaced = float64(slower) <= maxSlowShare*float64(len(p.list))
+	p.limitsPaced = float64(slower) <= maxSlowShare*float64(usable)
 }
 
 // PaceChanges returns the changes since the last call.
