Send compact heartbeats among many entries

70 entries sent 0.13 GB of heartbeats between failure domains in 48 s. With more than eight live entries, all of which speak version 2 of the datagrams, nine of ten heartbeats now lack the sender's addresses and release, and key loads by a hash of the target's ID. Releases of version 1 get full ones, and drop a compact one.

A typical heartbeat has 274 bytes, a compact one 60. The effect on a whole deployment has not been measured.

--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -24,7 +24,7 @@
 // TestMessagesOfEarlierReleasesAreRead guards against entries that do not understand each
 // other while a release is rolled out: a field that was renumbered, dropped or retyped.
 func TestMessagesOfEarlierReleasesAreRead(t *testing.T) {
-	require.NoError(t, corpus.Check(corpusFolder, map[string]any{"datagram": new(datagram)}))
+	require.NoError(t, corpus.Check(corpusFolder, map[string]any{"datagram": new(datagram), "compact": new(compactDatagram)}))
 }
 
 // FuzzDatagram guards against datagrams, of any release or of none, that stop an entry.
@@ -36,14 +36,21 @@
 		require.NoError(f, err)
 		f.Add(data)
 	}
+	compact, err := newCompactor(nil, nil).encode(datagram{Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
+		Peer: presence.Peer{Incarnation: 7}, Load: map[string]int{"t": 1},
+	}}}, time.Unix(1000, 0))
+	require.NoError(f, err)
+	f.Add(compact)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var received datagram
-		if cbor.Unmarshal(data, &received) != nil {
-			return
-		}
 		clock := clockwork.NewFakeClock()
 		now := clock.Now()
 		peers := presence.NewPeerTable("self", time.Second)
+		// The compact datagram among the seeds has this sender.
+		peers.Register(presence.Peer{Name: "edge", Incarnation: 7}, now)
+		received, err := newCompactor(peers, func() []string { return []string{"t"} }).decode(data, now)
+		if err != nil {
+			return
+		}
 		peers.RecordHeartbeat(received.Heartbeat, now)
 		require.LessOrEqual(t, len(peers.Releases(now)), 1)
 		dispatch.New(dispatch.Config{}).MergeLeavings(received.Leavings, now)
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -70,6 +70,7 @@
 	dispatcher *dispatch.Dispatcher
 	targets    *targetObserver
 	storeWatch *storeWatch
+	compact    *compactor
 	budgets    *retryBudgets
 	poison     *poison.Tracker
 	handler    *forward.Handler
@@ -128,7 +129,8 @@
 	e.budgets = newRetryBudgets(s.Bounds)
 	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
-	e.metrics.Registry().MustRegister(e.storeWatch.followsStore)
+	e.compact = newCompactor(e.peers, e.dispatcher.TargetIDs)
+	e.metrics.Registry().MustRegister(e.storeWatch.followsStore, e.compact.sentBytes)
 	e.builds = release.NewObserver(e.metrics.Registry(), logs.Component(cfg.Logger, "peers"))
 	e.poison = poison.NewTracker(poison.Config{TrialAfterCrashes: refuseAfterCrashes, RefuseAfterCrashes: refuseAfterCrashes}, e.clock)
 	crashes := poison.NewCrashDetector(poison.DetectorConfig{
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"slices"
@@ -148,29 +149,60 @@
 	defer h.mu.Unlock()
 	e := h.entry
 	now := e.clock.Now()
-	h.sendTo(e.peers.Addresses(), datagram{Evidence: h.evidence(now)}, e.dispatcher.Limits(now))
+	h.sendToAll(datagram{Evidence: h.evidence(now)}, e.dispatcher.Limits(now), nil)
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
 	}
 	e.setProcesses()
-	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
+	census := release.NewCensus(append(e.peers.Releases(now), e.release))
+	e.builds.Update(census)
 	e.storeWatch.update(e.peers.Ready(now))
+	e.compact.update(census, e.storeWatch.liveEntries())
 }
 
-// sendTo sends a heartbeat with the given limits, and with the other parts of the datagram,
-// to some peers. The caller holds mu.
-func (h *heartbeater) sendTo(addresses []string, message datagram, limits []presence.TargetLimit) {
+// heartbeat returns the next heartbeat. The caller holds mu.
+func (h *heartbeater) heartbeat(limits []presence.TargetLimit) presence.Heartbeat {
 	e := h.entry
 	h.sequence++
-	message.Heartbeat = presence.Heartbeat{
+	return presence.Heartbeat{
 		Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
 		Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
 	}
-	encoded, err := cbor.Marshal(message)
+}
+
+// sendToAll sends a heartbeat with the given limits, and with the other parts of the datagram,
+// to all peers but some: in compact form to those that are alive, if that is due. The caller
+// holds mu.
+func (h *heartbeater) sendToAll(message datagram, limits []presence.TargetLimit, except []string) {
+	now := h.entry.clock.Now()
+	message.Heartbeat = h.heartbeat(limits)
+	alive, others := h.entry.peers.SplitAddresses(now, except)
+	if !h.entry.compact.next() {
+		alive, others = nil, append(alive, others...)
+	}
+	if len(alive) > 0 {
+		encoded, err := h.entry.compact.encode(message, now)
+		h.write(encoded, err, alive, "compact")
+	}
+	if len(others) > 0 {
+		encoded, err := cbor.Marshal(message)
+		h.write(encoded, err, others, "full")
+	}
+}
+
+// sendTo sends a heartbeat with the given limits to a peer. The caller holds mu.
+func (h *heartbeater) sendTo(address string, limits []presence.TargetLimit) {
+	encoded, err := cbor.Marshal(datagram{Datagram: presence.Datagram{Heartbeat: h.heartbeat(limits)}})
+	h.write(encoded, err, []string{address}, "full")
+}
+
+// write sends an encoded datagram, unless encoding it failed.
+func (h *heartbeater) write(encoded []byte, err error, addresses []string, form string) {
 	if err != nil {
 		h.log.WithError(err).Error("heartbeat cannot be encoded")
 		return
 	}
+	h.entry.compact.sentBytes.WithLabelValues(form).Add(float64(len(encoded) * len(addresses)))
 	for _, address := range addresses {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
@@ -186,13 +218,17 @@
 // maxLimitsAtStart is the maximum number of limits in a datagram to an entry that has started.
 const maxLimitsAtStart = 32
 
-// sendLimits sends all limits that targets have told this entry to a peer that has started.
+// sendLimits sends all limits that targets have told this entry to a peer that has started. It
+// sends a full heartbeat in any case if the next ones are compact.
 func (h *heartbeater) sendLimits(peer presence.Peer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	limits := h.entry.dispatcher.AllLimits(h.entry.clock.Now())
 	for chunk := range slices.Chunk(limits, maxLimitsAtStart) {
-		h.sendTo([]string{peer.PeerAddress}, datagram{}, chunk)
+		h.sendTo(peer.PeerAddress, chunk)
+	}
+	if len(limits) == 0 && h.entry.compact.allowed {
+		h.sendTo(peer.PeerAddress, nil)
 	}
 }
 
@@ -201,9 +237,8 @@
 func (h *heartbeater) forwardChanges(changes []follow.Batch, pollers []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	addresses := h.entry.peers.AddressesExcept(pollers)
 	for i := range changes {
-		h.sendTo(addresses, datagram{Changes: &changes[i]}, nil)
+		h.sendToAll(datagram{Changes: &changes[i]}, nil, pollers)
 	}
 }
 
@@ -225,12 +260,16 @@
 		if err != nil {
 			return
 		}
-		var received datagram
-		if err := cbor.Unmarshal(buffer[:n], &received); err != nil {
+		now := h.entry.clock.Now()
+		received, err := h.entry.compact.decode(buffer[:n], now)
+		if errors.Is(err, errUnknownSender) {
+			// The sender's next full heartbeat follows.
+			continue
+		}
+		if err != nil {
 			h.log.WithError(err).Warn("datagram cannot be decoded; dropped")
 			continue
 		}
-		now := h.entry.clock.Now()
 		if received.TargetReport != nil {
 			h.applyTargetReport(*received.TargetReport, now)
 			continue
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -26,27 +26,30 @@
 
 // Heartbeat is what a process sends to its peers several times a second.
 type Heartbeat struct {
-	Peer Peer `cbor:"1,keyasint"`
+	Peer Peer `cbor:"1,keyasint,omitzero"`
 	// Ready is set when callers may be directed to the process.
-	Ready bool `cbor:"2,keyasint"`
+	Ready bool `cbor:"2,keyasint,omitzero"`
 	// Leaving is set when the process is about to exit.
-	Leaving bool `cbor:"3,keyasint"`
+	Leaving bool `cbor:"3,keyasint,omitzero"`
 	// Load is the number of requests of the process at each target, by target ID.
-	Load map[string]int `cbor:"4,keyasint"`
+	Load map[string]int `cbor:"4,keyasint,omitzero"`
 	// Sequence increases with each heartbeat of an incarnation.
 	Sequence uint64 `cbor:"5,keyasint"`
 	// Store is what the process knows of the platform's store.
-	Store StoreStatus `cbor:"8,keyasint"`
+	Store StoreStatus `cbor:"8,keyasint,omitzero"`
 	// Leavings are targets that told the process that they leave.
 	Leavings []TargetLeaving `cbor:"9,keyasint,omitempty"`
 	// Release is the build of the process and the versions of datagrams that it speaks.
-	Release release.Info `cbor:"10,keyasint,omitempty"`
+	Release release.Info `cbor:"10,keyasint,omitzero"`
 	// Limits are what targets told the process of how many requests they take.
 	Limits []TargetLimit `cbor:"11,keyasint,omitempty"`
+	// PackedLoad is the load as PackLoad encodes it, in place of Load.
+	PackedLoad []byte `cbor:"15,keyasint,omitempty"`
 }
 
-// Versions is the versions of the datagrams between entries that this build speaks.
-var Versions = release.Range{Min: 1, Max: 1}
+// Versions is the versions of the datagrams between entries that this build speaks. Version 2
+// adds heartbeats without what peers know already.
+var Versions = release.Range{Min: 1, Max: 2}
 
 // TargetLeaving reports that an incarnation of a target said that it leaves.
 type TargetLeaving struct {
@@ -200,6 +203,23 @@
 	return state != nil && !state.heardAt.IsZero() && state.lastHeartbeat.Peer.Incarnation == peer.Incarnation
 }
 
+// FindIncarnation returns the last heartbeat of the peer with the given incarnation; one with
+// only the peer if it is known but none has been heard. It returns false if it is not known.
+func (t *PeerTable) FindIncarnation(incarnation uint64) (Heartbeat, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, state := range t.peers {
+		if state.peer.Incarnation != incarnation {
+			continue
+		}
+		if state.heardAt.IsZero() {
+			return Heartbeat{Peer: state.peer}, true
+		}
+		return state.lastHeartbeat, true
+	}
+	return Heartbeat{}, false
+}
+
 // Addresses returns the heartbeat addresses of all peers, sorted.
 func (t *PeerTable) Addresses() []string {
 	t.mu.Lock()
@@ -212,19 +232,23 @@
 	return all
 }
 
-// AddressesExcept returns the heartbeat addresses of all peers but those with the given
-// names, sorted.
-func (t *PeerTable) AddressesExcept(names []string) []string {
+// SplitAddresses returns the heartbeat addresses of the peers that are alive and of the others,
+// without those of the given names, sorted.
+func (t *PeerTable) SplitAddresses(now time.Time, except []string) (alive, others []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var all []string
 	for name, state := range t.peers {
-		if !slices.Contains(names, name) {
-			all = append(all, state.peer.PeerAddress)
+		switch {
+		case slices.Contains(except, name):
+		case t.alive(state, now):
+			alive = append(alive, state.peer.PeerAddress)
+		default:
+			others = append(others, state.peer.PeerAddress)
 		}
 	}
-	sort.Strings(all)
-	return all
+	sort.Strings(alive)
+	sort.Strings(others)
+	return alive, others
 }
 
 // alive reports whether a heartbeat of the peer arrived within the timeout.
