Direct callers to entries by capacity, and to other domains in overload

Each answer of the directory named all entries of the caller's failure domain, so an entry with 0.272 cores got as many callers as one with 0.8. Entries now report their capacity and the use of their processor; answers are drawn in proportion to capacity. Where a domain's entries use over 0.8, a part of its callers is directed to domains with capacity left, and returns with the demand. Without the settings, and where entries are nearly equal, answers are as before.

Not measured on a deployment.

--- a/daemon/direct/compact.go
+++ b/daemon/direct/compact.go
@@ -34,7 +34,7 @@
 	Version uint8
 	// Incarnation identifies the sender.
 	Incarnation uint64
-	// Content lacks the sender and its release, what it knows of the store unless that has
+	// Content lacks the sender, its release and its capacity, what it knows of the store unless that has
 	// changed, and has a packed load.
 	Content datagram
 }
@@ -97,7 +97,7 @@
 	}
 	incarnation := message.Peer.Incarnation
 	message.PackedLoad, message.Load = presence.PackLoad(message.Load), nil
-	message.Peer, message.Release = presence.Peer{}, release.Info{}
+	message.Peer, message.Release, message.Capacity.Millicores = presence.Peer{}, release.Info{}, 0
 	return cbor.Marshal(compactDatagram{Version: compactVersion, Incarnation: incarnation, Content: message})
 }
 
@@ -128,6 +128,7 @@
 	if received.Store == (presence.StoreStatus{}) {
 		received.Store = last.Store
 	}
+	received.Capacity.Millicores = last.Capacity.Millicores
 	received.Load = c.unpack(received.PackedLoad, now)
 	return received, nil
 }
--- a/daemon/direct/compact_test.go
+++ b/daemon/direct/compact_test.go
@@ -21,8 +21,9 @@
 			FailureDomain: "bhaktapur",
 		},
 		Ready: true, Load: map[string]int{}, Sequence: 150,
-		Store:   presence.StoreStatus{OperatorChange: 1000, TargetsChange: 2000, EntriesChange: 900},
-		Release: release.Info{Build: "0123456", Min: 1, Max: 2},
+		Store:    presence.StoreStatus{OperatorChange: 1000, TargetsChange: 2000, EntriesChange: 900},
+		Release:  release.Info{Build: "0123456", Min: 1, Max: 2},
+		Capacity: presence.Capacity{Millicores: 272, BusyPercent: 40},
 	}}}
 	for n := range 8 {
 		message.Load[fmt.Sprintf("i-655b20d4%02d", n)] = 1
@@ -52,7 +53,7 @@
 }
 
 // TestCompactDatagramsAreCompleted guards against fields that compact datagrams lose, and
-// against a size that grows back. A full heartbeat of this kind has 274 bytes, a compact one 60.
+// against a size that grows back. A full heartbeat of this kind has 283 bytes, a compact one 65.
 func TestCompactDatagramsAreCompleted(t *testing.T) {
 	message := typicalDatagram()
 	message.Leavings = []presence.TargetLeaving{{Target: "x", Incarnation: "1", AgeMillis: 5}}
--- a/daemon/direct/directory.go
+++ b/daemon/direct/directory.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/platform"
-	"verbenaseam.example/verbenaseam/request/steer"
 )
 
 const (
@@ -16,18 +15,10 @@
 	maxCachingFactor = 3
 )
 
-// resolve returns the addresses of the ready entries near the caller, and how long the
-// caller may cache them.
+// resolve returns addresses of ready entries for the caller, and how long the caller may cache
+// them.
 func (e *Entry) resolve(query platform.DirectoryQuery) ([]string, time.Duration) {
-	entries := e.peers.Ready(e.clock.Now())
-	if e.ready() {
-		entries = append(entries, e.self)
-	}
-	nearest := steer.Nearest(entries, query.FailureDomain)
-	addresses := make([]string, 0, len(nearest))
-	for _, entry := range nearest {
-		addresses = append(addresses, entry.CallerAddress)
-	}
+	addresses := e.steering.answer(e.hosts(), query.FailureDomain)
 	ttl := directoryTTL
 	if maxTTL := e.bounds.Load().DirectoryTTL; maxTTL > 0 {
 		ttl = min(ttl, maxTTL)
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -71,6 +71,7 @@
 	targets    *targetObserver
 	storeWatch *storeWatch
 	compact    *compactor
+	steering   *steering
 	budgets    *retryBudgets
 	poison     *poison.Tracker
 	handler    *forward.Handler
@@ -130,7 +131,9 @@
 	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
 	e.compact = newCompactor(e.peers, e.dispatcher.TargetIDs)
-	e.metrics.Registry().MustRegister(e.storeWatch.followsStore, e.compact.sentBytes)
+	e.steering = newSteering(s, logs.Component(cfg.Logger, "directory"))
+	e.metrics.Registry().MustRegister(
+		e.storeWatch.followsStore, e.compact.sentBytes, e.steering.busyGauge, e.steering.elsewhere)
 	e.builds = release.NewObserver(e.metrics.Registry(), logs.Component(cfg.Logger, "peers"))
 	e.poison = poison.NewTracker(poison.Config{TrialAfterCrashes: refuseAfterCrashes, RefuseAfterCrashes: refuseAfterCrashes}, e.clock)
 	crashes := poison.NewCrashDetector(poison.DetectorConfig{
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -167,6 +167,7 @@
 	return presence.Heartbeat{
 		Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
 		Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
+		Capacity: e.steering.capacity(),
 	}
 }
 
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -86,6 +86,7 @@
 	wg.Go(func() { e.evidence.run(ctx) })
 	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.tick) })
 	wg.Go(func() { heartbeats.sendOnChange(ctx) })
+	wg.Go(func() { runEvery(ctx, e.clock, steerInterval, e.steer) })
 	started := e.clock.Now()
 	wg.Go(func() {
 		runEvery(ctx, e.clock, tickInterval, func() {
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -45,6 +45,15 @@
 	Limits []TargetLimit `cbor:"11,keyasint,omitempty"`
 	// PackedLoad is the load as PackLoad encodes it, in place of Load.
 	PackedLoad []byte `cbor:"15,keyasint,omitempty"`
+	// Capacity is how much the process can serve.
+	Capacity Capacity `cbor:"16,keyasint,omitzero"`
+}
+
+// Capacity is how much a process can serve and does; zero if it does not state it.
+type Capacity struct {
+	Millicores uint32 `cbor:"1,keyasint,omitempty"`
+	// BusyPercent is the part of it that is in use.
+	BusyPercent uint8 `cbor:"2,keyasint,omitempty"`
 }
 
 // Versions is the versions of the datagrams between entries that this build speaks. Version 2
@@ -258,15 +267,25 @@
 
 // Ready returns the live peers that are ready and not leaving, sorted by name.
 func (t *PeerTable) Ready(now time.Time) []Peer {
+	var ready []Peer
+	for _, beat := range t.ReadyHeartbeats(now) {
+		ready = append(ready, beat.Peer)
+	}
+	return ready
+}
+
+// ReadyHeartbeats returns the last heartbeats of the live peers that are ready and not leaving,
+// sorted by name.
+func (t *PeerTable) ReadyHeartbeats(now time.Time) []Heartbeat {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var ready []Peer
+	var ready []Heartbeat
 	for _, state := range t.peers {
 		if t.alive(state, now) && state.lastHeartbeat.Ready && !state.lastHeartbeat.Leaving {
-			ready = append(ready, state.peer)
+			ready = append(ready, state.lastHeartbeat)
 		}
 	}
-	sort.Slice(ready, func(i, j int) bool { return ready[i].Name < ready[j].Name })
+	sort.Slice(ready, func(i, j int) bool { return ready[i].Peer.Name < ready[j].Peer.Name })
 	return ready
 }
 
--- a/process/settings/direct.go
+++ b/process/settings/direct.go
@@ -54,8 +54,15 @@
 	StoreAddress string
 	// MaxOpenFiles is the maximum number of open files of the process.
 	MaxOpenFiles int
-	Bounds       Bounds
-	Log          Log
+	// Memory is the memory of the host for the process, in megabytes; 0 for no bound on what it
+	// holds for requests.
+	Memory float64
+	// Processor is the processor time per second that the process may use, in cores, Cores the
+	// number of cores, Link the bandwidth of the host's network link in Mbit/s; 0 or less if not
+	// stated. Callers are directed to entries in proportion to them.
+	Processor, Cores, Link float64
+	Bounds                 Bounds
+	Log                    Log
 	// IgnoredKeys are the keys of the file that this build does not know and that the file
 	// allows to be ignored.
 	IgnoredKeys []string
@@ -92,6 +99,9 @@
 	r.name("entry", "name", &s.Name, required)
 	r.name("entry", "failure_domain", &s.FailureDomain, required)
 	r.text("entry", "region", &s.Region, optional, "a region")
+	r.number("entry", "processor", &s.Processor, unlimited, maxCores)
+	r.number("entry", "cores", &s.Cores, unlimited, maxCores)
+	r.number("entry", "link", &s.Link, unlimited, maxBandwidth)
 	r.address("entry", "caller_address", &s.CallerAddress, required)
 	r.address("entry", "ready_address", &s.ReadyAddress, required)
 	r.address("entry", "directory_address", &s.DirectoryAddress, required)
@@ -100,6 +110,7 @@
 	files := float64(s.MaxOpenFiles)
 	r.number("entry", "files", &files, 64, 1<<24)
 	s.MaxOpenFiles = int(files)
+	r.number("entry", "memory", &s.Memory, minMemory, maxMemory)
 	r.address("store", "address", &s.StoreAddress, required)
 	readBounds(r, &s.Bounds)
 	readLog(r, &s.Log)
@@ -130,6 +141,19 @@
 	return s, err
 }
 
+// Memory of a host, in megabytes.
+const (
+	minMemory = 16
+	maxMemory = 1 << 24
+)
+
+// maxCores is the largest plausible number of cores. Platforms state unlimited resources as
+// unlimited.
+const (
+	unlimited = -1
+	maxCores  = 1 << 20
+)
+
 // Bandwidths of network links, in Mbit/s.
 const (
 	defaultBandwidth = 100
--- a/request/steer/doc.go
+++ b/request/steer/doc.go
@@ -1,4 +1,5 @@
-// Package steer selects the entries that an organisation's callers should use.
-// The answer is a pure function of the organisation and the entries, so every
-// entry gives the same answer without coordination.
+// Package steer selects the entries that callers should use. SelectEntries does so by
+// organisation: its answer is a pure function of the organisation and the entries, so
+// every entry gives the same answer without coordination. Spill does so by failure domain
+// and in proportion to the capacity of entries.
 package steer
