--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -1,11 +1,14 @@
 package dispatch
 
 import (
+	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/balance"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -13,7 +16,20 @@
 type pool struct {
 	service *config.Service
 	targets map[string]*Target
+	// list holds the same targets, because iterating over a map is slow.
+	list    []*Target
 	waiting waitQueue
+	// residence is how long this process's requests stay at a target, reports how many the
+	// other processes have, and since when that is known.
+	residence balance.Residence
+	reports   balance.Reports
+	// nextPaces is when the paces of the targets are next updated, paceChanges what
+	// PaceChanges has not returned yet.
+	nextPaces   time.Time
+	paceChanges []PaceChange
+	// limitsPaced is set if slower targets may run fewer requests than their capacity.
+	limitsPaced bool
+	crossings   CrossingCount
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
 	usualWait    usualWait
@@ -21,6 +37,18 @@
 	nextReassign time.Time
 }
 
+// add adds a target.
+func (p *pool) add(t *Target) {
+	p.targets[t.ID()] = t
+	p.list = append(p.list, t)
+}
+
+// remove removes a target.
+func (p *pool) remove(t *Target) {
+	delete(p.targets, t.ID())
+	p.list = slices.DeleteFunc(p.list, func(other *Target) bool { return other == t })
+}
+
 // Config holds the settings of a Dispatcher.
 type Config struct {
 	// FailureDomain is the failure domain of this process.
@@ -30,12 +58,16 @@
 	// LearnsLimits is set for a process that has just started and hears from others of the
 	// limits that targets have named, until LearnLimitsUntil.
 	LearnsLimits bool
+	// Random returns numbers in [0, 1) for the choice of targets; nil for the process's
+	// random source.
+	Random func() float64
 }
 
 // Dispatcher distributes requests among targets.
 type Dispatcher struct {
 	failureDomain string
 	warmup        Warmup
+	random        func() float64
 
 	// mu guards the fields below and those of Targets.
 	mu    sync.Mutex
@@ -58,16 +90,28 @@
 	learning      bool
 	learningUntil time.Time
 	// pauses holds the pauses that incarnations have asked for.
-	pauses map[incarnationID]*pause
+	pauses   map[incarnationID]*pause
+	crossing Crossing
+	// peerDomains holds the failure domains of other processes.
+	peerDomains map[string]string
+
+	// chooser, candidates and eligible are used by choose alone; eligible holds the targets
+	// of the candidates.
+	chooser    balance.Chooser
+	candidates []balance.Candidate
+	eligible   []*Target
 }
 
 // New returns a Dispatcher without targets.
 func New(cfg Config) *Dispatcher {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	return &Dispatcher{
-		failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
+		random: cfg.Random, failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
-		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits,
+		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits, peerDomains: map[string]string{},
 	}
 }
 
@@ -124,8 +168,8 @@
 }
 
 // Register adds or updates a target from its registration. A target that restarted
-// under its ID, or that changed its service or address, replaces the old one, which is
-// then returned; otherwise the result is nil.
+// under its ID, that changed its service or address, or that started at the address of
+// another one replaces the old one, which is then returned; otherwise the result is nil.
 func (d *Dispatcher) Register(registration target.Registration, now time.Time) (replaced *Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -141,7 +185,7 @@
 		}
 		old.gone = true
 		replaced = old
-		delete(pool.targets, registration.ID)
+		pool.remove(old)
 	}
 	pool := d.pool(registration.Service)
 	added := &Target{
@@ -152,11 +196,43 @@
 	added.saidLeaving = d.leaving[added.incarnationID()].valid(now)
 	added.pause = d.pauseOf(added.incarnationID())
 	added.rateLimit = d.limits[added.incarnationID()]
-	pool.targets[registration.ID] = added
+	if earlier := d.endEarlierAt(added); earlier != nil {
+		replaced = earlier
+	}
+	pool.add(added)
 	d.grant(pool, now)
 	return replaced
 }
 
+// endEarlierAt compares a new target with others at its address, of which only the one that
+// started last can still exist, and marks the others as gone. It returns one that the new
+// target has replaced, or nil. After the loss of all hosts the registrations of earlier
+// incarnations remain for some seconds, and requests to them only find that the address belongs
+// to another target.
+func (d *Dispatcher) endEarlierAt(added *Target) (replaced *Target) {
+	for _, pool := range d.pools {
+		for _, t := range pool.targets {
+			if t.registration.Address != added.registration.Address {
+				continue
+			}
+			if !t.gone && t.startedBefore(added) {
+				t.gone = true
+				replaced = t
+			}
+			if added.startedBefore(t) {
+				added.gone = true
+			}
+		}
+	}
+	return replaced
+}
+
+// startedBefore reports whether the target started before another, as far as both say when.
+func (t *Target) startedBefore(other *Target) bool {
+	own := t.registration.StartedAt.UnixMilli()
+	return own > 0 && own < other.registration.StartedAt.UnixMilli()
+}
+
 // Remove removes a target whose registration was deleted and returns it, or nil if there
 // is none with the ID.
 func (d *Dispatcher) Remove(id string) (removed *Target) {
@@ -165,7 +241,7 @@
 	for _, pool := range d.pools {
 		if t := pool.targets[id]; t != nil {
 			t.gone = true
-			delete(pool.targets, id)
+			pool.remove(t)
 			removed = t
 		}
 	}
@@ -201,6 +277,9 @@
 	d.dropLeavings(now)
 	d.dropPauses(now)
 	d.dropLimits(now)
+	for _, pool := range d.pools {
+		pool.updatePaces(d.domainsOut, now)
+	}
 	d.grantAll(now)
 	d.rejectAllHopeless(now)
 }
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/balance"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -19,6 +20,8 @@
 	// counts that other processes report, by process.
 	running  int
 	peerLoad map[string]int
+	// peerTotal is the sum of peerLoad.
+	peerTotal int
 	// coldUntil is when the target's warm-up ends.
 	coldUntil time.Time
 	// sends holds the times of this process's requests to the target within
@@ -46,6 +49,12 @@
 	// until slowdownUntil.
 	slowdown      float64
 	slowdownUntil time.Time
+	// responses are the response times that this process has observed. slowness is how much
+	// longer they are than those of faster targets, as a share; reportedSlow is set while
+	// PaceChanges has reported the target as slow.
+	responses    balance.ResponseTimes
+	slowness     float64
+	reportedSlow bool
 }
 
 // ID returns the target's ID. A target that restarts may keep it; see Incarnation.
@@ -64,12 +73,16 @@
 func (t *Target) FailureDomain() string { return t.registration.FailureDomain }
 
 // load returns how many requests all known processes have at the target.
-func (t *Target) load() int {
-	total := t.running
-	for _, count := range t.peerLoad {
-		total += count
+func (t *Target) load() int { return t.running + t.peerTotal }
+
+// setPeerLoad sets the number of requests of another process.
+func (t *Target) setPeerLoad(process string, count int) {
+	t.peerTotal += count - t.peerLoad[process]
+	if count > 0 {
+		t.peerLoad[process] = count
+	} else {
+		delete(t.peerLoad, process)
 	}
-	return total
 }
 
 // setRegistration updates the target from its latest registration.
@@ -83,7 +96,7 @@
 // usable reports whether the target may get new requests, now or after a pause: it is
 // registered, is not leaving, and its failure domain is not among domainsOut.
 func (t *Target) usable(domainsOut map[string]bool) bool {
-	return !t.gone && !t.registration.Leaving && !t.saidLeaving && !domainsOut[t.registration.FailureDomain]
+	return !t.gone && !t.registration.Leaving && !t.saidLeaving && (len(domainsOut) == 0 || !domainsOut[t.registration.FailureDomain])
 }
 
 // ConnectionLimit returns how many connections one of several processes may open to
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -40,13 +40,14 @@
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
 		h.updateCrashEvidence(c, t, h.clock.Now(), err, truncated)
-		h.dispatcher.Release(t, truncated.result, h.clock.Now())
+		h.release(c, t, truncated.result)
 		return shouldRetry, h.finalFailure(c, truncated)
 	}
 	progress()
-	h.dispatcher.Release(t, v.result, h.clock.Now())
+	h.release(c, t, v.result)
 	if v.success() {
 		h.recordSuccess(c)
+		h.transfers.record(c.route.Name, len(c.body)+len(body))
 	}
 	h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 	copyHeaders(w, response)
@@ -98,8 +99,9 @@
 		c.lastEventID = out.lastID
 		if err == nil {
 			src.watchdog.stop()
-			h.dispatcher.Release(src.target, dispatch.Served, h.clock.Now())
+			h.release(c, src.target, dispatch.Served)
 			h.recordSuccess(c)
+			h.transfers.record(c.route.Name, len(c.body)+out.read)
 			out.finish(src.response)
 			return false, nil
 		}
@@ -109,7 +111,7 @@
 		}
 		src.watchdog.stop()
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, v)
-		h.dispatcher.Release(src.target, v.result, h.clock.Now())
+		h.release(c, src.target, v.result)
 		shouldRetry := h.endFailedAttempt(ctx, c, v)
 		if !out.started {
 			return shouldRetry, h.finalFailure(c, v)
@@ -117,6 +119,9 @@
 		if !shouldRetry {
 			h.abortStream(c, v.reason)
 		}
+		if out.unidentified {
+			h.abortStream(c, "the last event has no ID to resume after")
+		}
 		src = h.resumeStream(ctx, c)
 	}
 }
@@ -151,7 +156,7 @@
 			h.drainResponse(response)
 		}
 		watchdog.stop()
-		h.dispatcher.Release(t, v.result, h.clock.Now())
+		h.release(c, t, v.result)
 		if !h.endFailedAttempt(ctx, c, v) {
 			h.abortStream(c, v.reason)
 		}
