--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -70,6 +70,8 @@
 	dispatcher *dispatch.Dispatcher
 	targets    *targetObserver
 	storeWatch *storeWatch
+	compact    *compactor
+	steering   *steering
 	budgets    *retryBudgets
 	poison     *poison.Tracker
 	handler    *forward.Handler
@@ -130,7 +132,10 @@
 	e.budgets = newRetryBudgets(s.Bounds)
 	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
-	e.metrics.Registry().MustRegister(e.storeWatch.followsStore)
+	e.compact = newCompactor(e.peers, e.dispatcher.TargetIDs)
+	e.steering = newSteering(s, logs.Component(cfg.Logger, "directory"))
+	e.metrics.Registry().MustRegister(
+		e.storeWatch.followsStore, e.compact.sentBytes, e.steering.busyGauge, e.steering.elsewhere)
 	e.choices = newChoiceReporter(e, logs.Component(cfg.Logger, "dispatch"))
 	e.dispatcher.SetCrossing(dispatch.Crossing(s.Crossing))
 	e.builds = release.NewObserver(e.metrics.Registry(), logs.Component(cfg.Logger, "peers"))
