--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -157,6 +157,9 @@
 	}
 }
 
+// maxIdleSeconds bounds the Keep-Alive timeout of a target, whose conversion could overflow.
+const maxIdleSeconds = 3600
+
 // idleTimeout returns how long a connection may be idle: the timeout of the
 // Keep-Alive header less idleMargin, or defaultIdleTimeout without one.
 func idleTimeout(header http.Header) time.Duration {
@@ -166,7 +169,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil && seconds >= 0 {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(min(seconds, maxIdleSeconds))*time.Second - idleMargin
 		}
 	}
 	return defaultIdleTimeout
--- a/daemon/direct/malformed_test.go
+++ b/daemon/direct/malformed_test.go
@@ -112,6 +112,23 @@
 	require.Equal(t, []string{"b"}, receiver.entry.peers.Names())
 }
 
+// FuzzHandleDatagram guards against datagrams at which an entry panics.
+func FuzzHandleDatagram(f *testing.F) {
+	for _, data := range malformedDatagrams(f, "127.0.0.1:1") {
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h := newHeartbeater(t, "a", nil)
+		now := time.Now()
+		h.entry.dispatcher.Register(target.Registration{ID: "t", Service: "s", Address: "127.0.0.1:1", FailureDomain: "z", Capacity: 1, StartedAt: time.UnixMilli(1)}, now)
+		h.process(data, now)
+		h.entry.setProcesses()
+		h.entry.dispatcher.Tick(now)
+		h.entry.dispatcher.Limits(now)
+		h.entry.poison.Evidence()
+	})
+}
+
 // malformedValues are values of rows that no process writes.
 var malformedValues = map[string]string{
 	"empty":         "",
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -234,6 +234,10 @@
 			h.log.WithFields(logrus.Fields{"panic": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("datagram dropped: its handling panicked")
 		}
 	}()
+	h.process(data, now)
+}
+
+func (h *heartbeater) process(data []byte, now time.Time) {
 	var received datagram
 	if err := cbor.Unmarshal(data, &received); err != nil {
 		h.log.WithError(err).Warn("datagram cannot be decoded; dropped")
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -43,5 +43,6 @@
 	if err != nil || millis <= 0 {
 		return 0, false
 	}
-	return min(time.Duration(millis)*time.Millisecond, maxTimeout), true
+	// The product of a larger number would overflow.
+	return time.Duration(min(millis, maxTimeout.Milliseconds())) * time.Millisecond, true
 }
