Deliver responses whose callers have sent more before reading them

Cause: net/http closes a connection after a response with Connection: close. If bytes of a next request are unread then, the kernel resets the connection and discards what it has not sent of the response.

Change: such a connection is closed for writing first and read for up to 1 s.

Evidence: TestResponseSurvivesUnreadRequests lost 3.9 of 8 MiB in each of 3 runs before; 10 runs pass now, as do the tests of daemon/direct.

--- a/daemon/direct/caller_drain.go
+++ b/daemon/direct/caller_drain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"syscall"
 	"time"
 )
@@ -96,6 +98,27 @@
 	_ = c.Conn.Close()
 }
 
+// lingerTime is how long a closed connection still takes bytes from its caller.
+const lingerTime = time.Second
+
+// Close implements net.Conn. If bytes of the caller are unread, for example of a request that
+// follows a response with Connection: close, the kernel would reset the connection and discard
+// what is not sent yet of the response. So the connection is closed for writing only until the
+// caller has closed it too, at most for lingerTime.
+func (c *callerConn) Close() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || c.reset.Load() || !readable(rawConn(tcp)) || tcp.CloseWrite() != nil {
+		return c.Conn.Close()
+	}
+	go func() {
+		// Errors mean that the connection has ended.
+		_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, tcp)
+		_ = tcp.Close()
+	}()
+	return nil
+}
+
 // rawConn returns the socket of a connection or listener, or nil if it has none.
 func rawConn(of any) syscall.RawConn {
 	if socket, ok := of.(syscall.Conn); ok {
--- a/daemon/direct/caller_drain_test.go
+++ b/daemon/direct/caller_drain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -210,3 +211,41 @@
 	require.Less(t, time.Since(started), time.Second)
 	require.Equal(t, responses, s.executed.Load(), "a request ran without a response")
 }
+
+// TestResponseSurvivesUnreadRequests guards against losing the rest of a response because the
+// connection is closed after it while bytes of a next request are unread, which resets it.
+func TestResponseSurvivesUnreadRequests(t *testing.T) {
+	const size = 8 << 20
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{ConnState: trackConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		_, _ = w.Write(make([]byte, size))
+	})}
+	go func() {
+		_ = server.Serve(newCallerListener(listener, func() callerTimeouts { return callerTimeouts{} }))
+	}()
+	t.Cleanup(func() { _ = server.Close() })
+	c, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, strings.Repeat(getRequest, 2000))
+	require.NoError(t, err)
+	// The response fills the buffers of the connection before the caller reads it.
+	time.Sleep(50 * time.Millisecond)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	read := 0
+	for buffer := make([]byte, 64<<10); ; {
+		n, err := response.Body.Read(buffer)
+		read += n
+		if err != nil {
+			require.ErrorIs(t, err, io.EOF, "after %d bytes", read)
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	require.Equal(t, size, read)
+}
--- a/daemon/direct/caller_timeouts.go
+++ b/daemon/direct/caller_timeouts.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,6 +61,8 @@
 type callerConn struct {
 	net.Conn
 	listener *callerListener
+	// reset is set if Close is to reset the connection.
+	reset atomic.Bool
 
 	// mu guards the fields below. No other lock is acquired while it is held.
 	mu    sync.Mutex
@@ -106,6 +109,7 @@
 // SetLinger sets the socket option of the same name, so that a response can be cut off.
 func (c *callerConn) SetLinger(seconds int) error {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		c.reset.Store(true)
 		return tcp.SetLinger(seconds)
 	}
 	return nil
