Go on receiving datagrams after an error of the socket

Cause: entries and agents stopped receiving for good at any error of the socket.

Change: they pause for 100 ms and go on until the socket is closed. The log names attempts that ended with a response to another request.

Tests of request/forward, daemon/rank, daemon/direct and the TestForward tests of platform pass.

--- a/daemon/direct/malformed_test.go
+++ b/daemon/direct/malformed_test.go
@@ -174,3 +174,18 @@
 		}
 	}
 }
+
+// TestErrorOfTheSocketDoesNotEndReceiving guards against an error of the socket after which an entry
+// hears of no other one any more.
+func TestErrorOfTheSocketDoesNotEndReceiving(t *testing.T) {
+	receiver := newHeartbeater(t, "a", nil)
+	require.NoError(t, receiver.socket.SetReadDeadline(time.Unix(1, 0)))
+	go receiver.receive()
+	time.Sleep(20 * time.Millisecond)
+	require.NoError(t, receiver.socket.SetReadDeadline(time.Time{}))
+	sender := newHeartbeater(t, "b", receiver)
+	require.Eventually(t, func() bool {
+		sender.send()
+		return receiver.entry.peers.HasHeard(sender.entry.self)
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/daemon/rank/datagrams.go
+++ b/daemon/rank/datagrams.go
@@ -1,6 +1,8 @@
 package rank
 
 import (
+	"errors"
+	"net"
 	"net/netip"
 	"time"
 
@@ -8,14 +10,22 @@
 	"verbenaseam.example/verbenaseam/version/rebalance"
 )
 
+// receiveErrorPause is the pause after an error of the socket, which may last.
+const receiveErrorPause = 100 * time.Millisecond
+
 // receiveDatagrams decodes and queues datagrams until the socket is closed.
 func (a *Agent) receiveDatagrams() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, from, err := a.socket.ReadFromUDPAddrPort(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			a.log.WithError(err).Warn("receiving datagrams failed; trying again")
+			time.Sleep(receiveErrorPause)
+			continue
+		}
 		envelope, err := rebalance.Decode(buffer[:n])
 		if err != nil {
 			a.dropped.record(dropReasonOf(err), from, err, a.clock.Now())
--- a/daemon/rank/malformed_test.go
+++ b/daemon/rank/malformed_test.go
@@ -146,3 +146,17 @@
 		})
 	}
 }
+
+// TestErrorOfTheSocketDoesNotEndReceiving guards against an error of the socket after which an agent
+// hears of no other one any more.
+func TestErrorOfTheSocketDoesNotEndReceiving(t *testing.T) {
+	agent, _ := newPlanningAgent(t)
+	require.NoError(t, agent.socket.SetReadDeadline(time.Unix(1, 0)))
+	go agent.receiveDatagrams()
+	time.Sleep(20 * time.Millisecond)
+	require.NoError(t, agent.socket.SetReadDeadline(time.Time{}))
+	require.Eventually(t, func() bool {
+		agent.send(netip.AddrPortFrom(agent.host, agent.port), rebalance.Envelope{Counts: &rebalance.Counts{}})
+		return len(agent.inbox) > 0
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/request/forward/verdict.go
+++ b/request/forward/verdict.go
@@ -72,9 +72,13 @@
 	v := incomplete(dispatch.Failed, "no response")
 	var exchange *direct.ExchangeError
 	var connectionLimit *direct.ConnectionLimitError
+	var mismatch *direct.ResponseMismatchError
 	if errors.As(err, &exchange) && !exchange.Sent {
 		v = notRun(dispatch.Failed, "request not sent")
 	}
+	if errors.As(err, &mismatch) {
+		v = incomplete(dispatch.Failed, "response belongs to another request, or does not say to which")
+	}
 	if errors.As(err, &connectionLimit) {
 		v = notRun(dispatch.Full, "no free connection")
 	}
