--- a/daemon/direct/malformed_test.go
+++ b/daemon/direct/malformed_test.go
@@ -112,6 +112,23 @@
 	require.Equal(t, []string{"b"}, receiver.entry.peers.Names())
 }
 
+// FuzzHandleDatagram guards against datagrams at which an entry panics.
+func FuzzHandleDatagram(f *testing.F) {
+	for _, data := range malformedDatagrams(f, "127.0.0.1:1") {
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h := newHeartbeater(t, "a", nil)
+		now := time.Now()
+		h.entry.dispatcher.Register(target.Registration{ID: "t", Service: "s", Address: "127.0.0.1:1", FailureDomain: "z", Capacity: 1, StartedAt: time.UnixMilli(1)}, now)
+		h.process(data, now)
+		h.entry.setProcesses()
+		h.entry.dispatcher.Tick(now)
+		h.entry.dispatcher.Limits(now)
+		h.entry.poison.Evidence()
+	})
+}
+
 // malformedValues are values of rows that no process writes.
 var malformedValues = map[string]string{
 	"empty":         "",
@@ -157,3 +174,18 @@
 		}
 	}
 }
+
+// TestErrorOfTheSocketDoesNotEndReceiving guards against an error of the socket after which an entry
+// hears of no other one any more.
+func TestErrorOfTheSocketDoesNotEndReceiving(t *testing.T) {
+	receiver := newHeartbeater(t, "a", nil)
+	require.NoError(t, receiver.socket.SetReadDeadline(time.Unix(1, 0)))
+	go receiver.receive()
+	time.Sleep(20 * time.Millisecond)
+	require.NoError(t, receiver.socket.SetReadDeadline(time.Time{}))
+	sender := newHeartbeater(t, "b", receiver)
+	require.Eventually(t, func() bool {
+		sender.send()
+		return receiver.entry.peers.HasHeard(sender.entry.self)
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -283,6 +283,10 @@
 			h.log.WithFields(logrus.Fields{"panic": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("datagram dropped: its handling panicked")
 		}
 	}()
+	h.process(data, now)
+}
+
+func (h *heartbeater) process(data []byte, now time.Time) {
 	received, err := h.entry.compact.decode(data, now)
 	if errors.Is(err, errUnknownSender) {
 		// The sender's next full heartbeat follows.
