Observe the delay to other failure domains where none is stated

With a price in the settings and no delay, a crossing cost its bytes only, however far away the failure domain is. Connections report how long they took to make; the shortest times to another failure domain and within the own one give the delay.

--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -39,8 +39,9 @@
 	address string
 	limit   int
 	dialer  net.Dialer
-	// onDial is called after each new connection; may be nil.
-	onDial func()
+	// onDial is called after each new connection with the time that it took to make; may be
+	// nil.
+	onDial func(took time.Duration)
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -67,8 +68,9 @@
 }
 
 // NewPool returns a pool of at most limit connections to an IP:port address; a limit
-// of 0 means none. onDial is called after each new connection and may be nil.
-func NewPool(address string, limit int, onDial func()) *Pool {
+// of 0 means none. onDial is called after each new connection with the time
+// that it took to make, and may be nil.
+func NewPool(address string, limit int, onDial func(took time.Duration)) *Pool {
 	return &Pool{
 		address: address, limit: limit, onDial: onDial,
 		dialer: net.Dialer{Timeout: dialTimeout, Control: setUnackedTimeout, KeepAliveConfig: net.KeepAliveConfig{
@@ -126,6 +128,7 @@
 	if !p.reserve() {
 		return nil, &ConnectionLimitError{Limit: p.limit}
 	}
+	started := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
 	if err != nil {
 		p.unreserve()
@@ -133,9 +136,10 @@
 	}
 	p.mu.Lock()
 	p.lastDial = time.Now()
+	took := p.lastDial.Sub(started)
 	p.mu.Unlock()
 	if p.onDial != nil {
-		p.onDial()
+		p.onDial(took)
 	}
 	limits := &limitedReader{Reader: raw}
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(limits, readBufferBytes), limits: limits}, nil
--- a/daemon/direct/targets.go
+++ b/daemon/direct/targets.go
@@ -186,7 +186,9 @@
 	key := poolKey{target.ID(), target.Address()}
 	pool := o.pools[key]
 	if pool == nil {
-		pool = direct.NewPool(target.Address(), target.ConnectionLimit(o.processes), nil)
+		pool = direct.NewPool(target.Address(), target.ConnectionLimit(o.processes), func(took time.Duration) {
+			o.dispatcher.RecordConnection(target, took)
+		})
 		o.pools[key] = pool
 	}
 	return pool
--- a/process/settings/direct.go
+++ b/process/settings/direct.go
@@ -44,7 +44,8 @@
 // Crossing holds what the operators state about traffic between failure domains. Both are
 // optional.
 type Crossing struct {
-	// Delay is the one-way delay where the configuration of a service states none.
+	// Delay is the one-way delay where the configuration of a service states none; without
+	// it the delay is observed.
 	Delay time.Duration
 	// Price is the latency that is worth a megabyte of such traffic.
 	Price time.Duration
--- a/request/dispatch/crossing.go
+++ b/request/dispatch/crossing.go
@@ -9,7 +9,7 @@
 // Crossing holds what the operators state about traffic between failure domains.
 type Crossing struct {
 	// Delay is the one-way delay between failure domains where the configuration of a
-	// service states none.
+	// service states none; 0 for the observed one.
 	Delay time.Duration
 	// Price is the latency that is worth a megabyte of such traffic.
 	Price time.Duration
@@ -30,6 +30,13 @@
 	d.crossing = crossing
 }
 
+// RecordConnection records how long a connection to a target took to make.
+func (d *Dispatcher) RecordConnection(t *Target, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observedDelays.Record(t.registration.FailureDomain, took)
+}
+
 // weighsCrossing reports whether the configuration or the settings say what traffic of a
 // pool between failure domains costs.
 func (d *Dispatcher) weighsCrossing(pool *pool) bool {
@@ -61,6 +68,9 @@
 	load := pool.crossingLoad(mean)
 	return func(t *Target, capacity int) float64 {
 		crossing.Delay = d.crossing.Delay
+		if crossing.Delay == 0 {
+			crossing.Delay = d.observedDelays.OneWay(d.failureDomain, t.registration.FailureDomain)
+		}
 		if pool.service != nil {
 			if delay, ok := pool.service.Delays.Between(d.failureDomain, t.registration.FailureDomain); ok {
 				crossing.Delay = delay
--- a/request/dispatch/crossing_test.go
+++ b/request/dispatch/crossing_test.go
@@ -57,6 +57,17 @@
 	require.Equal(t, "t2", take(t, d, now).ID())
 }
 
+// TestObservedDelaysCountWhereNoneIsStated guards against a price that makes all crossings
+// equal, however far away the targets are.
+func TestObservedDelaysCountWhereNoneIsStated(t *testing.T) {
+	d, now := newOrderService(t, Crossing{Price: time.Millisecond})
+	for _, to := range d.pool("s").list {
+		d.RecordConnection(to, map[string]time.Duration{"t0": 0, "t1": 20 * time.Millisecond, "t2": time.Millisecond}[to.ID()])
+	}
+	require.Equal(t, "t0", take(t, d, now).ID())
+	require.Equal(t, "t2", take(t, d, now).ID())
+}
+
 // TestLossOfOwnTargetsCrossesAtOnceAndReturns guards against requests that wait for the own
 // failure domain's target while it is away, and against crossings that go on after.
 func TestLossOfOwnTargetsCrossesAtOnceAndReturns(t *testing.T) {
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -92,6 +92,8 @@
 	// pauses holds the pauses that incarnations have asked for.
 	pauses   map[incarnationID]*pause
 	crossing Crossing
+	// observedDelays are those to the failure domains of targets.
+	observedDelays balance.ObservedDelays
 	// peerDomains holds the failure domains of other processes.
 	peerDomains map[string]string
 
