--- a/request/balance/reports.go
+++ b/request/balance/reports.go
@@ -1,6 +1,9 @@
 package balance
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// freshInterval is the time between the reports of a process up to which they count as
@@ -14,7 +17,11 @@
 
 // Reports holds when other processes have reported their requests to the targets of a
 // service, and how many these are. The zero value is empty.
-type Reports struct{ byProcess map[string]*report }
+type Reports struct {
+	byProcess map[string]*report
+	// list holds the same reports, because iterating over a map is slow.
+	list []*report
+}
 
 type report struct {
 	// local is set for a process in this process's failure domain.
@@ -33,7 +40,9 @@
 	}
 	last := r.byProcess[process]
 	if last == nil {
-		r.byProcess[process] = &report{local: local, requests: requests, arrived: now}
+		last = &report{local: local, requests: requests, arrived: now}
+		r.byProcess[process] = last
+		r.list = append(r.list, last)
 		return
 	}
 	interval := now.Sub(last.arrived)
@@ -45,7 +54,14 @@
 }
 
 // Remove forgets a process.
-func (r *Reports) Remove(process string) { delete(r.byProcess, process) }
+func (r *Reports) Remove(process string) {
+	removed := r.byProcess[process]
+	if removed == nil {
+		return
+	}
+	delete(r.byProcess, process)
+	r.list = slices.DeleteFunc(r.list, func(other *report) bool { return other == removed })
+}
 
 // Unseen is what other processes are expected to have started since they reported.
 type Unseen struct {
@@ -63,7 +79,7 @@
 func (r *Reports) Unseen(mean time.Duration, own int, now time.Time) Unseen {
 	// The request to be sent is one of the own ones.
 	started, local, all := 0.0, own+1, own+1
-	for _, last := range r.byProcess {
+	for _, last := range r.list {
 		all += last.requests
 		if last.local {
 			local += last.requests
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -61,7 +61,7 @@
 func (d *Dispatcher) take(pool *pool, t *Target, now time.Time) {
 	pool.residence.Start(now)
 	pool.crossings.Total++
-	if t.registration.FailureDomain != d.failureDomain {
+	if t.remote {
 		pool.crossings.Crossed++
 	}
 	t.running++
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -19,15 +19,18 @@
 		if !t.usable(d.domainsOut) || work.tried(t) || t.full(now) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
 			continue
 		}
-		if skipEjected && t.health.ejected(now) {
-			continue
+		limit := t.registration.Capacity
+		if t.hasFault() {
+			if skipEjected && t.health.ejected(now) {
+				continue
+			}
+			limit = t.limit(limitSlow, now)
 		}
-		limit := t.limit(limitSlow, now)
-		if t.load() >= pool.pacedLimit(t, limit) || d.warmupExhausted(t, now) {
+		if t.load() >= pool.pacedLimit(t, limit) || !t.coldUntil.IsZero() && d.warmupExhausted(t, now) {
 			continue
 		}
 		candidate := t.candidate(limit)
-		if t.registration.FailureDomain != d.failureDomain {
+		if t.remote {
 			candidate.Remote = true
 			candidate.Penalty += penalty(t, limit)
 		}
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -181,7 +181,7 @@
 			continue
 		}
 		if name == registration.Service && old.registration.Address == registration.Address && old.registration.StartedAt.Equal(registration.StartedAt) {
-			old.setRegistration(registration, now)
+			old.setRegistration(registration, d.failureDomain, now)
 			d.grant(pool, now)
 			return nil
 		}
@@ -194,7 +194,7 @@
 		service: pool.service, peerLoad: map[string]int{},
 		incarnation: strconv.FormatInt(registration.StartedAt.UnixMilli(), 10),
 	}
-	added.setRegistration(registration, now)
+	added.setRegistration(registration, d.failureDomain, now)
 	added.saidLeaving = d.leaving[added.incarnationID()].valid(now)
 	added.pause = d.pauseOf(added.incarnationID())
 	added.rateLimit = d.limits[added.incarnationID()]
--- a/request/dispatch/limit_part.go
+++ b/request/dispatch/limit_part.go
@@ -57,6 +57,10 @@
 // this process may not have heard of all limits, a target that has not told it whether it has
 // one gets one request at a time.
 func (d *Dispatcher) limitAllows(t *Target, now time.Time) bool {
+	return t.rateLimit == nil && !d.learning || d.partAllows(t, now)
+}
+
+func (d *Dispatcher) partAllows(t *Target, now time.Time) bool {
 	if !t.limited() {
 		return t.limitKnown || t.running == 0 || !d.learnsLimits(now)
 	}
--- a/request/dispatch/pause.go
+++ b/request/dispatch/pause.go
@@ -33,9 +33,10 @@
 // allowsStart reports whether the target may get another request. After the pause it gets
 // them one by one, not all that have queued at once.
 func (p *pause) allowsStart(now time.Time) bool {
-	if p.resumesAt.IsZero() {
-		return true
-	}
+	return p.resumesAt.IsZero() || p.rampAllowsStart(now)
+}
+
+func (p *pause) rampAllowsStart(now time.Time) bool {
 	since := now.Sub(p.resumesAt)
 	switch {
 	case since >= rampTime:
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -16,6 +16,8 @@
 	// incarnation distinguishes targets with the same ID; it never changes.
 	incarnation string
 	service     *config.Service
+	// remote is set if the target is not in this process's failure domain.
+	remote bool
 	// running counts the requests of this process at the target; peerLoad holds the
 	// counts that other processes report, by process.
 	running  int
@@ -85,9 +87,11 @@
 	}
 }
 
-// setRegistration updates the target from its latest registration.
-func (t *Target) setRegistration(registration target.Registration, now time.Time) {
+// setRegistration updates the target from its latest registration; ownDomain is the failure
+// domain of this process.
+func (t *Target) setRegistration(registration target.Registration, ownDomain string, now time.Time) {
 	t.registration = registration
+	t.remote = registration.FailureDomain != ownDomain
 	if registration.WarmupRemaining > 0 {
 		t.coldUntil = now.Add(registration.WarmupRemaining)
 	}
--- a/request/dispatch/warmup.go
+++ b/request/dispatch/warmup.go
@@ -38,7 +38,7 @@
 
 // cold reports whether the target is still warming up.
 func (t *Target) cold(now time.Time) bool {
-	return !t.coldUntil.IsZero() && t.service != nil && t.service.WarmupRate > 0 && now.Before(t.coldUntil)
+	return t.service != nil && t.service.WarmupRate > 0 && now.Before(t.coldUntil)
 }
 
 // warmupExhausted reports whether the target is cold and this process has sent its
