Forget the load of an entry whose registration is deleted

Entries that are removed from the table of peers are not among the dead ones, whose loads are forgotten 1 s after their last heartbeat. If the row of an entry was deleted after that heartbeat, the requests that it named counted at their targets until the next restart.

--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -36,6 +36,7 @@
 	for _, row := range rows {
 		if row.Deleted {
 			o.entry.peers.Remove(row.Key)
+			o.entry.dispatcher.SetPeerLoad(row.Key, nil, o.entry.clock.Now())
 			continue
 		}
 		peer, err := platform.DecodePeer(row)
--- a/daemon/direct/peers_test.go
+++ b/daemon/direct/peers_test.go
@@ -184,3 +184,19 @@
 	e.unregister()
 	require.Less(t, time.Since(started), shutdownMargin)
 }
+
+// TestLoadOfRemovedEntryIsForgotten guards against targets that seem occupied for ever by the
+// requests of an entry whose registration is deleted after its last heartbeat.
+func TestLoadOfRemovedEntryIsForgotten(t *testing.T) {
+	h := newHeartbeater(t, "a", nil)
+	e, now := h.entry, time.Now()
+	e.dispatcher.Register(target.Registration{ID: "t", Service: "s", Address: "127.0.0.1:1", Capacity: 1}, now)
+	beat := presence.Heartbeat{Peer: presence.Peer{Name: "b"}, Load: map[string]int{"t": 1}, Sequence: 1}
+	require.True(t, e.peers.RecordHeartbeat(beat, now))
+	e.dispatcher.SetPeerLoad("b", beat.Load, now)
+	observer := &peerObserver{entry: e, log: h.log}
+	observer.OnChanges([]platform.Row{{Key: "b", Deleted: true}})
+	h.send()
+	taken, _ := e.dispatcher.Acquire(dispatch.Request{Service: "s", QueueDeadline: now.Add(time.Second)}, now)
+	require.NotNil(t, taken)
+}
