--- a/internal/measure/load/decisioncosts.go
+++ b/internal/measure/load/decisioncosts.go
@@ -9,6 +9,7 @@
 	"verbenaseam.example/verbenaseam/internal/measure"
 	"verbenaseam.example/verbenaseam/process/health"
 	"verbenaseam.example/verbenaseam/request/admit"
+	"verbenaseam.example/verbenaseam/request/balance"
 	"verbenaseam.example/verbenaseam/request/pick"
 	"verbenaseam.example/verbenaseam/request/steer"
 )
@@ -58,6 +59,10 @@
 			measure.Figure{Name: name, Value: c.nanoseconds, Unit: "ns", Limit: measure.AtMost, Bound: 1000},
 			measure.Figure{Name: name + ", allocations", Value: c.allocations, Unit: "count", Limit: measure.AtMost})
 	}
+	choice := choiceCost()
+	result.Figures = append(result.Figures,
+		measure.Figure{Name: "one choice of 1,000 targets by old loads", Value: choice.nanoseconds, Unit: "ns", Limit: measure.AtMost, Bound: 20_000},
+		measure.Figure{Name: "one choice of 1,000 targets by old loads, allocations", Value: choice.allocations, Unit: "count", Limit: measure.AtMost})
 	for _, f := range []struct {
 		name string
 		cost operationCost
@@ -73,6 +78,18 @@
 	return result, ctx.Err()
 }
 
+// choiceCost measures choices among targets whose loads are old.
+func choiceCost() operationCost {
+	random := newRandom(53)
+	candidates := make([]balance.Candidate, largestTargetSet)
+	for i := range candidates {
+		candidates[i] = balance.Candidate{Load: float64(random.IntN(10)), Capacity: 10, Penalty: 0.01, Remote: i%domainCount > 0}
+	}
+	var chooser balance.Chooser
+	unseen := balance.Unseen{Total: largestTargetSet / 2, LocalShare: 0.5}
+	return measureOperation(10_000, func(int) { chooser.Choose(candidates, unseen, true, random.Float64) })
+}
+
 // pickCost measures picks among n targets that have work in progress and load
 // reports.
 func pickCost(n int) operationCost {
