Judge slow callers and targets by a minimum rate over a window

A write to a caller had no time limit: a caller that read nothing, or a byte now and then, held its response, its memory and, for streams, its target until it disconnected. A target that sent a byte now and then kept a request until its deadline. While a caller was slow, the entry read nothing from the target, which then looked silent to the watchdog and lost the stream; targets also abort responses that stay unread for some seconds.

Package connection/pace measures bytes moved while some wait: less than 512 in 4 s is a stall. It applies to writes to callers (by the kernel's send queue, so that bursts of the kernel are not mistaken for pauses), to bodies written to targets, and to heads, whole bodies and events that a target has begun to send. Streams are written by a goroutine of their own from a queue: above 32 KB the target is read once a second, above 256 KB not at all. Comments in a stream are no progress. A stalled caller's response is cut, never ended as complete; an attempt that ends this way may have run, so it is retried only if the route allows it. Callers' sockets have a write buffer of 32 KB, so that the kernel doesn't hold 4 MB for each slow caller.

--- a/connection/direct/errors.go
+++ b/connection/direct/errors.go
@@ -22,6 +22,21 @@
 // Unwrap returns the cause.
 func (e *ExchangeError) Unwrap() error { return e.Cause }
 
+// StalledError means that the target has read the body of a request, or sent the head of a
+// response, more slowly than Request.Pace.
+type StalledError struct {
+	// Sending is set if the target has stalled sending, and not reading.
+	Sending bool
+}
+
+// Error implements error.
+func (e *StalledError) Error() string {
+	if e.Sending {
+		return "target sends too slowly"
+	}
+	return "target reads the request too slowly"
+}
+
 // ResponseMismatchError means that a response belongs to another request. Got is
 // empty if none of maxResponsesRead responses belonged to the request.
 type ResponseMismatchError struct{ Want, Got string }
--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -8,7 +8,10 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"verbenaseam.example/verbenaseam/connection/pace"
 )
 
 // maxResponsesRead is the maximum number of responses read for one request:
@@ -39,7 +42,10 @@
 	// bodyErr is the error of writing a large body; it may be read once bodySent is
 	// closed.
 	bodyErr error
-	endOnce sync.Once
+	// reading monitors how the target reads a large body, sending how it sends the head of a
+	// response; nil without a pace.
+	reading, sending *pace.Monitor
+	endOnce          sync.Once
 	// idleTimeout is how long the connection may be idle before it must not be used
 	// any more.
 	idleTimeout time.Duration
@@ -61,38 +67,80 @@
 		return nil, &ExchangeError{Cause: err}
 	}
 	e := &exchange{pool: p, conn: c}
+	e.sending = pace.NewMonitor(request.Pace, nil, e.abort)
 	// Setting the deadline fails only on a closed connection, which the write
 	// reports.
 	_ = c.SetDeadline(request.Deadline)
-	e.detach = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	e.detach = context.AfterFunc(ctx, e.abort)
 	if n, err := c.Write(request.encode()); err != nil {
 		e.end(false)
 		return nil, &ExchangeError{Sent: n > 0, Cause: errors.Join(ctx.Err(), err)}
 	}
 	if request.large() {
-		e.sendBody(request.Body)
+		e.sendBody(request)
 	}
 	response, err := e.receive(request)
 	if err != nil {
 		e.end(false)
-		return nil, &ExchangeError{Sent: true, Cause: errors.Join(ctx.Err(), err)}
+		return nil, &ExchangeError{Sent: true, Cause: errors.Join(ctx.Err(), e.stalled(), err)}
 	}
 	return response, nil
 }
 
-// sendBody writes a large body on a goroutine while the response is read.
-func (e *exchange) sendBody(body []byte) {
+// abort ends reads and writes of the exchange.
+func (e *exchange) abort() {
+	// This fails only on a closed connection, which ends them too.
+	_ = e.conn.SetDeadline(time.Unix(1, 0))
+}
+
+// stalled returns a StalledError if the target has stalled, otherwise nil.
+func (e *exchange) stalled() error {
+	switch {
+	case e.sending.Stalled():
+		return &StalledError{Sending: true}
+	case e.reading.Stalled():
+		return &StalledError{}
+	}
+	return nil
+}
+
+// sendBody writes a large body on a goroutine while the response is read. The target must read
+// it at the request's pace, also what the kernel has accepted and not yet delivered.
+func (e *exchange) sendBody(request *Request) {
 	e.bodySent = make(chan struct{})
+	var written atomic.Bool
+	if progress := pace.Progress(e.conn.Conn); progress != nil {
+		e.reading = pace.NewMonitor(request.Pace, func() (int64, bool) {
+			moved, queued := progress()
+			return moved, queued || !written.Load()
+		}, e.abort)
+	}
+	if e.reading != nil {
+		// The kernel applies the timeout also while the target acknowledges probes but reads
+		// nothing; whether it reads fast enough, the monitor decides.
+		e.conn.setUserTimeout(request.Pace.Window + unackedTimeout)
+	}
+	e.reading.Wait()
 	go func() {
 		defer close(e.bodySent)
-		_, e.bodyErr = e.conn.Write(body)
+		_, e.bodyErr = e.conn.Write(request.Body)
+		written.Store(true)
 	}()
 }
 
 // receive reads the head of the response. It skips late responses to earlier
 // requests, but fails at one that is delimited only by the close of the connection.
 func (e *exchange) receive(request *Request) (*Response, error) {
+	if e.sending != nil {
+		e.conn.limits.onRead = func(n int) {
+			e.sending.Wait()
+			e.sending.Moved(n)
+		}
+		defer func() { e.conn.limits.onRead = nil }()
+	}
 	for range maxResponsesRead {
+		// Before the first byte of a response the target may take its time.
+		e.sending.Idle()
 		e.conn.limits.limit(maxHeadBytes)
 		response, err := http.ReadResponse(e.conn.reader, &http.Request{Method: request.Method})
 		if err != nil {
@@ -115,6 +163,7 @@
 			}
 			continue
 		}
+		e.sending.Close()
 		return e.newResponse(response), nil
 	}
 	return nil, &ResponseMismatchError{Want: request.ID}
@@ -174,10 +223,12 @@
 func (e *exchange) end(complete bool) {
 	e.endOnce.Do(func() {
 		detached := e.detach()
+		e.sending.Close()
 		if !complete {
 			e.conn.resetOnClose()
 		}
 		if !complete || !e.reusable || !detached || e.idleTimeout <= 0 || e.conn.reader.Buffered() > 0 {
+			e.reading.Close()
 			e.pool.discard(e.conn)
 			return
 		}
@@ -193,10 +244,11 @@
 // written, or closes it if the write has failed.
 func (e *exchange) putBackAfterBody() {
 	<-e.bodySent
-	if e.bodyErr != nil {
+	if stalled := e.reading.Close(); stalled || e.bodyErr != nil {
 		e.pool.discard(e.conn)
 		return
 	}
+	e.conn.setUserTimeout(unackedTimeout)
 	e.putBack()
 }
 
--- a/connection/direct/limit.go
+++ b/connection/direct/limit.go
@@ -15,6 +15,8 @@
 	io.Reader
 	limited bool
 	left    int
+	// onRead is called with the number of bytes of each read; may be nil.
+	onRead func(n int)
 }
 
 // limit sets the number of bytes that may be read.
@@ -25,13 +27,16 @@
 
 // Read implements io.Reader.
 func (r *limitedReader) Read(into []byte) (int, error) {
-	if !r.limited {
-		return r.Reader.Read(into)
-	}
-	if r.left <= 0 {
+	if r.limited && r.left <= 0 {
 		return 0, &ResponseTooLongError{Limit: maxHeadBytes}
 	}
-	n, err := r.Reader.Read(into[:min(len(into), r.left)])
+	if r.limited {
+		into = into[:min(len(into), r.left)]
+	}
+	n, err := r.Reader.Read(into)
 	r.left -= n
+	if r.onRead != nil && n > 0 {
+		r.onRead(n)
+	}
 	return n, err
 }
--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -79,9 +79,13 @@
 
 // setUnackedTimeout sets TCP_USER_TIMEOUT to unackedTimeout on a new socket.
 func setUnackedTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, unackedTimeout)
+}
+
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optionErr error
 	err := raw.Control(func(fd uintptr) {
-		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedTimeout.Milliseconds()))
+		optionErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return err
@@ -231,6 +235,18 @@
 	}
 }
 
+// setUserTimeout sets TCP_USER_TIMEOUT of the connection.
+func (c *conn) setUserTimeout(timeout time.Duration) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	// Both fail only on a connection that is already closed.
+	if raw, err := tcp.SyscallConn(); err == nil {
+		_ = setUserTimeout(raw, timeout)
+	}
+}
+
 // usable reports whether an idle connection can carry another request. It cannot if
 // there are unread bytes, which belong to no outstanding request, or if the target has
 // closed it.
--- a/connection/direct/request.go
+++ b/connection/direct/request.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"verbenaseam.example/verbenaseam/connection/pace"
 )
 
 // Request is a request to a target.
@@ -24,6 +26,9 @@
 	// is its value. A response with another value is rejected; a response without the
 	// header is accepted.
 	IDHeader, ID string
+	// Pace is the least progress of the target in reading a large body and in sending the head
+	// of a response that it has begun; zero for none.
+	Pace pace.Rate
 	// OnHead, if not nil, is called with the head of each response that arrives on the
 	// connection before the one to this request, and of that one.
 	OnHead func(status int, header http.Header)
--- /dev/null
+++ b/connection/pace/unacked.go
@@ -0,0 +1,45 @@
+package pace
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Progress returns a function that returns by how many bytes the send queue of a connection
+// has changed since its last call, and whether it holds any. The kernel accepts more bytes only
+// after a large part of its queue has been acknowledged, so the ends of writes alone show the
+// progress of a slow reader too late. Without a TCP connection, the result is nil.
+func Progress(c net.Conn) func() (moved int64, queued bool) {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	last := queueLength(raw)
+	return func() (int64, bool) {
+		length := queueLength(raw)
+		moved := int64(max(length-last, last-length))
+		last = length
+		return moved, length > 0
+	}
+}
+
+// queueLength returns the number of bytes that were written to a connection and are not yet
+// acknowledged; 0 if the connection is closed.
+func queueLength(raw syscall.RawConn) int {
+	length := 0
+	err := raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			length = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return length
+}
--- a/daemon/direct/caller_timeouts.go
+++ b/daemon/direct/caller_timeouts.go
@@ -1,10 +1,13 @@
 package direct
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"verbenaseam.example/verbenaseam/request/forward"
 )
 
 const (
@@ -34,9 +37,26 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := accepted.(*net.TCPConn); ok {
+		// This fails only on a connection that is already closed.
+		_ = tcp.SetWriteBuffer(callerWriteBuffer)
+	}
 	return &callerConn{Conn: accepted, timeouts: l.timeouts}, nil
 }
 
+// callerWriteBuffer is the kernel's write buffer of a caller's connection, in bytes (the kernel
+// doubles it). Without a limit it grows to 4 MB, of memory that no one accounts for, for a caller
+// that doesn't read. It allows 128 Mbit/s at a round trip of 2 ms.
+const callerWriteBuffer = 32 << 10
+
+// withCallerConn is the http.Server.ConnContext hook that passes on the caller's connection.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	if accepted, ok := c.(*callerConn); ok {
+		c = accepted.Conn
+	}
+	return forward.WithConnection(ctx, c)
+}
+
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -189,7 +189,7 @@
 // listen opens all sockets.
 func (e *Entry) listen() (*servers, error) {
 	s := &servers{callers: &http.Server{
-		Handler: e.callerHandler(), MaxHeaderBytes: maxHeaderBytes, ConnState: trackConnState,
+		Handler: e.callerHandler(), MaxHeaderBytes: maxHeaderBytes, ConnState: trackConnState, ConnContext: withCallerConn,
 	}}
 	s.others = []*http.Server{
 		{Handler: platform.NewReadinessHandler(e.ready), ReadHeaderTimeout: defaultHeaderTimeout},
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
@@ -56,6 +57,8 @@
 	// the total time in the dispatcher's queue.
 	target    string
 	queueWait time.Duration
+	// undelivered is why the caller did not receive the whole response, nil if it did.
+	undelivered error
 }
 
 // newCall resolves the route and the organisation of a request and reads its body.
@@ -235,7 +238,7 @@
 const deadlineSlack = 100 * time.Millisecond
 
 // outgoingRequest returns the request to send to a target.
-func (c *call) outgoingRequest(names *Headers, t *dispatch.Target, now time.Time) *direct.Request {
+func (c *call) outgoingRequest(names *Headers, rate pace.Rate, t *dispatch.Target, now time.Time) *direct.Request {
 	header := headers.EndToEnd(c.request.Header)
 	header.Del(names.Key)
 	header.Del(names.Organisation)
@@ -251,6 +254,6 @@
 	return &direct.Request{
 		Method: c.request.Method, RequestTarget: c.request.RequestURI, Host: c.request.Host,
 		Header: header, Body: c.body, HasBody: c.hasBody, Deadline: c.deadline.Add(deadlineSlack),
-		IDHeader: names.Attempt, ID: c.id,
+		IDHeader: names.Attempt, ID: c.id, Pace: rate,
 	}
 }
--- a/request/forward/failure.go
+++ b/request/forward/failure.go
@@ -54,6 +54,16 @@
 	}
 }
 
+// recordDelivery records the end of a call whose response was written to the caller, perhaps not
+// wholly.
+func (h *Handler) recordDelivery(c *call) {
+	if c.undelivered != nil {
+		h.recordEnd(c, "cut", c.undelivered.Error())
+		return
+	}
+	h.recordEnd(c, "answered", "")
+}
+
 // recordEnd logs how a call ended and counts it in the metrics.
 func (h *Handler) recordEnd(c *call, outcome, reason string) {
 	fields := logrus.Fields{
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/request/dispatch"
@@ -37,9 +38,11 @@
 	// TrialRank returns the rank of this process, from 0, in an order of all processes
 	// that depends on a fingerprint; see poison.TrialAllowance.
 	TrialRank func(fingerprint uint64) int
-	Metrics   *metrics.Metrics
-	Clock     clockwork.Clock
-	Log       *logrus.Entry
+	// Pace is the least progress of callers and targets; zero means pace.Default.
+	Pace    pace.Rate
+	Metrics *metrics.Metrics
+	Clock   clockwork.Clock
+	Log     *logrus.Entry
 }
 
 // Handler is the HTTP handler for callers' requests.
@@ -54,6 +57,7 @@
 	promptParts func(http.Header) []uint64
 	trialRank   func(fingerprint uint64) int
 	checks      *targetChecks
+	pace        pace.Rate
 	metrics     *metrics.Metrics
 	clock       clockwork.Clock
 	log         *logrus.Entry
@@ -61,8 +65,11 @@
 
 // NewHandler returns a Handler with the given settings and dependencies.
 func NewHandler(cfg Config) *Handler {
+	if cfg.Pace.Window <= 0 {
+		cfg.Pace = pace.Default
+	}
 	return &Handler{
-		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
+		pace: cfg.Pace, headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
 		promptParts: cfg.PromptParts, trialRank: cfg.TrialRank, checks: newTargetChecks(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
@@ -71,6 +78,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer h.limitLastWrite(w)
 	c, err := h.newCall(w, r)
 	if err != nil {
 		h.respondFailure(w, r, c, err)
@@ -86,7 +94,7 @@
 		}
 		shouldRetry, err := h.attempt(ctx, w, c, t)
 		if err == nil {
-			h.recordEnd(c, "answered", "")
+			h.recordDelivery(c)
 			return
 		}
 		if !shouldRetry {
@@ -213,7 +221,7 @@
 		h.dispatcher.Release(t, v.result, h.clock.Now())
 		return shouldRetry, h.finalFailure(c, v)
 	}
-	return h.relayBuffered(ctx, attemptCtx, w, c, t, response, v, watchdog.progress)
+	return h.relayBuffered(ctx, w, c, &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog}, v)
 }
 
 // send sends a call to a target and returns the verdict on the head of the
@@ -221,7 +229,7 @@
 // context, derived from ctx.
 func (h *Handler) send(ctx, attemptCtx context.Context, c *call, t *dispatch.Target) (*direct.Response, verdict) {
 	sent := h.clock.Now()
-	request := c.outgoingRequest(&h.headers, t, sent)
+	request := c.outgoingRequest(&h.headers, h.pace, t, sent)
 	request.OnHead = func(status int, header http.Header) { h.recordNotice(c, t, sent, status, header) }
 	response, err := h.connections(t).Do(attemptCtx, request, false)
 	if err != nil {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,40 +19,58 @@
 // errResponseTooLong means that a body is longer than responseLimit.
 const errResponseTooLong = streamError("response exceeds the size limit")
 
-// readBody reads the whole body of a response.
-func readBody(response io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response, responseLimit+1))
+// readBody reads the whole body of a response. received is called with the number of bytes of
+// each read that is not the last.
+func readBody(response io.Reader, received func(n int)) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(&countingReader{response, received}, responseLimit+1))
 	if err == nil && len(body) > responseLimit {
 		return nil, errResponseTooLong
 	}
 	return body, err
 }
 
+// countingReader calls received after each read that returns bytes and no error.
+type countingReader struct {
+	io.Reader
+	received func(n int)
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(into []byte) (int, error) {
+	n, err := r.Reader.Read(into)
+	if n > 0 && err == nil {
+		r.received(n)
+	}
+	return n, err
+}
+
 // relayBuffered reads the whole response before it writes any of it, so that the
-// caller never receives part of a truncated one. attemptCtx is the attempt's
-// context, derived from ctx; progress is called once the response is complete. The results are those of attempt.
-func (h *Handler) relayBuffered(ctx, attemptCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, response *direct.Response, v verdict, progress func()) (shouldRetry bool, failed *failure.Error) {
-	defer response.Close()
-	body, err := readBody(response)
+// caller never receives part of a truncated one. ctx is the call's context, from which that of
+// src is derived. The results are those of attempt.
+func (h *Handler) relayBuffered(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource, v verdict) (shouldRetry bool, failed *failure.Error) {
+	defer src.response.Close()
+	body, err := readBody(src.response, func(n int) { src.watchdog.received(n, true) })
+	src.watchdog.received(0, false)
 	if err != nil {
-		truncated := h.truncatedVerdict(attemptCtx, c)
+		truncated := h.truncatedVerdict(src.ctx, c)
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
-		h.updateCrashEvidence(c, t, h.clock.Now(), err, truncated)
-		h.dispatcher.Release(t, truncated.result, h.clock.Now())
+		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
+		h.dispatcher.Release(src.target, truncated.result, h.clock.Now())
 		return shouldRetry, h.finalFailure(c, truncated)
 	}
-	progress()
-	h.dispatcher.Release(t, v.result, h.clock.Now())
+	src.watchdog.progress()
+	h.dispatcher.Release(src.target, v.result, h.clock.Now())
 	if v.success() {
 		h.recordSuccess(c)
 	}
 	h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
-	copyHeaders(w, response)
+	copyHeaders(w, src.response)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(response.Status)
-	// A write error means that the caller has disconnected; nothing is left to do.
-	_, _ = w.Write(body)
+	w.WriteHeader(src.response.Status)
+	out := h.newOutput(w, c.request)
+	defer out.close()
+	c.undelivered = out.write(body)
 	return false, nil
 }
 
@@ -88,9 +105,10 @@
 // another target if the route allows it, and aborted otherwise. The results are
 // those of attempt.
 func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource) (shouldRetry bool, failed *failure.Error) {
-	out := &streamWriter{w: w, control: http.NewResponseController(w), lastID: c.lastEventID}
+	out := &streamWriter{w: w, output: h.newOutput(w, c.request), lastID: c.lastEventID}
+	defer out.close()
 	for {
-		err := out.copy(src.response, func() { h.recordEvents(c, src) }, func() {
+		err := out.copy(src, func() { h.recordEvents(c, src) }, func() {
 			h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 			copyHeaders(w, src.response)
 		})
@@ -100,24 +118,27 @@
 			src.watchdog.stop()
 			h.dispatcher.Release(src.target, dispatch.Served, h.clock.Now())
 			h.recordSuccess(c)
-			out.finish(src.response)
+			if err := out.finish(src.response); err != nil {
+				h.abortStream(c, out, err.Error())
+			}
 			return false, nil
 		}
 		v := h.truncatedVerdict(src.ctx, c)
-		if errors.Is(err, errCallerDisconnected) {
+		if callerErr := out.failure(); callerErr != nil {
 			v = v.abandoned()
+			v.reason = callerErr.Error()
 		}
 		src.watchdog.stop()
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, v)
 		h.dispatcher.Release(src.target, v.result, h.clock.Now())
 		shouldRetry := h.endFailedAttempt(ctx, c, v)
-		if !out.started {
+		if !out.started() {
 			return shouldRetry, h.finalFailure(c, v)
 		}
 		if !shouldRetry {
-			h.abortStream(c, v.reason)
+			h.abortStream(c, out, v.reason)
 		}
-		src = h.resumeStream(ctx, c)
+		src = h.resumeStream(ctx, c, out)
 	}
 }
 
@@ -133,13 +154,13 @@
 
 // resumeStream continues a stream on another target and aborts it if none is
 // available.
-func (h *Handler) resumeStream(ctx context.Context, c *call) *streamSource {
+func (h *Handler) resumeStream(ctx context.Context, c *call, out *streamWriter) *streamSource {
 	c.work.QueueDeadline = h.clock.Now().Add(resumeLatencies * c.route.Direct.Latency)
 	c.work.Urgency = resumeUrgency
 	for {
 		t, err := h.acquireTarget(ctx, c)
 		if err != nil {
-			h.abortStream(c, "no target available to resume the stream")
+			h.abortStream(c, out, "no target available to resume the stream")
 		}
 		h.beginAttempt(c, t)
 		attemptCtx, watchdog := h.startWatchdog(ctx, c, t)
@@ -153,14 +174,18 @@
 		watchdog.stop()
 		h.dispatcher.Release(t, v.result, h.clock.Now())
 		if !h.endFailedAttempt(ctx, c, v) {
-			h.abortStream(c, v.reason)
+			h.abortStream(c, out, v.reason)
 		}
 	}
 }
 
 // abortStream closes the caller's connection in the middle of a response, so that
-// the truncated stream cannot be mistaken for a complete one. It does not return.
-func (h *Handler) abortStream(c *call, reason string) {
+// the truncated stream cannot be mistaken for a complete one. The caller receives the events
+// that have arrived before. It does not return.
+func (h *Handler) abortStream(c *call, out *streamWriter, reason string) {
+	// The stream ends here in any case.
+	_ = out.drain()
+	out.output.markIncomplete()
 	h.recordEnd(c, "cut", reason)
 	panic(http.ErrAbortHandler)
 }
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -27,6 +28,9 @@
 	// errTargetSilent means that the target made no progress while others of its
 	// service did.
 	errTargetSilent = streamError("target made no progress while others did")
+	// errTargetTrickles means that the target has begun an event or a body and continues it
+	// more slowly than pace.Rate, or not at all.
+	errTargetTrickles = streamError("target sends too slowly")
 	// errTargetSlow means that the target is slow and others have free capacity.
 	errTargetSlow = streamError("target is slow while others have free capacity")
 )
@@ -38,34 +42,45 @@
 	eventLimit = 1 << 20
 )
 
-// streamWriter writes complete events to the caller, each of them once.
+// streamWriter queues complete events for the caller, each of them once.
 type streamWriter struct {
-	w       http.ResponseWriter
-	control *http.ResponseController
-	// started is set once the response head has been written.
-	started bool
-	// lastID is the ID of the last event written.
+	w      http.ResponseWriter
+	output *output
+	// queue is nil until the response head has been written.
+	queue *streamQueue
+	// lastID is the ID of the last event queued.
 	lastID string
+	// fresh collects the events of one read that the caller has not received.
+	fresh []byte
 }
 
+// started reports whether the response head has been written.
+func (s *streamWriter) started() bool { return s.queue != nil }
+
 // copy relays complete events until the stream ends; it returns nil if the stream
 // ended after a complete event or without any. begin is called before the first event
 // that is written to the caller, progress whenever complete events have arrived.
-func (s *streamWriter) copy(response *direct.Response, progress, begin func()) error {
+func (s *streamWriter) copy(src *streamSource, progress, begin func()) error {
 	buffer := make([]byte, streamBuffer)
 	var pending []byte
 	for {
-		n, err := response.Read(buffer)
+		n, err := src.response.Read(buffer)
 		searched := len(pending)
 		pending = append(pending, buffer[:n]...)
 		events, rest := splitCompleteEvents(pending, searched)
 		if len(events) > 0 {
-			progress()
-			if writeErr := s.write(events, response.Status, begin); writeErr != nil {
+			if hasField(events) {
+				progress()
+			}
+			src.watchdog.pauseReading()
+			writeErr := s.write(src.ctx, events, src.response.Status, begin)
+			src.watchdog.resumeReading()
+			if writeErr != nil {
 				return writeErr
 			}
 			pending = append(pending[:0], rest...)
 		}
+		src.watchdog.received(n, len(pending) > 0)
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			return errTruncatedEvent
@@ -79,6 +94,17 @@
 	}
 }
 
+// hasField reports whether events hold more than comments and blank lines. Comments keep a
+// connection open; they show no progress of the stream.
+func hasField(events []byte) bool {
+	for line := range bytes.Lines(events) {
+		if line[0] != ':' && line[0] != '\n' && line[0] != '\r' {
+			return true
+		}
+	}
+	return false
+}
+
 // splitCompleteEvents splits data after its last complete event. The first searched bytes hold
 // none, so that a long event is not searched from its start with each read.
 func splitCompleteEvents(data []byte, searched int) (events, rest []byte) {
@@ -91,8 +117,10 @@
 	return data[:end], data[end:]
 }
 
-// write writes events and skips those that the caller has already received.
-func (s *streamWriter) write(events []byte, status int, begin func()) error {
+// write queues events and skips those that the caller has already received. It returns the
+// error of writing earlier ones.
+func (s *streamWriter) write(ctx context.Context, events []byte, status int, begin func()) error {
+	s.fresh = s.fresh[:0]
 	for len(events) > 0 {
 		end := bytes.Index(events, []byte("\n\n")) + 2
 		event := events[:end]
@@ -101,32 +129,56 @@
 		if id != "" && !isNewer(id, s.lastID) {
 			continue
 		}
-		if !s.started {
-			begin()
-			s.w.WriteHeader(status)
-			s.started = true
-		}
-		if _, err := s.w.Write(event); err != nil {
-			return errCallerDisconnected
-		}
+		s.fresh = append(s.fresh, event...)
 		if id != "" {
 			s.lastID = id
 		}
 	}
-	if s.started && s.control.Flush() != nil {
-		return errCallerDisconnected
+	if len(s.fresh) == 0 {
+		return nil
 	}
-	return nil
+	if !s.started() {
+		begin()
+		s.w.WriteHeader(status)
+		s.queue = startStreamQueue(s.output)
+	}
+	return s.queue.add(ctx, s.fresh)
+}
+
+// failure returns the error of writing to the caller, nil if there was none.
+func (s *streamWriter) failure() error {
+	if !s.started() {
+		return nil
+	}
+	_, err := s.queue.state()
+	return err
+}
+
+// drain waits until the caller has taken all events, or has stalled.
+func (s *streamWriter) drain() error {
+	if !s.started() {
+		return nil
+	}
+	return s.queue.drain()
+}
+
+// close ends writing to the caller at once.
+func (s *streamWriter) close() {
+	if s.started() {
+		s.queue.close()
+	}
+	s.output.close()
 }
 
 // finish completes a stream that ended regularly: it writes the response head if no
 // event was written.
-func (s *streamWriter) finish(response *direct.Response) {
-	if s.started {
-		return
+func (s *streamWriter) finish(response *direct.Response) error {
+	if s.started() {
+		return s.drain()
 	}
 	copyHeaders(s.w, response)
 	s.w.WriteHeader(response.Status)
+	return nil
 }
 
 // eventID returns the ID of an event, or an empty string if it has none.
--- a/request/forward/verdict.go
+++ b/request/forward/verdict.go
@@ -74,6 +74,10 @@
 	if errors.As(err, &exchange) && !exchange.Sent {
 		v = notRun(dispatch.Failed, "request not sent")
 	}
+	var stalled *direct.StalledError
+	if errors.As(err, &stalled) {
+		v = incomplete(dispatch.Silent, stalled.Error())
+	}
 	if errors.As(err, &connectionLimit) {
 		v = notRun(dispatch.Full, "no free connection")
 	}
--- a/request/forward/watchdog.go
+++ b/request/forward/watchdog.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 )
@@ -25,6 +26,11 @@
 	progressed bool
 	timer      *time.Timer
 	stopped    bool
+	// notReading is set while the caller is too slow for more of the response to be read.
+	notReading bool
+
+	// receiving monitors bodies and events that have begun to arrive.
+	receiving *pace.Monitor
 }
 
 // startWatchdog returns the context of an attempt and the watchdog that cancels it.
@@ -32,6 +38,7 @@
 func (h *Handler) startWatchdog(ctx context.Context, c *call, t *dispatch.Target) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{handler: h, target: t, silenceTimeout: c.silenceTimeout(), cancel: cancel, lastProgress: h.clock.Now()}
+	w.receiving = pace.NewMonitor(h.pace, nil, func() { cancel(errTargetTrickles) })
 	w.start()
 	return ctx, w
 }
@@ -73,6 +80,10 @@
 		return
 	}
 	now := w.handler.clock.Now()
+	if w.notReading {
+		w.timer.Reset(w.nextCheck(0))
+		return
+	}
 	silence := now.Sub(w.lastProgress)
 	if silence >= w.silenceTimeout && w.handler.dispatcher.IsSilent(w.target, silence, w.silenceTimeout, now) {
 		w.cancel(errTargetSilent)
@@ -117,11 +128,40 @@
 	w.lastProgress, w.progressed = now, true
 }
 
+// pauseReading suspends the checks while the response is not read because the caller is slow;
+// the target can make no progress then.
+func (w *watchdog) pauseReading() {
+	w.receiving.Idle()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notReading = true
+}
+
+// resumeReading ends pauseReading.
+func (w *watchdog) resumeReading() {
+	now := w.handler.clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.notReading, w.lastProgress = false, now
+}
+
+// received records n bytes of a body or stream. incomplete says whether the target has begun a
+// whole body or an event and must continue it at pace.Rate.
+func (w *watchdog) received(n int, incomplete bool) {
+	if !incomplete {
+		w.receiving.Idle()
+		return
+	}
+	w.receiving.Wait()
+	w.receiving.Moved(n)
+}
+
 // stop ends the checks and releases the attempt's context.
 func (w *watchdog) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopped = true
+	w.receiving.Close()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
@@ -137,6 +177,9 @@
 		}
 		return incomplete(dispatch.Silent, errTargetSilent.Error())
 	}
+	if errors.Is(context.Cause(ctx), errTargetTrickles) {
+		return incomplete(dispatch.Silent, errTargetTrickles.Error())
+	}
 	if errors.Is(context.Cause(ctx), errTargetSlow) {
 		return incomplete(dispatch.Reassigned, errTargetSlow.Error())
 	}
--- a/request/forward/watchdog_test.go
+++ b/request/forward/watchdog_test.go
@@ -32,3 +32,36 @@
 		w.stop()
 	}
 }
+
+// TestSlowCallerIsNoSilentTarget guards against a stream that is taken from a healthy target
+// because the caller is slow: while the response is not read, the target can make no progress.
+func TestSlowCallerIsNoSilentTarget(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	dispatcher := dispatch.New(dispatch.Config{})
+	dispatcher.SetServices(map[string]*config.Service{"s": {Name: "s"}}, clock.Now())
+	budget := retry.NewBudget(0, 0)
+	handler := &Handler{dispatcher: dispatcher, clock: clock, budget: func(string) *retry.Budget { return budget }}
+	var targets []*dispatch.Target
+	for _, id := range []string{"a", "b"} {
+		dispatcher.Register(target.Registration{ID: id, Service: "s", Address: id + ":80", Capacity: 1}, clock.Now())
+		taken, _ := dispatcher.Acquire(dispatch.Request{Service: "s"}, clock.Now())
+		targets = append(targets, taken)
+	}
+	const timeout = time.Second
+	var cancelled error
+	w := &watchdog{handler: handler, target: targets[0], silenceTimeout: timeout, cancel: func(err error) { cancelled = err }, lastProgress: clock.Now()}
+	w.timer = time.NewTimer(time.Hour)
+	defer w.timer.Stop()
+	w.pauseReading()
+	clock.Advance(3 * timeout)
+	dispatcher.Progress(targets[1], clock.Now())
+	w.check()
+	require.NoError(t, cancelled)
+	w.resumeReading()
+	w.check()
+	require.NoError(t, cancelled, "the silence begins when the response is read again")
+	clock.Advance(3 * timeout)
+	dispatcher.Progress(targets[1], clock.Now())
+	w.check()
+	require.ErrorIs(t, cancelled, errTargetSilent)
+}
