Account for the bytes held for requests and bound them

Bodies, whole responses and stream buffers had no common bound: 200 bodies of 4 MiB at once are 800 MB, and a host has 136 MB. A process that exceeds its memory is killed with all its requests.

Package process/memory sums what exists, by part, organisation and target. Its bound is 0.3 of the new optional setting memory (section entry, megabytes, from limits.memory_mb); the runtime's memory limit is 0.6 of it. Bodies of 64 KiB or more are rejected before they are read when three quarters of the bound would be exceeded, smaller ones at the bound: 503, not run, Retry-After; 413 if a body can never fit. Above the bound, of the organisation whose slow callers hold most the slowest of its largest requests is ended: uploads (not run), responses and streams whose callers are slow, never a response to an at-most-once request or work that runs at a target. Without the setting nothing changes. Metrics: verbenaseam_held_bytes, verbenaseam_memory_decisions_total, verbenaseam_stalled_peers_total; log: response ended to free memory.

--- a/daemon/command/memory.go
+++ b/daemon/command/memory.go
@@ -15,3 +15,6 @@
 		debug.SetGCPercent(gcPercent)
 	}
 }
+
+// LimitMemory sets the number of bytes that the runtime keeps to by collecting more often.
+func LimitMemory(bytes int64) { debug.SetMemoryLimit(bytes) }
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -12,6 +12,7 @@
 
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/process/release"
@@ -141,11 +142,15 @@
 		crashes.TargetEnded(t.ID(), t.Incarnation(), sign)
 	}
 	e.evidence = newEvidenceKeeper(e)
+	account := newAccount(s.Memory)
+	for _, part := range memory.Parts() {
+		e.metrics.ObserveHeldBytes(part.String(), func() int64 { return account.Held(part) })
+	}
 	e.handler = forward.NewHandler(forward.Config{
 		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
 		Connections: e.targets.connectionPool, Budget: e.budgets.forService,
 		Poison: e.poison, Crashes: crashes, PromptParts: platform.DecodePromptParts, TrialRank: e.trialRank,
-		Metrics: e.metrics, Clock: e.clock, Log: logs.Component(cfg.Logger, "forward"),
+		Memory: account, Metrics: e.metrics, Clock: e.clock, Log: logs.Component(cfg.Logger, "forward"),
 	})
 	return e
 }
--- a/daemon/direct/load.go
+++ b/daemon/direct/load.go
@@ -19,6 +19,9 @@
 	}
 	build := func(logger *logrus.Logger) command.Daemon {
 		logs.ReportIgnoredKeys(logger, loaded.IgnoredKeys)
+		if loaded.Memory > 0 {
+			command.LimitMemory(runtimeBytes(loaded.Memory))
+		}
 		store := platform.NewStore(loaded.StoreAddress)
 		return New(Config{Settings: loaded, File: file, Store: store, Clock: clockwork.NewRealClock(), Logger: logger})
 	}
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -33,6 +33,8 @@
 	targetCrashes    *prometheus.CounterVec
 	refusedParts     prometheus.Gauge
 	targetNotices    *prometheus.CounterVec
+	memoryDecisions  *prometheus.CounterVec
+	stalledPeers     *prometheus.CounterVec
 }
 
 // New returns the metrics of a process with the given role. maxOrganisations is the
@@ -72,6 +74,15 @@
 		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, responses that asked for a pause, limits of requests that targets named or lifted.",
 		ConstLabels: constLabels,
 	}, []string{"service", "notice"})
+	m.memoryDecisions = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_memory_decisions_total", Help: "Requests rejected or ended because the memory was nearly full, by decision.",
+		ConstLabels: constLabels,
+	}, []string{"decision"})
+	m.stalledPeers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_stalled_peers_total", Help: "Requests ended because a caller or a target moved bytes too slowly.",
+		ConstLabels: constLabels,
+	}, []string{"peer"})
+	registry.MustRegister(m.memoryDecisions, m.stalledPeers)
 	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices)
 	return m
 }
@@ -114,6 +125,24 @@
 	m.targetNotices.WithLabelValues(service, notice).Inc()
 }
 
+// CountMemoryDecision counts a request that was rejected or ended because the memory was nearly
+// full: "reject_body", "end_body", "end_response" or "end_stream".
+func (m *Metrics) CountMemoryDecision(decision string) {
+	m.memoryDecisions.WithLabelValues(decision).Inc()
+}
+
+// CountStalledPeer counts a request that ended because a peer, "caller" or "target", moved bytes
+// too slowly.
+func (m *Metrics) CountStalledPeer(peer string) { m.stalledPeers.WithLabelValues(peer).Inc() }
+
+// ObserveHeldBytes exports the bytes held for requests by part, from functions that return them.
+func (m *Metrics) ObserveHeldBytes(part string, held func() int64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "verbenaseam_held_bytes", Help: "Bytes held for requests, by part.",
+		ConstLabels: prometheus.Labels{"part": part},
+	}, func() float64 { return float64(held()) }))
+}
+
 // SetRetryBudget sets the number of retries that the retry budget allows.
 func (m *Metrics) SetRetryBudget(retries float64) { m.retryBudget.Set(retries) }
 
--- a/process/settings/direct.go
+++ b/process/settings/direct.go
@@ -54,8 +54,11 @@
 	StoreAddress string
 	// MaxOpenFiles is the maximum number of open files of the process.
 	MaxOpenFiles int
-	Bounds       Bounds
-	Log          Log
+	// Memory is the memory of the host for the process, in megabytes; 0 for no bound on what it
+	// holds for requests.
+	Memory float64
+	Bounds Bounds
+	Log    Log
 	// IgnoredKeys are the keys of the file that this build does not know and that the file
 	// allows to be ignored.
 	IgnoredKeys []string
@@ -100,6 +103,7 @@
 	files := float64(s.MaxOpenFiles)
 	r.number("entry", "files", &files, 64, 1<<24)
 	s.MaxOpenFiles = int(files)
+	r.number("entry", "memory", &s.Memory, minMemory, maxMemory)
 	r.address("store", "address", &s.StoreAddress, required)
 	readBounds(r, &s.Bounds)
 	readLog(r, &s.Log)
@@ -130,6 +134,12 @@
 	return s, err
 }
 
+// Memory of a host, in megabytes.
+const (
+	minMemory = 16
+	maxMemory = 1 << 24
+)
+
 // Bandwidths of network links, in Mbit/s.
 const (
 	defaultBandwidth = 100
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -11,6 +11,7 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/intake"
@@ -59,6 +60,8 @@
 	queueWait time.Duration
 	// undelivered is why the caller did not receive the whole response, nil if it did.
 	undelivered error
+	// held is what the process holds for the call.
+	held *memory.Holder
 }
 
 // newCall resolves the route and the organisation of a request and reads its body.
@@ -77,7 +80,8 @@
 		return c, failure.New(failure.HeadersTooLarge, failure.NotRun, "the headers are too large")
 	}
 	c.setDeadline(&h.headers)
-	if err := c.readBody(w); err != nil {
+	c.held = h.memory.Open(c.organisationName())
+	if err := h.readBodyOf(c, w); err != nil {
 		return c, err
 	}
 	c.subject = poison.Subject{
@@ -134,14 +138,18 @@
 	return path
 }
 
-func (c *call) readBody(w http.ResponseWriter) *failure.Error {
+func (h *Handler) readBodyOf(c *call, w http.ResponseWriter) *failure.Error {
 	r := c.request
 	c.hasBody = r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
 	if !c.hasBody {
 		return nil
 	}
-	body, err := intake.ReadBody(w, r, c.version.Limits.MaxBodyBytes, c.deadline)
+	body, err := intake.ReadHeldBody(w, r, c.version.Limits.MaxBodyBytes, c.deadline, c.held)
 	c.body = body
+	if err != nil && err.Kind == failure.Overloaded {
+		h.metrics.CountMemoryDecision("reject_body")
+		return err.WithRetryAfter(retryAfter(false, c.deadline.Sub(h.clock.Now()), rand.Float64()))
+	}
 	return err
 }
 
@@ -167,6 +175,9 @@
 	h.crashes.PartsRan(c.subject.Parts)
 }
 
+// classOnce is the class of at-most-once requests that are no streams.
+const classOnce = "once"
+
 // class returns the value of the metrics label "class".
 func (c *call) class() string {
 	switch {
@@ -175,7 +186,7 @@
 	case c.route.Idempotent:
 		return "idempotent"
 	default:
-		return "once"
+		return classOnce
 	}
 }
 
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -12,6 +12,7 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/poison"
@@ -38,6 +39,8 @@
 	// TrialRank returns the rank of this process, from 0, in an order of all processes
 	// that depends on a fingerprint; see poison.TrialAllowance.
 	TrialRank func(fingerprint uint64) int
+	// Memory accounts for the bytes held for requests; nil for no bound.
+	Memory *memory.Account
 	// Pace is the least progress of callers and targets; zero means pace.Default.
 	Pace    pace.Rate
 	Metrics *metrics.Metrics
@@ -58,6 +61,7 @@
 	trialRank   func(fingerprint uint64) int
 	checks      *targetChecks
 	pace        pace.Rate
+	memory      *memory.Account
 	metrics     *metrics.Metrics
 	clock       clockwork.Clock
 	log         *logrus.Entry
@@ -69,7 +73,7 @@
 		cfg.Pace = pace.Default
 	}
 	return &Handler{
-		pace: cfg.Pace, headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
+		pace: cfg.Pace, memory: cfg.Memory, headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
 		promptParts: cfg.PromptParts, trialRank: cfg.TrialRank, checks: newTargetChecks(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
@@ -80,6 +84,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer h.limitLastWrite(w)
 	c, err := h.newCall(w, r)
+	if c != nil {
+		defer c.held.Close()
+	}
 	if err != nil {
 		h.respondFailure(w, r, c, err)
 		return
@@ -258,6 +265,7 @@
 	c.work.Tried = append(c.work.Tried, t)
 	c.firstEvent, c.ran = time.Time{}, false
 	c.target = t.ID()
+	c.held.SetTarget(c.target)
 }
 
 // drainResponse reads a short response to its end and closes it, so that the
--- a/request/forward/output.go
+++ b/request/forward/output.go
@@ -4,11 +4,19 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"verbenaseam.example/verbenaseam/connection/pace"
+	"verbenaseam.example/verbenaseam/process/memory"
 )
 
+// errMemoryFull means that a response was ended because the memory of the process was nearly full
+// and its caller among the slowest with the most bytes.
+const errMemoryFull = streamError("ended to free memory")
+
 // errCallerStalled means that the caller reads more slowly than pace.Rate, or not at all.
 const errCallerStalled = streamError("caller reads too slowly")
 
@@ -31,17 +39,40 @@
 type output struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	request *http.Request
 	monitor *pace.Monitor
+	handler *Handler
+	call    *call
+	// ended is set once the response has been ended to free memory.
+	ended atomic.Bool
 }
 
 // newOutput returns the output of a request. The caller must call close.
-func (h *Handler) newOutput(w http.ResponseWriter, r *http.Request) *output {
-	o := &output{w: w, control: http.NewResponseController(w), request: r}
-	o.monitor = pace.NewMonitor(h.pace, callerProgress(r), o.abort)
+func (h *Handler) newOutput(w http.ResponseWriter, c *call) *output {
+	o := &output{w: w, control: http.NewResponseController(w), handler: h, call: c}
+	o.monitor = pace.NewMonitor(h.pace, callerProgress(c.request), o.abort)
 	return o
 }
 
+// allowEnd says whether the response may be ended to free memory; see memory.Holder.SetEnd.
+// Responses to at-most-once requests may not: their outcome would be lost.
+func (o *output) allowEnd(allowed bool) {
+	if !allowed || o.call.class() == classOnce {
+		o.call.held.SetEnd(nil, time.Time{})
+		return
+	}
+	o.call.held.SetEnd(o.endForMemory, o.handler.clock.Now())
+}
+
+func (o *output) endForMemory(part memory.Part) {
+	o.ended.Store(true)
+	o.abort()
+	held := o.call.held.Describe()
+	o.handler.metrics.CountMemoryDecision("end_" + part.String())
+	o.handler.log.WithFields(logrus.Fields{
+		"request": o.call.id, "organisation": held.Organisation, "target": held.Target, "bytes": held.Bytes, "moved": held.Moved,
+	}).Warn("response ended to free memory")
+}
+
 // callerProgress returns the pace.Monitor's poll function of a caller, nil if its connection is
 // not known. Whether bytes wait, the writer reports.
 func callerProgress(r *http.Request) func() (int64, bool) {
@@ -74,6 +105,7 @@
 			return o.failure()
 		}
 		o.monitor.Moved(n)
+		o.call.held.Moved(n)
 		data = data[n:]
 	}
 	if o.control.Flush() != nil {
@@ -83,7 +115,11 @@
 }
 
 func (o *output) failure() error {
+	if o.ended.Load() {
+		return errMemoryFull
+	}
 	if o.monitor.Stalled() {
+		o.handler.metrics.CountStalledPeer("caller")
 		return errCallerStalled
 	}
 	return errCallerDisconnected
@@ -92,14 +128,17 @@
 // markIncomplete makes a response that is about to be cut recognizable as such also in HTTP/1.0,
 // where the close of the connection ends a complete body: the connection is reset.
 func (o *output) markIncomplete() {
-	tcp, ok := o.request.Context().Value(connectionKey{}).(*net.TCPConn)
-	if ok && !o.request.ProtoAtLeast(1, 1) {
+	tcp, ok := o.call.request.Context().Value(connectionKey{}).(*net.TCPConn)
+	if ok && !o.call.request.ProtoAtLeast(1, 1) {
 		// SetLinger fails only on a connection that is already closed.
 		_ = tcp.SetLinger(0)
 	}
 }
 
-func (o *output) close() { o.monitor.Close() }
+func (o *output) close() {
+	o.allowEnd(false)
+	o.monitor.Close()
+}
 
 // limitLastWrite limits the time of what net/http writes after the handler has returned: the
 // rest of its buffer and the end of a chunked body.
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -8,6 +9,7 @@
 
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 )
@@ -19,16 +21,25 @@
 // errResponseTooLong means that a body is longer than responseLimit.
 const errResponseTooLong = streamError("response exceeds the size limit")
 
-// readBody reads the whole body of a response. received is called with the number of bytes of
-// each read that is not the last.
-func readBody(response io.Reader, received func(n int)) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(&countingReader{response, received}, responseLimit+1))
-	if err == nil && len(body) > responseLimit {
+// readBody reads the whole body of a response, whose length is negative if it is not known.
+// received is called with the number of bytes of each read that is not the last.
+func readBody(response io.Reader, length int64, received func(n int)) ([]byte, error) {
+	var body bytes.Buffer
+	if length > 0 {
+		// Without it, buffers that grow and are thrown away take several times the length.
+		body.Grow(int(min(length, maxFirstBuffer)) + bytes.MinRead)
+	}
+	_, err := body.ReadFrom(io.LimitReader(&countingReader{response, received}, responseLimit+1))
+	if err == nil && body.Len() > responseLimit {
 		return nil, errResponseTooLong
 	}
-	return body, err
+	return body.Bytes(), err
 }
 
+// maxFirstBuffer bounds the first buffer of a body whose length the target states, which may not
+// be true.
+const maxFirstBuffer = 1 << 20
+
 // countingReader calls received after each read that returns bytes and no error.
 type countingReader struct {
 	io.Reader
@@ -49,9 +60,16 @@
 // src is derived. The results are those of attempt.
 func (h *Handler) relayBuffered(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource, v verdict) (shouldRetry bool, failed *failure.Error) {
 	defer src.response.Close()
-	body, err := readBody(src.response, func(n int) { src.watchdog.received(n, true) })
+	total := int64(0)
+	body, err := readBody(src.response, src.response.Length, func(n int) {
+		src.watchdog.received(n, true)
+		total += int64(n)
+		c.held.Set(memory.Response, max(total, src.response.Length), h.clock.Now())
+	})
 	src.watchdog.received(0, false)
+	c.held.Set(memory.Response, int64(cap(body)), h.clock.Now())
 	if err != nil {
+		c.held.Set(memory.Response, 0, h.clock.Now())
 		truncated := h.truncatedVerdict(src.ctx, c)
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
@@ -68,8 +86,9 @@
 	copyHeaders(w, src.response)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(src.response.Status)
-	out := h.newOutput(w, c.request)
+	out := h.newOutput(w, c)
 	defer out.close()
+	out.allowEnd(true)
 	c.undelivered = out.write(body)
 	return false, nil
 }
@@ -105,8 +124,9 @@
 // another target if the route allows it, and aborted otherwise. The results are
 // those of attempt.
 func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource) (shouldRetry bool, failed *failure.Error) {
-	out := &streamWriter{w: w, output: h.newOutput(w, c.request), lastID: c.lastEventID}
+	out := &streamWriter{w: w, output: h.newOutput(w, c), lastID: c.lastEventID}
 	defer out.close()
+	c.held.Set(memory.Stream, streamOverhead, h.clock.Now())
 	for {
 		err := out.copy(src, func() { h.recordEvents(c, src) }, func() {
 			h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
--- a/request/forward/stream_queue.go
+++ b/request/forward/stream_queue.go
@@ -4,9 +4,14 @@
 	"context"
 	"sync"
 	"time"
+
+	"verbenaseam.example/verbenaseam/process/memory"
 )
 
 const (
+	// streamOverhead is what a stream takes besides its queue, in bytes: its goroutines and the
+	// buffers of two connections, as measured by the study slow-peers.
+	streamOverhead = 24 << 10
 	// queueSoftLimit is how many bytes of a stream may wait for the caller before the target is
 	// read more slowly. A stream of 19 events has 2 to 4 KB.
 	queueSoftLimit = 32 << 10
@@ -33,6 +38,8 @@
 	err error
 	// ended is set once no more events will be added.
 	ended bool
+	// slow is set while at least slowQueue bytes wait.
+	slow bool
 
 	// work and room each hold a signal after an event was added, or written; done is closed
 	// when the goroutine has ended.
@@ -52,6 +59,7 @@
 func (q *streamQueue) add(ctx context.Context, events []byte) error {
 	q.mu.Lock()
 	q.queued = append(q.queued, events...)
+	q.account()
 	q.mu.Unlock()
 	signal(q.work)
 	var timer *time.Timer
@@ -78,6 +86,21 @@
 	}
 }
 
+// slowQueue is the size of the queue, in bytes, from which the caller counts as slow and the
+// stream may be ended to free memory.
+const slowQueue = queueSoftLimit / 4
+
+// account updates what is held for the stream. The caller holds mu.
+func (q *streamQueue) account() {
+	size := len(q.queued) + q.writing
+	if slow := size >= slowQueue; slow != q.slow {
+		q.slow = slow
+		q.output.allowEnd(slow)
+	}
+	held := max(size, cap(q.queued))
+	q.output.call.held.Set(memory.Stream, int64(streamOverhead+held), q.output.handler.clock.Now())
+}
+
 // state returns the number of bytes held and the error of writing.
 func (q *streamQueue) state() (int, error) {
 	q.mu.Lock()
@@ -156,6 +179,7 @@
 		q.err, q.queued = err, nil
 		signal(q.room)
 	}
+	q.account()
 	return err != nil
 }
 
--- a/request/forward/stream_queue_test.go
+++ b/request/forward/stream_queue_test.go
@@ -9,7 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/process/metrics"
 )
 
 // blockedCaller is a caller that reads nothing until it is released or a write deadline passes.
@@ -39,7 +42,8 @@
 }
 
 func startQueue(c *blockedCaller) *streamQueue {
-	return startStreamQueue(&output{w: c, control: http.NewResponseController(c)})
+	h := &Handler{clock: clockwork.NewRealClock(), metrics: metrics.New("direct", 1)}
+	return startStreamQueue(&output{w: c, control: http.NewResponseController(c), handler: h, call: newSuspect()})
 }
 
 // TestTargetIsReadWhileTheCallerIsNot guards against targets that abort a response because it
--- a/request/forward/watchdog.go
+++ b/request/forward/watchdog.go
@@ -38,7 +38,10 @@
 func (h *Handler) startWatchdog(ctx context.Context, c *call, t *dispatch.Target) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{handler: h, target: t, silenceTimeout: c.silenceTimeout(), cancel: cancel, lastProgress: h.clock.Now()}
-	w.receiving = pace.NewMonitor(h.pace, nil, func() { cancel(errTargetTrickles) })
+	w.receiving = pace.NewMonitor(h.pace, nil, func() {
+		h.metrics.CountStalledPeer("target")
+		cancel(errTargetTrickles)
+	})
 	w.start()
 	return ctx, w
 }
