Keep the requests at a target within its memory

A target crashes if its requests have more tokens than its memory holds, and takes all of them with it; entries looked at the number of requests alone.

The tokens of a request are its prompt and the response that it allows at most, or twice its hint if that is less. A target is chosen only if they fit beside those of the requests that all entries have there; otherwise the request goes to another target or waits, without holding up those behind it. One that is larger than the memory of any target is rejected at once with 413, not run. Of its own requests an entry knows the tokens. Each request of another entry counts as capacity divided by slots, and entries report in field 13 of the heartbeat only by how much theirs exceed that, in units of 1,024 tokens and for at most 16 targets: nothing for the usual requests, which can't exceed the memory. Requests that state no token usage, and services without kv_capacity_tokens, are served as before.

--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -149,7 +149,7 @@
 	e.handler = forward.NewHandler(forward.Config{
 		Headers: platform.ForwardHeaders(), Version: e.version.Load, Dispatcher: e.dispatcher,
 		Connections: e.targets.connectionPool, Budget: e.budgets.forService,
-		Poison: e.poison, Crashes: crashes, PromptParts: platform.DecodePromptParts, TrialRank: e.trialRank,
+		Poison: e.poison, Crashes: crashes, PromptParts: platform.DecodePromptParts, Tokens: platform.DecodeTokens, TrialRank: e.trialRank,
 		Memory: account, Metrics: e.metrics, Clock: e.clock, Log: logs.Component(cfg.Logger, "forward"),
 	})
 	return e
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -147,6 +147,7 @@
 	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(now), h.evidence(now))
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
+		e.dispatcher.SetPeerTokens(name, nil, now)
 	}
 	e.setProcesses()
 	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
@@ -161,6 +162,7 @@
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
 			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
+			Tokens: e.dispatcher.Tokens(),
 		}},
 		Evidence: evidence,
 	})
@@ -232,6 +234,7 @@
 			h.sendLimits(received.Peer)
 		}
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
+			h.entry.dispatcher.SetPeerTokens(received.Peer.Name, received.Tokens, now)
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
 			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
 		}
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -43,6 +43,9 @@
 	Release release.Info `cbor:"10,keyasint,omitempty"`
 	// Limits are what targets told the process of how many requests they take.
 	Limits []TargetLimit `cbor:"11,keyasint,omitempty"`
+	// Tokens is by how many units of 1,024 tokens the requests of the process at each target,
+	// by target ID, exceed their shares of its memory; see request/dispatch/tokens.go.
+	Tokens map[string]int `cbor:"13,keyasint,omitempty"`
 }
 
 // Versions is the versions of the datagrams between entries that this build speaks.
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -12,9 +12,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pool := d.pool(work.Service)
-	if len(pool.waiting) == 0 || pool.waiting[0].work.Urgency > work.Urgency {
+	if len(pool.waiting) == 0 || pool.waiting[0].work.Urgency > work.Urgency || pool.waitsForMemory(&pool.waiting[0].work) {
 		if t := d.choose(pool, &work, now); t != nil {
-			t.take(now)
+			t.take(&work, now)
 			return t, nil
 		}
 	}
@@ -57,9 +57,10 @@
 	return <-w.granted
 }
 
-// take counts a request as running on the target and records when it was sent.
-func (t *Target) take(now time.Time) {
+// take counts work as running on the target and records when it was sent.
+func (t *Target) take(work *Request, now time.Time) {
 	t.running++
+	t.tokens += work.Tokens
 	t.pause.startsSince++
 	if t.limited() {
 		t.rateLimit.lastStart = now
@@ -85,13 +86,13 @@
 
 // grant assigns targets to the waiters of a pool in queue order. A waiter that was
 // already sent to some targets and finds none of the others free is skipped, so that
-// it does not block those behind it.
+// it does not block those behind it; so is one that waits for memory.
 func (d *Dispatcher) grant(pool *pool, now time.Time) {
 	var skipped []*Waiter
 	for len(pool.waiting) > 0 {
 		first := pool.waiting[0]
 		t := d.choose(pool, &first.work, now)
-		if t == nil && len(first.work.Tried) == 0 {
+		if t == nil && len(first.work.Tried) == 0 && !pool.waitsForMemory(&first.work) {
 			break
 		}
 		pool.waiting.remove(first)
@@ -99,7 +100,7 @@
 			skipped = append(skipped, first)
 			continue
 		}
-		t.take(now)
+		t.take(&first.work, now)
 		first.granted <- t
 	}
 	for _, w := range skipped {
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -20,7 +20,7 @@
 			continue
 		}
 		limit := t.limit(limitSlow, now)
-		if t.load() >= limit || d.warmupExhausted(t, now) {
+		if t.load() >= limit || d.warmupExhausted(t, now) || !t.fits(work) {
 			continue
 		}
 		score := d.score(t, limit)
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -145,7 +145,7 @@
 	}
 	pool := d.pool(registration.Service)
 	added := &Target{
-		service: pool.service, peerLoad: map[string]int{},
+		service: pool.service, peerLoad: map[string]int{}, peerTokens: map[string]int{},
 		incarnation: strconv.FormatInt(registration.StartedAt.UnixMilli(), 10),
 	}
 	added.setRegistration(registration, now)
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -14,6 +14,8 @@
 	// Arrived is when the request arrived. QueueDeadline is when the caller of Acquire
 	// cancels the wait if the request is still in the queue.
 	Arrived, QueueDeadline time.Time
+	// Tokens are the tokens that the request takes in a target's memory; 0 if not known.
+	Tokens int
 	// Tried are the targets that the request was already sent to.
 	Tried []*Target
 }
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -19,6 +19,10 @@
 	// counts that other processes report, by process.
 	running  int
 	peerLoad map[string]int
+	// tokens are those of this process's requests; peerTokens is by how much those of other
+	// processes exceed their shares of the memory, by process. See tokens.go.
+	tokens     int
+	peerTokens map[string]int
 	// coldUntil is when the target's warm-up ends.
 	coldUntil time.Time
 	// sends holds the times of this process's requests to the target within
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -93,7 +93,13 @@
 	}
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEventID = r.Header.Get(h.headers.LastEvent)
-	c.work = dispatch.Request{Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline()}
+	prompt, output := h.tokens(r.Header)
+	c.work = dispatch.Request{
+		Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline(), Tokens: prompt + output,
+	}
+	if h.dispatcher.ExceedsMemory(c.service, c.work.Tokens) {
+		return c, failure.New(failure.TooLarge, failure.NotRun, "the request has more tokens than the memory of any target")
+	}
 	c.attempts = retry.NewSession(retry.Policy{
 		MaxAttempts: c.route.Direct.MaxAttempts, NonIdempotent: !c.route.Idempotent, Deadline: c.deadline,
 		Budget: h.budget(c.service), MinAttemptTime: minAttemptTime,
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -36,6 +36,9 @@
 	Crashes *poison.CrashDetector
 	// PromptParts returns the parts of a request's prompt that other requests may share.
 	PromptParts func(http.Header) []uint64
+	// Tokens returns the tokens of a request's prompt and the expected ones of its response, 0
+	// if it doesn't state them; may be nil.
+	Tokens func(http.Header) (prompt, output int)
 	// TrialRank returns the rank of this process, from 0, in an order of all processes
 	// that depends on a fingerprint; see poison.TrialAllowance.
 	TrialRank func(fingerprint uint64) int
@@ -58,6 +61,7 @@
 	poison      *poison.Tracker
 	crashes     *poison.CrashDetector
 	promptParts func(http.Header) []uint64
+	tokens      func(http.Header) (prompt, output int)
 	trialRank   func(fingerprint uint64) int
 	checks      *targetChecks
 	pace        pace.Rate
@@ -72,10 +76,13 @@
 	if cfg.Pace.Window <= 0 {
 		cfg.Pace = pace.Default
 	}
+	if cfg.Tokens == nil {
+		cfg.Tokens = func(http.Header) (int, int) { return 0, 0 }
+	}
 	return &Handler{
 		pace: cfg.Pace, memory: cfg.Memory, headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
-		promptParts: cfg.PromptParts, trialRank: cfg.TrialRank, checks: newTargetChecks(),
+		promptParts: cfg.PromptParts, tokens: cfg.Tokens, trialRank: cfg.TrialRank, checks: newTargetChecks(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
@@ -136,14 +143,14 @@
 	t, err := h.awaitTarget(ctx, c)
 	for err == nil && !h.dispatcher.MayStart(t, h.clock.Now()) {
 		// The target said that it leaves or pauses since it was granted.
-		h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+		h.release(c, t, dispatch.Abandoned)
 		t, err = h.awaitTarget(ctx, c)
 	}
 	if err != nil {
 		return nil, err
 	}
 	if refusal := h.refuseBeforeAttempt(c); refusal != nil {
-		h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+		h.release(c, t, dispatch.Abandoned)
 		return nil, refusal
 	}
 	return t, nil
@@ -171,7 +178,7 @@
 		t = h.dispatcher.CancelWait(waiter)
 	case <-ctx.Done():
 		if t = h.dispatcher.CancelWait(waiter); t != nil {
-			h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+			h.release(c, t, dispatch.Abandoned)
 		}
 		return nil, h.deadlineExceeded(c)
 	}
@@ -225,7 +232,7 @@
 		if response != nil {
 			h.drainResponse(response)
 		}
-		h.dispatcher.Release(t, v.result, h.clock.Now())
+		h.release(c, t, v.result)
 		return shouldRetry, h.finalFailure(c, v)
 	}
 	return h.relayBuffered(ctx, w, c, &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog}, v)
@@ -268,6 +275,12 @@
 	c.held.SetTarget(c.target)
 }
 
+// release ends a call's attempt at a target.
+func (h *Handler) release(c *call, t *dispatch.Target, result dispatch.Result) {
+	h.dispatcher.ReleaseTokens(t, c.work.Tokens)
+	h.dispatcher.Release(t, result, h.clock.Now())
+}
+
 // drainResponse reads a short response to its end and closes it, so that the
 // connection can be reused.
 func (h *Handler) drainResponse(response *direct.Response) {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -74,11 +74,11 @@
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
-		h.dispatcher.Release(src.target, truncated.result, h.clock.Now())
+		h.release(c, src.target, truncated.result)
 		return shouldRetry, h.finalFailure(c, truncated)
 	}
 	src.watchdog.progress()
-	h.dispatcher.Release(src.target, v.result, h.clock.Now())
+	h.release(c, src.target, v.result)
 	if v.success() {
 		h.recordSuccess(c)
 	}
@@ -136,7 +136,7 @@
 		c.lastEventID = out.lastID
 		if err == nil {
 			src.watchdog.stop()
-			h.dispatcher.Release(src.target, dispatch.Served, h.clock.Now())
+			h.release(c, src.target, dispatch.Served)
 			h.recordSuccess(c)
 			if err := out.finish(src.response); err != nil {
 				h.abortStream(c, out, err.Error())
@@ -150,7 +150,7 @@
 		}
 		src.watchdog.stop()
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, v)
-		h.dispatcher.Release(src.target, v.result, h.clock.Now())
+		h.release(c, src.target, v.result)
 		shouldRetry := h.endFailedAttempt(ctx, c, v)
 		if !out.started() {
 			return shouldRetry, h.finalFailure(c, v)
@@ -192,7 +192,7 @@
 			h.drainResponse(response)
 		}
 		watchdog.stop()
-		h.dispatcher.Release(t, v.result, h.clock.Now())
+		h.release(c, t, v.result)
 		if !h.endFailedAttempt(ctx, c, v) {
 			h.abortStream(c, out, v.reason)
 		}
