Study slow-peers; less memory for each slow stream

The study runs an entry with memory = 136 on one processor, with 1,000 streams of 20 KB/s whose callers read 4 KB/s, 200 bodies of 4 MiB at once and 200 small requests a second. Its first run showed 121 MB of resident memory, 433 streams cut and 642 small requests rejected: a slow stream held 77 KB, half of that in its queue.

The soft limit of the queue is 4 KB now, above which the target is read every 2 s, the hard one 128 KB. Events are read and queued without copies in between, a body is freed once the request can't be sent again, and a stream's fixed part (32 KB) is in the account, whose bound is 0.4 of the memory. Callers' sockets have a write buffer of 16 KB.

--- a/daemon/direct/caller_timeouts.go
+++ b/daemon/direct/caller_timeouts.go
@@ -46,8 +46,8 @@
 
 // callerWriteBuffer is the kernel's write buffer of a caller's connection, in bytes (the kernel
 // doubles it). Without a limit it grows to 4 MB, of memory that no one accounts for, for a caller
-// that doesn't read. It allows 128 Mbit/s at a round trip of 2 ms.
-const callerWriteBuffer = 32 << 10
+// that doesn't read. It allows 64 Mbit/s at a round trip of 2 ms.
+const callerWriteBuffer = 16 << 10
 
 // withCallerConn is the http.Server.ConnContext hook that passes on the caller's connection.
 func withCallerConn(ctx context.Context, c net.Conn) context.Context {
--- a/daemon/direct/memory.go
+++ b/daemon/direct/memory.go
@@ -7,7 +7,7 @@
 	// heldShare is the share of the host's memory that may be held for requests, runtimeShare
 	// the share to which the runtime keeps by collecting more often. The rest is for garbage
 	// that is not yet collected, the program itself (20 MB) and the kernel's socket buffers.
-	heldShare    = 0.3
+	heldShare    = 0.4
 	runtimeShare = 0.6
 )
 
--- a/internal/measure/all/all.go
+++ b/internal/measure/all/all.go
@@ -17,6 +17,7 @@
 	"verbenaseam.example/verbenaseam/internal/measure/rebalance"
 	"verbenaseam.example/verbenaseam/internal/measure/retries"
 	"verbenaseam.example/verbenaseam/internal/measure/rollout"
+	"verbenaseam.example/verbenaseam/internal/measure/slowpeers"
 )
 
 // Studies returns all studies.
@@ -34,5 +35,6 @@
 		placement.Studies(),
 		rebalance.Studies(),
 		capacity.Studies(),
+		slowpeers.Studies(),
 	)
 }
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -83,6 +83,7 @@
 		h.recordSuccess(c)
 	}
 	h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
+	h.dropBody(c)
 	copyHeaders(w, src.response)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(src.response.Status)
@@ -93,6 +94,13 @@
 	return false, nil
 }
 
+// dropBody frees the body of a call that will not be sent again. The caller may take long to
+// read the response.
+func (h *Handler) dropBody(c *call) {
+	c.body = nil
+	c.held.Set(memory.Body, 0, h.clock.Now())
+}
+
 // truncatedVerdict returns the verdict on a response whose body was cut short. ctx
 // is the attempt's context.
 func (h *Handler) truncatedVerdict(ctx context.Context, c *call) verdict {
@@ -131,6 +139,9 @@
 		err := out.copy(src, func() { h.recordEvents(c, src) }, func() {
 			h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 			copyHeaders(w, src.response)
+			if !c.route.Idempotent || c.attempts.Started() >= c.route.Direct.MaxAttempts {
+				h.dropBody(c)
+			}
 		})
 		src.response.Close()
 		c.lastEventID = out.lastID
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
@@ -36,8 +37,10 @@
 )
 
 const (
-	// streamBuffer is the size of one read from a stream, in bytes.
+	// streamBuffer is the size of the buffer for reads from a stream, in bytes, and minRead
+	// the least size of one read.
 	streamBuffer = 4 << 10
+	minRead      = 512
 	// eventLimit bounds the size of one event, in bytes.
 	eventLimit = 1 << 20
 )
@@ -50,8 +53,6 @@
 	queue *streamQueue
 	// lastID is the ID of the last event queued.
 	lastID string
-	// fresh collects the events of one read that the caller has not received.
-	fresh []byte
 }
 
 // started reports whether the response head has been written.
@@ -61,12 +62,12 @@
 // ended after a complete event or without any. begin is called before the first event
 // that is written to the caller, progress whenever complete events have arrived.
 func (s *streamWriter) copy(src *streamSource, progress, begin func()) error {
-	buffer := make([]byte, streamBuffer)
-	var pending []byte
+	pending := make([]byte, 0, streamBuffer)
 	for {
-		n, err := src.response.Read(buffer)
 		searched := len(pending)
-		pending = append(pending, buffer[:n]...)
+		pending = slices.Grow(pending, minRead)
+		n, err := src.response.Read(pending[searched:cap(pending)])
+		pending = pending[:searched+n]
 		events, rest := splitCompleteEvents(pending, searched)
 		if len(events) > 0 {
 			if hasField(events) {
@@ -120,7 +121,6 @@
 // write queues events and skips those that the caller has already received. It returns the
 // error of writing earlier ones.
 func (s *streamWriter) write(ctx context.Context, events []byte, status int, begin func()) error {
-	s.fresh = s.fresh[:0]
 	for len(events) > 0 {
 		end := bytes.Index(events, []byte("\n\n")) + 2
 		event := events[:end]
@@ -129,20 +129,20 @@
 		if id != "" && !isNewer(id, s.lastID) {
 			continue
 		}
-		s.fresh = append(s.fresh, event...)
+		if !s.started() {
+			begin()
+			s.w.WriteHeader(status)
+			s.queue = startStreamQueue(s.output)
+		}
+		s.queue.add(event)
 		if id != "" {
 			s.lastID = id
 		}
 	}
-	if len(s.fresh) == 0 {
-		return nil
-	}
 	if !s.started() {
-		begin()
-		s.w.WriteHeader(status)
-		s.queue = startStreamQueue(s.output)
+		return nil
 	}
-	return s.queue.add(ctx, s.fresh)
+	return s.queue.flush(ctx)
 }
 
 // failure returns the error of writing to the caller, nil if there was none.
--- a/request/forward/stream_queue.go
+++ b/request/forward/stream_queue.go
@@ -11,17 +11,17 @@
 const (
 	// streamOverhead is what a stream takes besides its queue, in bytes: its goroutines and the
 	// buffers of two connections, as measured by the study slow-peers.
-	streamOverhead = 24 << 10
+	streamOverhead = 32 << 10
 	// queueSoftLimit is how many bytes of a stream may wait for the caller before the target is
 	// read more slowly. A stream of 19 events has 2 to 4 KB.
-	queueSoftLimit = 32 << 10
+	queueSoftLimit = 4 << 10
 	// queueHardLimit is how many may wait before the target is not read at all.
-	queueHardLimit = 256 << 10
+	queueHardLimit = 128 << 10
 	// unreadLimit is how long the target is not read while more than queueSoftLimit waits.
 	// Targets abort responses that stay unread for some seconds.
-	unreadLimit = time.Second
+	unreadLimit = 2 * time.Second
 	// maxKeptBuffer is the largest buffer that is kept for later events.
-	maxKeptBuffer = 16 << 10
+	maxKeptBuffer = 4 << 10
 )
 
 // streamQueue writes the events of a stream to the caller on a goroutine of its own, so that
@@ -53,12 +53,18 @@
 	return q
 }
 
-// add adds complete events. While many bytes wait it blocks, for at most unreadLimit unless
-// queueHardLimit is reached. It returns the error of writing earlier events, and nil when ctx
-// ends.
-func (q *streamQueue) add(ctx context.Context, events []byte) error {
+// add adds a complete event, for flush.
+func (q *streamQueue) add(event []byte) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queued = append(q.queued, event...)
+}
+
+// flush has the added events written. While many bytes wait it blocks, for at most unreadLimit
+// unless queueHardLimit is reached. It returns the error of writing earlier events, and nil when
+// ctx ends.
+func (q *streamQueue) flush(ctx context.Context) error {
 	q.mu.Lock()
-	q.queued = append(q.queued, events...)
 	q.account()
 	q.mu.Unlock()
 	signal(q.work)
@@ -88,7 +94,7 @@
 
 // slowQueue is the size of the queue, in bytes, from which the caller counts as slow and the
 // stream may be ended to free memory.
-const slowQueue = queueSoftLimit / 4
+const slowQueue = queueSoftLimit / 2
 
 // account updates what is held for the stream. The caller holds mu.
 func (q *streamQueue) account() {
--- a/request/forward/stream_queue_test.go
+++ b/request/forward/stream_queue_test.go
@@ -41,6 +41,12 @@
 	return nil
 }
 
+// add adds an event and flushes it.
+func add(ctx context.Context, q *streamQueue, event []byte) error {
+	q.add(event)
+	return q.flush(ctx)
+}
+
 func startQueue(c *blockedCaller) *streamQueue {
 	h := &Handler{clock: clockwork.NewRealClock(), metrics: metrics.New("direct", 1)}
 	return startStreamQueue(&output{w: c, control: http.NewResponseController(c), handler: h, call: newSuspect()})
@@ -53,13 +59,13 @@
 	c := newBlockedCaller()
 	q := startQueue(c)
 	event := make([]byte, queueSoftLimit)
-	require.NoError(t, q.add(t.Context(), event), "below the limit")
+	require.NoError(t, add(t.Context(), q, event), "below the limit")
 	began := time.Now()
-	require.NoError(t, q.add(t.Context(), event))
+	require.NoError(t, add(t.Context(), q, event))
 	require.InDelta(t, unreadLimit.Seconds(), time.Since(began).Seconds(), 0.5)
-	ctx, cancel := context.WithTimeout(t.Context(), 2*unreadLimit)
+	ctx, cancel := context.WithTimeout(t.Context(), unreadLimit+200*time.Millisecond)
 	defer cancel()
-	require.NoError(t, q.add(ctx, make([]byte, queueHardLimit)))
+	require.NoError(t, add(ctx, q, make([]byte, queueHardLimit)))
 	require.Error(t, ctx.Err(), "nothing more is read at the hard limit")
 	close(c.release)
 	require.NoError(t, q.drain())
@@ -72,12 +78,12 @@
 	t.Parallel()
 	c := newBlockedCaller()
 	q := startQueue(c)
-	require.NoError(t, q.add(t.Context(), make([]byte, queueSoftLimit)))
+	require.NoError(t, add(t.Context(), q, make([]byte, queueSoftLimit)))
 	time.AfterFunc(20*time.Millisecond, q.output.abort)
-	require.ErrorIs(t, q.add(t.Context(), make([]byte, queueHardLimit)), errCallerDisconnected)
+	require.ErrorIs(t, add(t.Context(), q, make([]byte, queueHardLimit)), errCallerDisconnected)
 	require.ErrorIs(t, q.drain(), errCallerDisconnected)
 	q.close()
 	q = startQueue(newBlockedCaller())
-	require.NoError(t, q.add(t.Context(), make([]byte, 10)))
+	require.NoError(t, add(t.Context(), q, make([]byte, 10)))
 	q.close()
 }
