--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -126,7 +126,8 @@
 }
 
 // CountMemoryDecision counts a request that was rejected or ended because the memory was nearly
-// full: "reject_body", "end_body", "end_response" or "end_stream".
+// full: "reject_body", also while the body arrives, "end_body" (of a response whose request holds
+// most in its body), "end_response" or "end_stream".
 func (m *Metrics) CountMemoryDecision(decision string) {
 	m.memoryDecisions.WithLabelValues(decision).Inc()
 }
