--- a/daemon/direct/caller_timeouts.go
+++ b/daemon/direct/caller_timeouts.go
@@ -1,12 +1,15 @@
 package direct
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"verbenaseam.example/verbenaseam/request/forward"
 )
 
 const (
@@ -52,11 +55,28 @@
 		l.ended = l.ended || errors.Is(err, net.ErrClosed)
 		return nil, err
 	}
+	if tcp, ok := accepted.(*net.TCPConn); ok {
+		// This fails only on a connection that is already closed.
+		_ = tcp.SetWriteBuffer(callerWriteBuffer)
+	}
 	c := &callerConn{Conn: accepted, listener: l, idle: true, idleSince: time.Now()}
 	l.open[c], l.acceptedAt = true, c.idleSince
 	return c, nil
 }
 
+// callerWriteBuffer is the kernel's write buffer of a caller's connection, in bytes (the kernel
+// doubles it). Without a limit it grows to 4 MB, of memory that no one accounts for, for a caller
+// that doesn't read. It allows 64 Mbit/s at a round trip of 2 ms.
+const callerWriteBuffer = 16 << 10
+
+// withCallerConn is the http.Server.ConnContext hook that passes on the caller's connection.
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	if accepted, ok := c.(*callerConn); ok {
+		c = accepted.Conn
+	}
+	return forward.WithConnection(ctx, c)
+}
+
 // callerConn is a caller's connection.
 type callerConn struct {
 	net.Conn
--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -61,6 +61,7 @@
 		if received.Changes != nil {
 			w.offer(*received.Changes)
 		}
+		dispatch.New(dispatch.Config{}).SetPeerTokens("peer", received.Tokens, now)
 		if received.Evidence != nil {
 			tracker := poison.NewTracker(poison.Config{}, clock)
 			tracker.Merge(*received.Evidence)
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -51,6 +51,9 @@
 	Release release.Info `cbor:"10,keyasint,omitzero"`
 	// Limits are what targets told the process of how many requests they take.
 	Limits []TargetLimit `cbor:"11,keyasint,omitempty"`
+	// Tokens is by how many units of 1,024 tokens the requests of the process at each target,
+	// by target ID, exceed their shares of its memory; see request/dispatch/tokens.go.
+	Tokens map[string]int `cbor:"13,keyasint,omitempty"`
 	// PackedLoad is the load as PackLoad encodes it, in place of Load.
 	PackedLoad []byte `cbor:"15,keyasint,omitempty"`
 	// Capacity is how much the process can serve.
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -26,7 +26,7 @@
 			}
 			limit = t.limit(limitSlow, now)
 		}
-		if t.load() >= pool.pacedLimit(t, limit) || !t.coldUntil.IsZero() && d.warmupExhausted(t, now) {
+		if t.load() >= pool.pacedLimit(t, limit) || !t.coldUntil.IsZero() && d.warmupExhausted(t, now) || !t.fits(work) {
 			continue
 		}
 		candidate := t.candidate(limit)
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -16,6 +16,8 @@
 	Arrived, QueueDeadline time.Time
 	// Bytes is the expected size of the request and its response; 0 if it is not known.
 	Bytes float64
+	// Tokens are the tokens that the request takes in a target's memory; 0 if not known.
+	Tokens int
 	// Tried are the targets that the request was already sent to.
 	Tried []*Target
 }
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/intake"
@@ -56,8 +58,12 @@
 	// the total time in the dispatcher's queue.
 	target    string
 	queueWait time.Duration
-	// held is the target that the call holds a slot at while an attempt runs, or nil.
-	held *dispatch.Target
+	// slot is the target that the call holds a slot at while an attempt runs, or nil.
+	slot *dispatch.Target
+	// undelivered is why the caller did not receive the whole response, nil if it did.
+	undelivered error
+	// held is what the process holds for the call.
+	held *memory.Holder
 }
 
 // newCall resolves the route and the organisation of a request and reads its body.
@@ -76,7 +82,8 @@
 		return c, failure.New(failure.HeadersTooLarge, failure.NotRun, "the headers are too large")
 	}
 	c.setDeadline(&h.headers)
-	if err := c.readBody(w); err != nil {
+	c.held = h.memory.Open(c.organisationName())
+	if err := h.readBodyOf(c, w); err != nil {
 		return c, err
 	}
 	c.subject = poison.Subject{
@@ -88,7 +95,14 @@
 	}
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEventID = r.Header.Get(h.headers.LastEvent)
-	c.work = dispatch.Request{Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline(), Bytes: h.transfers.expected(c.route.Name)}
+	prompt, output := h.tokens(r.Header)
+	c.work = dispatch.Request{
+		Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline(),
+		Bytes: h.transfers.expected(c.route.Name), Tokens: prompt + output,
+	}
+	if h.dispatcher.ExceedsMemory(c.service, c.work.Tokens) {
+		return c, failure.New(failure.TooLarge, failure.NotRun, "the request has more tokens than the memory of any target")
+	}
 	c.attempts = retry.NewSession(retry.Policy{
 		MaxAttempts: c.route.Direct.MaxAttempts, NonIdempotent: !c.route.Idempotent, Deadline: c.deadline,
 		Budget: h.budget(c.service), MinAttemptTime: minAttemptTime,
@@ -142,14 +156,18 @@
 	return path
 }
 
-func (c *call) readBody(w http.ResponseWriter) *failure.Error {
+func (h *Handler) readBodyOf(c *call, w http.ResponseWriter) *failure.Error {
 	r := c.request
 	c.hasBody = r.ContentLength > 0 || len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != ""
 	if !c.hasBody {
 		return nil
 	}
-	body, err := intake.ReadBody(w, r, c.version.Limits.MaxBodyBytes, c.deadline)
+	body, err := intake.ReadHeldBody(w, r, c.version.Limits.MaxBodyBytes, c.deadline, c.held)
 	c.body = body
+	if err != nil && err.Kind == failure.Overloaded {
+		h.metrics.CountMemoryDecision("reject_body")
+		return err.WithRetryAfter(retryAfter(false, c.deadline.Sub(h.clock.Now()), rand.Float64()))
+	}
 	return err
 }
 
@@ -175,6 +193,9 @@
 	h.crashes.PartsRan(c.subject.Parts)
 }
 
+// classOnce is the class of at-most-once requests that are no streams.
+const classOnce = "once"
+
 // class returns the value of the metrics label "class".
 func (c *call) class() string {
 	switch {
@@ -183,7 +204,7 @@
 	case c.route.Idempotent:
 		return "idempotent"
 	default:
-		return "once"
+		return classOnce
 	}
 }
 
@@ -246,7 +267,7 @@
 const deadlineSlack = 100 * time.Millisecond
 
 // outgoingRequest returns the request to send to a target.
-func (c *call) outgoingRequest(names *Headers, t *dispatch.Target, now time.Time) *direct.Request {
+func (c *call) outgoingRequest(names *Headers, rate pace.Rate, t *dispatch.Target, now time.Time) *direct.Request {
 	header := headers.EndToEnd(c.request.Header)
 	header.Del(names.Key)
 	header.Del(names.Organisation)
@@ -263,6 +284,6 @@
 	return &direct.Request{
 		Method: c.request.Method, RequestTarget: c.request.RequestURI, Host: c.request.Host,
 		Header: header, Body: c.body, HasBody: c.hasBody, Deadline: c.deadline.Add(deadlineSlack),
-		IDHeader: names.Attempt, ID: c.id,
+		IDHeader: names.Attempt, ID: c.id, Pace: rate,
 	}
 }
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -10,7 +10,9 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
+	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/poison"
@@ -34,12 +36,19 @@
 	Crashes *poison.CrashDetector
 	// PromptParts returns the parts of a request's prompt that other requests may share.
 	PromptParts func(http.Header) []uint64
+	// Tokens returns the tokens of a request's prompt and the expected ones of its response, 0
+	// if it doesn't state them; may be nil.
+	Tokens func(http.Header) (prompt, output int)
 	// TrialRank returns the rank of this process, from 0, in an order of all processes
 	// that depends on a fingerprint; see poison.TrialAllowance.
 	TrialRank func(fingerprint uint64) int
-	Metrics   *metrics.Metrics
-	Clock     clockwork.Clock
-	Log       *logrus.Entry
+	// Memory accounts for the bytes held for requests; nil for no bound.
+	Memory *memory.Account
+	// Pace is the least progress of callers and targets; zero means pace.Default.
+	Pace    pace.Rate
+	Metrics *metrics.Metrics
+	Clock   clockwork.Clock
+	Log     *logrus.Entry
 }
 
 // Handler is the HTTP handler for callers' requests.
@@ -52,8 +61,11 @@
 	poison      *poison.Tracker
 	crashes     *poison.CrashDetector
 	promptParts func(http.Header) []uint64
+	tokens      func(http.Header) (prompt, output int)
 	trialRank   func(fingerprint uint64) int
 	checks      *targetChecks
+	pace        pace.Rate
+	memory      *memory.Account
 	metrics     *metrics.Metrics
 	transfers   transfers
 	clock       clockwork.Clock
@@ -62,16 +74,23 @@
 
 // NewHandler returns a Handler with the given settings and dependencies.
 func NewHandler(cfg Config) *Handler {
+	if cfg.Pace.Window <= 0 {
+		cfg.Pace = pace.Default
+	}
+	if cfg.Tokens == nil {
+		cfg.Tokens = func(http.Header) (int, int) { return 0, 0 }
+	}
 	return &Handler{
-		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
+		pace: cfg.Pace, memory: cfg.Memory, headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
-		promptParts: cfg.PromptParts, trialRank: cfg.TrialRank, checks: newTargetChecks(),
+		promptParts: cfg.PromptParts, tokens: cfg.Tokens, trialRank: cfg.TrialRank, checks: newTargetChecks(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer h.limitLastWrite(w)
 	var c *call
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -79,6 +98,9 @@
 		}
 	}()
 	c, err := h.newCall(w, r)
+	if c != nil {
+		defer c.held.Close()
+	}
 	if err != nil {
 		h.respondFailure(w, r, c, err)
 		return
@@ -93,7 +115,7 @@
 		}
 		shouldRetry, err := h.attempt(ctx, w, c, t)
 		if err == nil {
-			h.recordEnd(c, "answered", "")
+			h.recordDelivery(c)
 			return
 		}
 		if !shouldRetry {
@@ -128,14 +150,14 @@
 	t, err := h.awaitTarget(ctx, c)
 	for err == nil && !h.dispatcher.MayStart(t, h.clock.Now()) {
 		// The target said that it leaves or pauses since it was granted.
-		h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+		h.release(c, t, dispatch.Abandoned)
 		t, err = h.awaitTarget(ctx, c)
 	}
 	if err != nil {
 		return nil, err
 	}
 	if refusal := h.refuseBeforeAttempt(c); refusal != nil {
-		h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+		h.release(c, t, dispatch.Abandoned)
 		return nil, refusal
 	}
 	return t, nil
@@ -163,7 +185,7 @@
 		t = h.dispatcher.CancelWait(waiter)
 	case <-ctx.Done():
 		if t = h.dispatcher.CancelWait(waiter); t != nil {
-			h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
+			h.release(c, t, dispatch.Abandoned)
 		}
 		return nil, h.deadlineExceeded(c)
 	}
@@ -224,12 +246,7 @@
 		h.release(c, t, v.result)
 		return shouldRetry, h.finalFailure(c, v)
 	}
-	return h.relayBuffered(ctx, attemptCtx, w, c, t, response, v, func() {
-		watchdog.progress()
-		if v.success() {
-			h.dispatcher.RecordResponse(t, h.clock.Since(sent), true, h.clock.Now())
-		}
-	})
+	return h.relayBuffered(ctx, w, c, &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog, sent: sent}, v)
 }
 
 // send sends a call to a target and returns the verdict on the head of the
@@ -237,7 +254,7 @@
 // context, derived from ctx.
 func (h *Handler) send(ctx, attemptCtx context.Context, c *call, t *dispatch.Target) (*direct.Response, verdict) {
 	sent := h.clock.Now()
-	request := c.outgoingRequest(&h.headers, t, sent)
+	request := c.outgoingRequest(&h.headers, h.pace, t, sent)
 	request.OnHead = func(status int, header http.Header) { h.recordNotice(c, t, sent, status, header) }
 	response, err := h.connections(t).Do(attemptCtx, request, false)
 	if err != nil {
@@ -265,7 +282,8 @@
 	h.metrics.CountAttempt(kind)
 	c.work.Tried = append(c.work.Tried, t)
 	c.firstEvent, c.ran = time.Time{}, false
-	c.target, c.held = t.ID(), t
+	c.target, c.slot = t.ID(), t
+	c.held.SetTarget(c.target)
 }
 
 // drainResponse reads a short response to its end and closes it, so that the
--- a/request/forward/panic.go
+++ b/request/forward/panic.go
@@ -21,8 +21,8 @@
 			"request": r.Header.Get(h.headers.Attempt), "panic": fmt.Sprint(cause), "stack": string(debug.Stack()),
 		}).Error("request handler panicked; the caller's connection is closed")
 	}
-	if c != nil && c.held != nil {
-		h.release(c, c.held, dispatch.Abandoned)
+	if c != nil && c.slot != nil {
+		h.release(c, c.slot, dispatch.Abandoned)
 	}
 	if !r.ProtoAtLeast(1, 1) {
 		resetConnection(w)
@@ -46,6 +46,7 @@
 
 // release returns the slot that a call holds at a target.
 func (h *Handler) release(c *call, t *dispatch.Target, result dispatch.Result) {
-	c.held = nil
+	c.slot = nil
+	h.dispatcher.ReleaseTokens(t, c.work.Tokens)
 	h.dispatcher.Release(t, result, h.clock.Now())
 }
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -1,14 +1,16 @@
 package forward
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 )
@@ -20,44 +22,90 @@
 // errResponseTooLong means that a body is longer than responseLimit.
 const errResponseTooLong = streamError("response exceeds the size limit")
 
-// readBody reads the whole body of a response.
-func readBody(response io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(response, responseLimit+1))
-	if err == nil && len(body) > responseLimit {
+// readBody reads the whole body of a response, whose length is negative if it is not known.
+// received is called with the number of bytes of each read that is not the last.
+func readBody(response io.Reader, length int64, received func(n int)) ([]byte, error) {
+	var body bytes.Buffer
+	if length > 0 {
+		// Without it, buffers that grow and are thrown away take several times the length.
+		body.Grow(int(min(length, maxFirstBuffer)) + bytes.MinRead)
+	}
+	_, err := body.ReadFrom(io.LimitReader(&countingReader{response, received}, responseLimit+1))
+	if err == nil && body.Len() > responseLimit {
 		return nil, errResponseTooLong
 	}
-	return body, err
+	return body.Bytes(), err
+}
+
+// maxFirstBuffer bounds the first buffer of a body whose length the target states, which may not
+// be true.
+const maxFirstBuffer = 1 << 20
+
+// countingReader calls received after each read that returns bytes and no error.
+type countingReader struct {
+	io.Reader
+	received func(n int)
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(into []byte) (int, error) {
+	n, err := r.Reader.Read(into)
+	if n > 0 && err == nil {
+		r.received(n)
+	}
+	return n, err
 }
 
 // relayBuffered reads the whole response before it writes any of it, so that the
-// caller never receives part of a truncated one. attemptCtx is the attempt's
-// context, derived from ctx; progress is called once the response is complete. The results are those of attempt.
-func (h *Handler) relayBuffered(ctx, attemptCtx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target, response *direct.Response, v verdict, progress func()) (shouldRetry bool, failed *failure.Error) {
-	defer response.Close()
-	body, err := readBody(response)
+// caller never receives part of a truncated one. ctx is the call's context, from which that of
+// src is derived. The results are those of attempt.
+func (h *Handler) relayBuffered(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource, v verdict) (shouldRetry bool, failed *failure.Error) {
+	defer src.response.Close()
+	total := int64(0)
+	body, err := readBody(src.response, src.response.Length, func(n int) {
+		src.watchdog.received(n, true)
+		total += int64(n)
+		c.held.Set(memory.Response, max(total, src.response.Length), h.clock.Now())
+	})
+	src.watchdog.received(0, false)
+	c.held.Set(memory.Response, int64(cap(body)), h.clock.Now())
 	if err != nil {
-		truncated := h.truncatedVerdict(attemptCtx, c)
+		c.held.Set(memory.Response, 0, h.clock.Now())
+		truncated := h.truncatedVerdict(src.ctx, c)
 		// endFailedAttempt was already called if the response head was a failure.
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
-		h.updateCrashEvidence(c, t, h.clock.Now(), err, truncated)
-		h.release(c, t, truncated.result)
+		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
+		h.release(c, src.target, truncated.result)
 		return shouldRetry, h.finalFailure(c, truncated)
 	}
-	progress()
-	h.release(c, t, v.result)
+	src.watchdog.progress()
+	if v.success() {
+		h.dispatcher.RecordResponse(src.target, h.clock.Since(src.sent), true, h.clock.Now())
+	}
+	h.release(c, src.target, v.result)
 	if v.success() {
 		h.recordSuccess(c)
 		h.transfers.record(c.route.Name, len(c.body)+len(body))
 	}
 	h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
-	copyHeaders(w, response)
+	h.dropBody(c)
+	copyHeaders(w, src.response)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(response.Status)
-	// A write error means that the caller has disconnected; nothing is left to do.
-	_, _ = w.Write(body)
+	w.WriteHeader(src.response.Status)
+	out := h.newOutput(w, c)
+	defer out.close()
+	out.allowEnd(true)
+	c.undelivered = out.write(body)
 	return false, nil
 }
 
+// dropBody frees the body of a call that will not be sent again. The caller may take long to
+// read the response.
+func (h *Handler) dropBody(c *call) {
+	c.body = nil
+	c.held.Set(memory.Body, 0, h.clock.Now())
+}
+
 // truncatedVerdict returns the verdict on a response whose body was cut short. ctx
 // is the attempt's context.
 func (h *Handler) truncatedVerdict(ctx context.Context, c *call) verdict {
@@ -82,6 +130,8 @@
 	response *direct.Response
 	ctx      context.Context
 	watchdog *watchdog
+	// sent is when the attempt began.
+	sent time.Time
 }
 
 // relayStream relays the events of a stream as they arrive. A stream that breaks
@@ -89,11 +139,16 @@
 // another target if the route allows it, and aborted otherwise. The results are
 // those of attempt.
 func (h *Handler) relayStream(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource) (shouldRetry bool, failed *failure.Error) {
-	out := &streamWriter{w: w, control: http.NewResponseController(w), lastID: c.lastEventID}
+	out := &streamWriter{w: w, output: h.newOutput(w, c), lastID: c.lastEventID}
+	defer out.close()
+	c.held.Set(memory.Stream, streamOverhead, h.clock.Now())
 	for {
-		err := out.copy(src.response, func() { h.recordEvents(c, src) }, func() {
+		err := out.copy(src, func() { h.recordEvents(c, src) }, func() {
 			h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 			copyHeaders(w, src.response)
+			if !c.route.Idempotent || c.attempts.Started() >= c.route.Direct.MaxAttempts {
+				h.dropBody(c)
+			}
 		})
 		src.response.Close()
 		c.lastEventID = out.lastID
@@ -102,27 +157,30 @@
 			h.release(c, src.target, dispatch.Served)
 			h.recordSuccess(c)
 			h.transfers.record(c.route.Name, len(c.body)+out.read)
-			out.finish(src.response)
+			if err := out.finish(src.response); err != nil {
+				h.abortStream(c, out, err.Error())
+			}
 			return false, nil
 		}
 		v := h.truncatedVerdict(src.ctx, c)
-		if errors.Is(err, errCallerDisconnected) {
+		if callerErr := out.failure(); callerErr != nil {
 			v = v.abandoned()
+			v.reason = callerErr.Error()
 		}
 		src.watchdog.stop()
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, v)
 		h.release(c, src.target, v.result)
 		shouldRetry := h.endFailedAttempt(ctx, c, v)
-		if !out.started {
+		if !out.started() {
 			return shouldRetry, h.finalFailure(c, v)
 		}
 		if !shouldRetry {
-			h.abortStream(c, v.reason)
+			h.abortStream(c, out, v.reason)
 		}
 		if out.unidentified {
-			h.abortStream(c, "the last event has no ID to resume after")
+			h.abortStream(c, out, "the last event has no ID to resume after")
 		}
-		src = h.resumeStream(ctx, c)
+		src = h.resumeStream(ctx, c, out)
 	}
 }
 
@@ -138,13 +196,13 @@
 
 // resumeStream continues a stream on another target and aborts it if none is
 // available.
-func (h *Handler) resumeStream(ctx context.Context, c *call) *streamSource {
+func (h *Handler) resumeStream(ctx context.Context, c *call, out *streamWriter) *streamSource {
 	c.work.QueueDeadline = h.clock.Now().Add(resumeLatencies * c.route.Direct.Latency)
 	c.work.Urgency = resumeUrgency
 	for {
 		t, err := h.acquireTarget(ctx, c)
 		if err != nil {
-			h.abortStream(c, "no target available to resume the stream")
+			h.abortStream(c, out, "no target available to resume the stream")
 		}
 		h.beginAttempt(c, t)
 		attemptCtx, watchdog := h.startWatchdog(ctx, c, t)
@@ -158,14 +216,18 @@
 		watchdog.stop()
 		h.release(c, t, v.result)
 		if !h.endFailedAttempt(ctx, c, v) {
-			h.abortStream(c, v.reason)
+			h.abortStream(c, out, v.reason)
 		}
 	}
 }
 
 // abortStream closes the caller's connection in the middle of a response, so that
-// the truncated stream cannot be mistaken for a complete one. It does not return.
-func (h *Handler) abortStream(c *call, reason string) {
+// the truncated stream cannot be mistaken for a complete one. The caller receives the events
+// that have arrived before. It does not return.
+func (h *Handler) abortStream(c *call, out *streamWriter, reason string) {
+	// The stream ends here in any case.
+	_ = out.drain()
+	out.output.markIncomplete()
 	h.recordEnd(c, "cut", reason)
 	panic(http.ErrAbortHandler)
 }
--- a/request/forward/verdict.go
+++ b/request/forward/verdict.go
@@ -79,6 +79,10 @@
 	if errors.As(err, &mismatch) {
 		v = incomplete(dispatch.Failed, "response belongs to another request, or does not say to which")
 	}
+	var stalled *direct.StalledError
+	if errors.As(err, &stalled) {
+		v = incomplete(dispatch.Silent, stalled.Error())
+	}
 	if errors.As(err, &connectionLimit) {
 		v = notRun(dispatch.Full, "no free connection")
 	}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -68,6 +68,14 @@
 // AnyDomain is the key of Delays for failure domains that are not named.
 const AnyDomain = "*"
 
+// Set sets the one-way delay from one failure domain to another.
+func (d Delays) Set(from, to string, delay time.Duration) {
+	if d[from] == nil {
+		d[from] = map[string]time.Duration{}
+	}
+	d[from][to] = delay
+}
+
 // Between returns the one-way delay between two different failure domains; false if it is
 // not stated.
 func (d Delays) Between(from, to string) (time.Duration, bool) {
