Judge no peer after this process was frozen; window of 6 s

Hosts have been seen to freeze for 4.5 s. After that the timers of an entry run late, and with a window of 4 s it would have ended healthy requests because nothing had moved meanwhile, or a caller that was frozen itself. A check that is late by over an eighth of the window now begins the window anew, and the least rate is 768 bytes in 6 s (128 B/s as before). The kernel's send queue is read first when a check needs it, not for each request. GOMEMLIMIT takes precedence over the limit from the setting memory.

--- a/connection/pace/meter.go
+++ b/connection/pace/meter.go
@@ -18,9 +18,9 @@
 
 // Default is the rate that applies to callers and targets. A stream of tokens has 1 to 3 KB/s,
 // and a peer at 128 B/s needs over a minute for the 8 KB of a short response. The window is
-// longer than the stalls of some seconds after lost packets, and shorter than the 8 s that
+// longer than the 4.5 s for which hosts have been seen to freeze, and shorter than the 8 s that
 // callers wait for a stream.
-var Default = Rate{Bytes: 512, Window: 4 * time.Second}
+var Default = Rate{Bytes: 768, Window: 6 * time.Second}
 
 // Meter measures progress while bytes wait for a peer. It does no I/O; times are passed in.
 type Meter struct {
@@ -41,6 +41,9 @@
 	}
 }
 
+// Restart begins the window anew, without the bytes moved so far.
+func (m *Meter) Restart(now time.Time) { m.windowStart, m.moved = now, 0 }
+
 // Idle records that no bytes wait for the peer.
 func (m *Meter) Idle() { m.waiting = false }
 
--- a/connection/pace/meter_test.go
+++ b/connection/pace/meter_test.go
@@ -72,3 +72,17 @@
 	time.Sleep(3 * rate.Window)
 	require.Nil(t, NewMonitor(Rate{}, nil, nil), "without a window nothing is monitored")
 }
+
+// TestLateCheckJudgesNobody guards against a process that was frozen, and ends healthy requests
+// when it goes on because nothing has moved meanwhile.
+func TestLateCheckJudgesNobody(t *testing.T) {
+	rate := Rate{Bytes: 100, Window: time.Minute}
+	m := NewMonitor(rate, nil, func() { t.Error("stalled") })
+	m.Wait()
+	now := time.Now()
+	m.mu.Lock()
+	m.due, m.meter.windowStart = now.Add(-rate.Window/2), now.Add(-2*rate.Window)
+	m.mu.Unlock()
+	m.check()
+	require.False(t, m.Close())
+}
--- a/connection/pace/monitor.go
+++ b/connection/pace/monitor.go
@@ -8,6 +8,9 @@
 // pollsPerWindow is how often a window is checked for bytes that moved unnoticed.
 const pollsPerWindow = 8
 
+// maxLateShare is the part of a window by which a check may be late and still judge the peer.
+const maxLateShare = 8
+
 // Monitor calls a function when a peer has stalled. It is safe for concurrent use. A nil
 // Monitor does nothing.
 type Monitor struct {
@@ -22,8 +25,10 @@
 	mu    sync.Mutex
 	meter Meter
 	// timer runs check; armed is set while it is about to.
-	timer           *time.Timer
-	armed           bool
+	timer *time.Timer
+	armed bool
+	// due is when the timer is to run check.
+	due             time.Time
 	stalled, closed bool
 }
 
@@ -43,16 +48,21 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.meter.Wait(time.Now())
-	if m.armed || m.closed || m.stalled {
-		return
+	now := time.Now()
+	m.meter.Wait(now)
+	if !m.armed && !m.closed && !m.stalled {
+		m.arm(m.interval(m.rate.Window), now)
 	}
-	m.armed = true
+}
+
+// arm has the timer run check after a time. The caller holds mu.
+func (m *Monitor) arm(after time.Duration, now time.Time) {
+	m.armed, m.due = true, now.Add(after)
 	if m.timer == nil {
-		m.timer = time.AfterFunc(m.interval(m.rate.Window), m.check)
+		m.timer = time.AfterFunc(after, m.check)
 		return
 	}
-	m.timer.Reset(m.interval(m.rate.Window))
+	m.timer.Reset(after)
 }
 
 // Moved records n moved bytes.
@@ -108,6 +118,10 @@
 		return
 	}
 	now := time.Now()
+	if now.Sub(m.due) > m.rate.Window/maxLateShare {
+		// This process was frozen or had no processor: the peer could move nothing.
+		m.meter.Restart(now)
+	}
 	if m.poll != nil {
 		moved, waiting := m.poll()
 		m.meter.Moved(moved, now)
@@ -122,8 +136,7 @@
 		return
 	}
 	if left > 0 {
-		m.armed = true
-		m.timer.Reset(m.interval(left))
+		m.arm(m.interval(left), now)
 	}
 }
 
--- a/connection/pace/unacked.go
+++ b/connection/pace/unacked.go
@@ -20,9 +20,13 @@
 	if err != nil {
 		return nil
 	}
-	last := queueLength(raw)
+	// Most exchanges end before the first call, which only sets the length to compare with.
+	last, known := 0, false
 	return func() (int64, bool) {
 		length := queueLength(raw)
+		if !known {
+			last, known = length, true
+		}
 		moved := int64(max(length-last, last-length))
 		last = length
 		return moved, length > 0
--- a/daemon/command/memory.go
+++ b/daemon/command/memory.go
@@ -16,5 +16,10 @@
 	}
 }
 
-// LimitMemory sets the number of bytes that the runtime keeps to by collecting more often.
-func LimitMemory(bytes int64) { debug.SetMemoryLimit(bytes) }
+// LimitMemory sets the number of bytes that the runtime keeps to by collecting more often,
+// unless GOMEMLIMIT is set.
+func LimitMemory(bytes int64) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(bytes)
+	}
+}
