Test forwarded rows that overlap, changed store status, directed callers

Three edits of the code passed the tests before: rows of overlapping batches applied twice, compact heartbeats that never state a change of the store, and callers directed to a domain taken for its own demand. Each now fails a test.

--- a/daemon/direct/compact_test.go
+++ b/daemon/direct/compact_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -66,10 +67,16 @@
 		received.PackedLoad = nil
 		require.Equal(t, message, received)
 	}
+	message.Store.TargetsChange++
+	encoded, err := p.sender.encode(message, p.now.Add(time.Minute))
+	require.NoError(t, err)
+	received, err := p.receiver.decode(encoded, p.now)
+	require.NoError(t, err)
+	require.Equal(t, message.Store, received.Store, "a change is sent")
 	message.Leavings = nil
 	full, err := cbor.Marshal(message)
 	require.NoError(t, err)
-	compact, err := p.sender.encode(message, p.now.Add(2*storeRepeatSpan))
+	compact, err := p.sender.encode(message, p.now.Add(time.Minute+2*storeRepeatSpan))
 	require.NoError(t, err)
 	t.Log(len(full), len(compact))
 	require.Less(t, 4*len(compact), len(full))
@@ -160,6 +167,10 @@
 	require.Less(t, sent("full")-full, 20_000.0)
 	f.start("edge-99", "z1")
 	f.requireReady()
+	require.Eventually(t, func() bool {
+		return len(f.entries[10].peers.Releases(time.Now())) == 10 &&
+			!slices.ContainsFunc(f.entries[10].peers.Releases(time.Now()), func(r release.Info) bool { return r.Build == "" })
+	}, 3*time.Second, 10*time.Millisecond, "it gets full heartbeats")
 	for _, e := range f.entries[:10] {
 		beat, known := e.peers.FindIncarnation(f.entries[10].self.Incarnation)
 		require.True(t, known)
--- a/daemon/follow/relay_test.go
+++ b/daemon/follow/relay_test.go
@@ -51,9 +51,12 @@
 			time.Sleep(time.Second)
 			require.True(t, cfg.Relay.Covers(at(7)))
 			require.Equal(t, at(7), cfg.Position.Change())
+			overlapping := batch(3, 9, "d")
+			overlapping.Rows = append(overlapping.Rows, ForwardedRow{Key: "b", Version: 5})
+			cfg.Relay.Offer(overlapping)
 		}()
 		followFor(t, cfg, relayCheckInterval-time.Second)
-		require.Equal(t, []string{"b", "c"}, observer.changes)
+		require.Equal(t, []string{"b", "c", "d"}, observer.changes)
 		require.Zero(t, store.feedCount())
 	})
 }
--- a/request/steer/spill_test.go
+++ b/request/steer/spill_test.go
@@ -117,6 +117,19 @@
 	require.Zero(t, r.spill.Part("a"), "all are full")
 }
 
+// TestDirectedCallersAreNotTakenForDemand guards against answers that go to and fro because the
+// callers directed to a domain seem to be its own, and leave it no capacity for them.
+func TestDirectedCallersAreNotTakenForDemand(t *testing.T) {
+	demand := map[string]float64{"a": 1.3, "b": 0.5, "c": 0.5}
+	r := newReplay(true)
+	r.overload(10*time.Second, func(domain string, _ time.Duration) float64 { return demand[domain] })
+	for range 100 {
+		load := r.step(func(domain string) float64 { return demand[domain] })
+		require.InDelta(t, 0.4/1.3, r.spill.Part("a"), 0.08, "the others take callers until 0.7 is in use")
+		require.Less(t, load["b"], 0.85)
+	}
+}
+
 // TestDemandThatMovesBetweenDomains replays callers that move from one failure domain to another
 // every 13 s.
 func TestDemandThatMovesBetweenDomains(t *testing.T) {
