Report an implausible use of the processor as not known

A process that uses over 1.2 of its quota is not limited by it, or the processor time is not that of this process alone, as where several run in one. Directories would move callers between entries, and to other failure domains, for no reason.

--- a/daemon/direct/capacity.go
+++ b/daemon/direct/capacity.go
@@ -94,14 +94,19 @@
 	s.busyGauge.Set(s.busy)
 }
 
-// maxBusyPercent bounds the reported use; a process may use more than its quota for a moment.
-const maxBusyPercent = 200
+// maxPlausibleBusy is the use up to which a measurement counts: a process that uses more than its
+// quota, beyond a burst, is not limited by it, or the measurement is not that of this process.
+const maxPlausibleBusy = 1.2
 
 // capacity returns what this entry reports of itself.
 func (s *steering) capacity() presence.Capacity {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return presence.Capacity{Millicores: uint32(1000 * s.weight), BusyPercent: uint8(min(100*s.busy, maxBusyPercent))}
+	capacity := presence.Capacity{Millicores: uint32(1000 * s.weight), BusyPercent: uint8(min(100*s.busy, 100*maxPlausibleBusy))}
+	if s.busy > maxPlausibleBusy {
+		capacity.BusyPercent = presence.BusyUnknown
+	}
+	return capacity
 }
 
 // update decides where to direct callers, and logs and exports it.
@@ -139,8 +144,12 @@
 // newHost returns what the directory needs to know of an entry.
 func newHost(peer presence.Peer, capacity presence.Capacity) steer.Host {
 	host := steer.Host{Address: peer.CallerAddress, FailureDomain: peer.FailureDomain, Busy: unknownBusy}
-	if capacity.Millicores > 0 {
-		host.Weight, host.Busy = float64(capacity.Millicores)/1000, float64(capacity.BusyPercent)/100
+	if capacity.Millicores == 0 {
+		return host
+	}
+	host.Weight = float64(capacity.Millicores) / 1000
+	if capacity.BusyPercent != presence.BusyUnknown {
+		host.Busy = float64(capacity.BusyPercent) / 100
 	}
 	return host
 }
--- a/daemon/direct/capacity_test.go
+++ b/daemon/direct/capacity_test.go
@@ -91,7 +91,10 @@
 	}
 	small := settings.Direct{Processor: 0.25, Cores: 2, Memory: 136, Link: 28}
 	require.Equal(t, presence.Capacity{Millicores: 250, BusyPercent: 39}, measured(small, 50*time.Millisecond, steerInterval))
-	require.Equal(t, uint8(maxBusyPercent), measured(small, steerInterval, steerInterval).BusyPercent)
+	require.Equal(t, uint8(presence.BusyUnknown), measured(small, steerInterval, steerInterval).BusyPercent, "four times its quota")
+	unknown := newHost(presence.Peer{}, measured(small, steerInterval, steerInterval))
+	require.Equal(t, steer.Host{Weight: 0.25, Busy: unknownBusy}, unknown)
+	require.Equal(t, uint8(109), measured(small, 137*time.Millisecond, steerInterval).BusyPercent, "a little more than its quota")
 	require.Equal(t, uint8(99), measured(small, time.Millisecond, steerInterval+2*overloadDelay).BusyPercent)
 	require.Zero(t, measured(settings.Direct{Memory: 136, Link: 28}, steerInterval, steerInterval))
 	require.Equal(t, uint32(250), measured(settings.Direct{Processor: 2, Cores: 0.25}, 0, steerInterval).Millicores)
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -60,10 +60,13 @@
 // Capacity is how much a process can serve and does; zero if it does not state it.
 type Capacity struct {
 	Millicores uint32 `cbor:"1,keyasint,omitempty"`
-	// BusyPercent is the part of it that is in use.
+	// BusyPercent is the part of it that is in use, or BusyUnknown.
 	BusyPercent uint8 `cbor:"2,keyasint,omitempty"`
 }
 
+// BusyUnknown is the value of Capacity.BusyPercent of a process that cannot measure it.
+const BusyUnknown = 255
+
 // Versions is the versions of the datagrams between entries that this build speaks. Version 2
 // adds heartbeats without what peers know already.
 var Versions = release.Range{Min: 1, Max: 2}
