Count a long response as at most four times the mean

An entry with 0.272 cores may get no processor time for some 100 ms, and has two responses of an order target in 4 s. One response of 300 ms instead of 15 then gave the target a pace of 0.25, and its requests crossed to other failure domains.

--- a/request/balance/mutant_test.go
+++ b/request/balance/mutant_test.go
@@ -45,6 +45,10 @@
 		"what is known of a slow target never fades", "TestPaceFollowsResponseTimes",
 		mutant.Edit{File: "pace.go", Old: "factor = math.Exp(-elapsed.Seconds() / paceWindow.Seconds())", New: "factor = math.Exp(0)"},
 	},
+	{
+		"a single response moves requests", "TestSingleLongResponseDoesNotMoveRequests",
+		mutant.Edit{File: "pace.go", Old: "min(seconds, maxRise*r.sum/r.count)", New: "seconds + 0*maxRise"},
+	},
 	{
 		"requests without a response do not count", "TestRequestsWithoutResponseCountAsSlow",
 		mutant.Edit{File: "pace.go", Old: "if seconds := elapsed.Seconds(); complete || r.count > 0 && seconds > r.sum/r.count {", New: "if seconds := elapsed.Seconds(); complete {"},
--- a/request/balance/pace.go
+++ b/request/balance/pace.go
@@ -16,6 +16,9 @@
 	// maxResponses is the number of responses that the mean is taken of, at most, so that a
 	// target with many requests is tried again as soon as one with few.
 	maxResponses = 8
+	// maxRise is how much longer than the mean a response may count as. A host that gives this
+	// process no time for a few 100 ms would otherwise make a target seem slow that takes 15 ms.
+	maxRise = 4
 	// paceTolerance is the ratio of response times up to which a target counts as equally
 	// fast: the means of a few responses differ by chance, and other failure domains are
 	// farther away.
@@ -36,6 +39,9 @@
 func (r *ResponseTimes) Record(elapsed time.Duration, complete bool, now time.Time) {
 	r.decay(now)
 	if seconds := elapsed.Seconds(); complete || r.count > 0 && seconds > r.sum/r.count {
+		if r.count > 0 {
+			seconds = min(seconds, maxRise*r.sum/r.count)
+		}
 		r.sum += seconds
 		r.count++
 		factor := min(maxResponses/r.count, 1)
--- a/request/balance/pace_test.go
+++ b/request/balance/pace_test.go
@@ -43,6 +43,17 @@
 	require.Greater(t, targets[0].Pace(Reference(targets, now), now), 0.5, "it is tried again")
 }
 
+// TestSingleLongResponseDoesNotMoveRequests guards against requests that cross because this
+// host was busy once: at a small entry, with two responses of a target in 4 s, a pace below
+// 0.5 lets the other targets get a request first.
+func TestSingleLongResponseDoesNotMoveRequests(t *testing.T) {
+	const normal = 15 * time.Millisecond
+	targets := []*ResponseTimes{{}, {}, {}}
+	now := observe(targets, []time.Duration{normal, normal, normal}, 2, 2*time.Second, start)
+	targets[0].Record(300*time.Millisecond, true, now)
+	require.Greater(t, targets[0].Pace(Reference(targets, now), now), 0.5)
+}
+
 // TestRequestsWithoutResponseCountAsSlow guards against a target that looks fast because only
 // its quick responses arrive before the callers give up.
 func TestRequestsWithoutResponseCountAsSlow(t *testing.T) {
