Queue requests by whether they can still be served in time

Requests waited for up to 0.6 of their objective whatever the targets needed, so at full engines most of those that were served were late by a few milliseconds, and callers that came back late after a rejection took slots from new requests.

The dispatcher now learns per service and by how full a target is how long it takes from dispatch to the first event or whole response. A queued request becomes late when the time left no longer covers that. Late requests, also those of callers whose stated time left shows an earlier attempt, start only when no request waits that can be in time; at most this process's part of the service's slots wait, the others are rejected at once. Without estimates the share of 0.6 applies as before. Waiting requests of equal urgency are ordered among organisations by the fair queueing of package admit.

Not measured yet beyond unit tests.

--- a/request/admit/classqueue.go
+++ b/request/admit/classqueue.go
@@ -47,6 +47,8 @@
 	rank         int
 	weight, cost float64
 	ready        chan struct{}
+	// value is the ticket of a waiter in a FairOrder, otherwise nil.
+	value *FairTicket
 
 	// The queue's mu guards ended and started, and shedError until ready is
 	// closed.
@@ -291,7 +293,12 @@
 		if other != w {
 			continue
 		}
-		f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
+		if i == 0 {
+			f.waiting[0] = nil
+			f.waiting = f.waiting[1:]
+		} else {
+			f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
+		}
 		c.queued--
 		c.updateHeap(f)
 		return true
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"verbenaseam.example/verbenaseam/request/admit"
 )
 
 // Acquire returns a target for the work, or a Waiter if the work has to be queued, or
@@ -12,25 +14,20 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pool := d.pool(work.Service)
-	if len(pool.waiting) == 0 || pool.waiting[0].work.Urgency > work.Urgency {
+	wait, known := pool.waitOf(&work, now)
+	if late := known && !now.Before(wait.LatestStart); !pool.waiting.blocks(late, work.Urgency) {
 		if t := d.choose(pool, &work, now); t != nil {
 			t.take(now)
 			return t, nil
 		}
 	}
-	d.lastSequence++
-	w := &Waiter{work: work, granted: make(chan *Target, 1), sequence: d.lastSequence}
-	if !d.canServeLater(pool, &work, pool.waiting.ahead(w), now) {
-		return nil, nil
-	}
-	pool.waiting.add(w)
-	return nil, w
+	return nil, d.queue(pool, work, wait, now)
 }
 
 // canServeLater reports whether there are usable targets that the work was not sent to yet
 // and that take more requests, by their pauses and limits, than those ahead of it in the
 // queue until the work is taken out of it.
-func (d *Dispatcher) canServeLater(pool *pool, work *Request, ahead int, now time.Time) bool {
+func (d *Dispatcher) canServeLater(pool *pool, work *Request, ahead func() int, now time.Time) bool {
 	starts := 0
 	for _, t := range pool.targets {
 		if !t.usable(d.domainsOut) || work.tried(t) {
@@ -39,7 +36,7 @@
 		if !t.pause.active(now) || t.pause.resumesAt.Before(work.QueueDeadline) {
 			starts += d.limitStarts(t, now, work.QueueDeadline)
 		}
-		if starts > ahead {
+		if starts >= unlimitedStarts || starts > ahead() {
 			return true
 		}
 	}
@@ -77,7 +74,7 @@
 // targets of their service name leave no place.
 func (d *Dispatcher) rejectAllHopeless(now time.Time) {
 	for _, pool := range d.pools {
-		if len(pool.waiting) > 0 && pool.limited(d.domainsOut) {
+		if pool.waiting.len() > 0 && pool.limited(d.domainsOut) {
 			d.rejectHopeless(pool, now)
 		}
 	}
@@ -87,33 +84,50 @@
 // already sent to some targets and finds none of the others free is skipped, so that
 // it does not block those behind it.
 func (d *Dispatcher) grant(pool *pool, now time.Time) {
-	var skipped []*Waiter
-	for len(pool.waiting) > 0 {
-		first := pool.waiting[0]
-		t := d.choose(pool, &first.work, now)
-		if t == nil && len(first.work.Tried) == 0 {
+	if pool.waiting.len() == 0 {
+		return
+	}
+	d.setAsideLate(pool, now)
+	for _, class := range slices.Clone(pool.waiting.classes) {
+		if !d.grantClass(pool, class, now) {
 			break
 		}
-		pool.waiting.remove(first)
+	}
+	pool.waiting.dropEmptyClasses()
+}
+
+// grantClass assigns targets to the waiters of one class. It returns false if no target is
+// free for any waiter.
+func (d *Dispatcher) grantClass(pool *pool, class *waitClass, now time.Time) bool {
+	var skipped []*admit.FairTicket
+	defer func() {
+		for _, ticket := range slices.Backward(skipped) {
+			class.order.Return(ticket)
+		}
+	}()
+	for class.order.Len() > 0 {
+		next := class.order.Peek()
+		w := next.Value.(*Waiter)
+		t := d.choose(pool, &w.work, now)
+		if t == nil && len(w.work.Tried) == 0 {
+			return false
+		}
 		if t == nil {
-			skipped = append(skipped, first)
+			skipped = append(skipped, class.order.Pop())
 			continue
 		}
+		pool.waiting.pop(class)
 		t.take(now)
-		first.granted <- t
-	}
-	for _, w := range skipped {
-		pool.waiting.add(w)
+		w.granted <- t
 	}
+	return true
 }
 
-// rejectHopeless ends the wait of requests that no target can serve in time any more.
+// rejectHopeless ends the wait of requests that no target takes before they give up.
 func (d *Dispatcher) rejectHopeless(pool *pool, now time.Time) {
-	waiting := slices.Clone(pool.waiting)
-	slices.SortFunc(waiting, compareWaiters)
 	ahead := 0
-	for _, w := range waiting {
-		if d.canServeLater(pool, &w.work, ahead, now) {
+	for _, w := range pool.waiting.ordered() {
+		if d.canServeLater(pool, &w.work, func() int { return ahead }, now) {
 			ahead++
 			continue
 		}
--- a/request/dispatch/dispatch_test.go
+++ b/request/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/capacity"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -34,7 +35,7 @@
 }
 
 func work(urgency int, tried ...*Target) Request {
-	return Request{Service: "s", Urgency: urgency, Arrived: start, QueueDeadline: at(time.Second), Tried: tried}
+	return Request{Service: "s", Urgency: urgency, Timing: capacity.Timing{Arrived: start}, QueueDeadline: at(time.Second), Tried: tried}
 }
 
 func take(t *testing.T, d *Dispatcher, now time.Time) *Target {
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/capacity"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -17,6 +18,8 @@
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
 	usualWait    usualWait
+	// responseTimes are learned from this process's own requests.
+	responseTimes capacity.ResponseTimes
 	// nextReassign is when the next request may be moved away from a slow target.
 	nextReassign time.Time
 }
--- a/request/dispatch/limit_sim_test.go
+++ b/request/dispatch/limit_sim_test.go
@@ -344,7 +344,7 @@
 		{File: "dispatcher.go", Old: "	added.rateLimit = d.limits[added.incarnationID()]\n", New: ""},
 	}},
 	{"waiting requests ignore limits", []mutant.Edit{
-		{File: "choose.go", Old: "!d.limitAllows(t, now)", New: "!d.limitAllows(t, now) && len(pool.waiting) == 0"},
+		{File: "choose.go", Old: "!d.limitAllows(t, now)", New: "!d.limitAllows(t, now) && pool.waiting.len() == 0"},
 	}},
 	{"what is sent does not count", []mutant.Edit{
 		{File: "acquire.go", Old: "		t.rateLimit.lastStart = now\n", New: ""},
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -3,7 +3,11 @@
 import (
 	"cmp"
 	"container/heap"
+	"slices"
 	"time"
+
+	"verbenaseam.example/verbenaseam/request/admit"
+	"verbenaseam.example/verbenaseam/request/capacity"
 )
 
 // Request is a request that needs a target.
@@ -11,9 +15,16 @@
 	Service string
 	// Urgency orders the queue; lower values go first.
 	Urgency int
-	// Arrived is when the request arrived. QueueDeadline is when the caller of Acquire
-	// cancels the wait if the request is still in the queue.
-	Arrived, QueueDeadline time.Time
+	// Organisation is the organisation that shares slots with others of equal urgency; Weight
+	// is its share, 0 means 1.
+	Organisation string
+	Weight       float64
+	// Timing is when the request arrived and how much time it has. A Timing without Objective
+	// means that it is never late.
+	Timing capacity.Timing
+	// QueueDeadline is when the request is rejected if it is still in the queue, unless
+	// response times of the service and an objective are known.
+	QueueDeadline time.Time
 	// Tried are the targets that the request was already sent to.
 	Tried []*Target
 }
@@ -31,71 +42,199 @@
 type Waiter struct {
 	work    Request
 	granted chan *Target
-	// index is the position in the heap, or -1 after removal.
-	index int
-	// sequence orders waiters of the same urgency by arrival.
+	// sequence orders waiters by arrival.
 	sequence uint64
+	// latestStart is when the request becomes late; zero for never.
+	latestStart time.Time
+	// late is set once it cannot be served in time any more; it then starts only if no
+	// request waits that can.
+	late bool
+	// crowdedOut is set if it was rejected because too many late requests wait.
+	crowdedOut bool
+	// class and ticket are its place in the queue; nil after removal.
+	class  *waitClass
+	ticket *admit.FairTicket
+	// index is its position in waitQueue.timely, or -1.
+	index int
 }
 
 // Granted returns a channel that yields the granted target, once, or nil if no target can
-// serve the request in time any more.
+// serve the request any more.
 func (w *Waiter) Granted() <-chan *Target { return w.granted }
 
-// waitQueue is a heap of waiters, ordered by urgency and then by arrival.
-type waitQueue []*Waiter
+// GiveUp returns when the caller of Acquire should cancel the wait.
+func (w *Waiter) GiveUp() time.Time { return w.work.QueueDeadline }
 
-// Len implements heap.Interface.
-func (q waitQueue) Len() int { return len(q) }
+// CrowdedOut reports, after Granted has yielded nil, whether the targets are too busy for the
+// request to wait longer; otherwise no target takes it.
+func (w *Waiter) CrowdedOut() bool { return w.crowdedOut }
 
-// Less implements heap.Interface.
-func (q waitQueue) Less(i, j int) bool { return compareWaiters(q[i], q[j]) < 0 }
+// waitClass holds the waiters of one urgency that are late, or those that are not.
+type waitClass struct {
+	late    bool
+	urgency int
+	order   *admit.FairOrder
+}
+
+// compareClasses orders classes: requests that can be in time go before those that cannot,
+// then by urgency.
+func compareClasses(late bool, urgency int, class *waitClass) int {
+	if late != class.late {
+		if late {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(urgency, class.urgency)
+}
 
-// compareWaiters orders waiters by urgency and then by arrival.
-func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(cmp.Compare(a.work.Urgency, b.work.Urgency), cmp.Compare(a.sequence, b.sequence))
+// waitQueue holds the requests that wait for a target of a service.
+type waitQueue struct {
+	// classes are those with waiters, in the order in which they are served.
+	classes []*waitClass
+	// timely are the waiters that become late at some time, by that time.
+	timely timelyHeap
+	count  int
+	// lateCount is the number of late waiters.
+	lateCount int
 }
 
-// ahead returns the number of waiters that go before w.
-func (q waitQueue) ahead(w *Waiter) int {
+func (q *waitQueue) len() int { return q.count }
+
+// blocks reports whether waiters go before a new request.
+func (q *waitQueue) blocks(late bool, urgency int) bool {
+	return len(q.classes) > 0 && compareClasses(late, urgency, q.classes[0]) >= 0
+}
+
+// ahead returns the number of waiters that go before a new request. Those of other
+// organisations with the same urgency all count.
+func (q *waitQueue) ahead(late bool, urgency int) int {
 	count := 0
-	for _, other := range q {
-		if compareWaiters(other, w) < 0 {
-			count++
+	for _, class := range q.classes {
+		if compareClasses(late, urgency, class) >= 0 {
+			count += class.order.Len()
 		}
 	}
 	return count
 }
 
+// class returns the class of an urgency, which it adds if there is none.
+func (q *waitQueue) class(late bool, urgency int) *waitClass {
+	at, found := slices.BinarySearchFunc(q.classes, urgency, func(class *waitClass, urgency int) int {
+		return -compareClasses(late, urgency, class)
+	})
+	if !found {
+		q.classes = slices.Insert(q.classes, at, &waitClass{late: late, urgency: urgency, order: admit.NewFairOrder()})
+	}
+	return q.classes[at]
+}
+
+func (q *waitQueue) add(w *Waiter) {
+	w.class = q.class(w.late, w.work.Urgency)
+	w.ticket = w.class.order.Push(w.work.Organisation, w.work.Weight, w)
+	w.index = -1
+	q.count++
+	if w.late {
+		q.lateCount++
+	} else if !w.latestStart.IsZero() {
+		heap.Push(&q.timely, w)
+	}
+}
+
+// remove removes a waiter. It returns false if the waiter is not in the queue.
+func (q *waitQueue) remove(w *Waiter) bool {
+	if w.class == nil || !w.class.order.Remove(w.ticket) {
+		return false
+	}
+	q.removed(w)
+	q.dropEmptyClasses()
+	return true
+}
+
+// pop removes and returns the next waiter of a class, which stays even if it is empty then.
+func (q *waitQueue) pop(class *waitClass) *Waiter {
+	ticket := class.order.Pop()
+	class.order.Finish(ticket)
+	w := ticket.Value.(*Waiter)
+	q.removed(w)
+	return w
+}
+
+// popNewestLate removes and returns a late waiter of the least urgent kind, the newest of the
+// organisation with the longest queue; nil if there is none.
+func (q *waitQueue) popNewestLate() *Waiter {
+	if q.lateCount == 0 {
+		return nil
+	}
+	w := q.classes[len(q.classes)-1].order.PopLongest().Value.(*Waiter)
+	q.removed(w)
+	q.dropEmptyClasses()
+	return w
+}
+
+// removed updates the queue after a waiter has left its class.
+func (q *waitQueue) removed(w *Waiter) {
+	q.count--
+	if w.late {
+		q.lateCount--
+	}
+	if w.index >= 0 {
+		heap.Remove(&q.timely, w.index)
+	}
+	w.class, w.ticket = nil, nil
+}
+
+func (q *waitQueue) dropEmptyClasses() {
+	q.classes = slices.DeleteFunc(q.classes, func(class *waitClass) bool { return class.order.Len() == 0 })
+}
+
+// nextLate returns the waiter that has become late first, or nil if none has.
+func (q *waitQueue) nextLate(now time.Time) *Waiter {
+	if len(q.timely) == 0 || now.Before(q.timely[0].latestStart) {
+		return nil
+	}
+	return q.timely[0]
+}
+
+// ordered returns the waiters by class and then by arrival.
+func (q *waitQueue) ordered() []*Waiter {
+	var all []*Waiter
+	for _, class := range q.classes {
+		from := len(all)
+		class.order.Each(func(ticket *admit.FairTicket) { all = append(all, ticket.Value.(*Waiter)) })
+		slices.SortFunc(all[from:], func(a, b *Waiter) int { return cmp.Compare(a.sequence, b.sequence) })
+	}
+	return all
+}
+
+// timelyHeap orders waiters by the time at which they become late.
+type timelyHeap []*Waiter
+
+// Len implements heap.Interface.
+func (h timelyHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h timelyHeap) Less(i, j int) bool { return h[i].latestStart.Before(h[j].latestStart) }
+
 // Swap implements heap.Interface.
-func (q waitQueue) Swap(i, j int) {
-	q[i], q[j] = q[j], q[i]
-	q[i].index, q[j].index = i, j
+func (h timelyHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
 }
 
 // Push implements heap.Interface.
-func (q *waitQueue) Push(x any) {
+func (h *timelyHeap) Push(x any) {
 	w := x.(*Waiter)
-	w.index = len(*q)
-	*q = append(*q, w)
+	w.index = len(*h)
+	*h = append(*h, w)
 }
 
 // Pop implements heap.Interface.
-func (q *waitQueue) Pop() any {
-	old := *q
+func (h *timelyHeap) Pop() any {
+	old := *h
 	last := old[len(old)-1]
 	old[len(old)-1] = nil
-	*q = old[:len(old)-1]
+	*h = old[:len(old)-1]
 	last.index = -1
 	return last
 }
-
-func (q *waitQueue) add(w *Waiter) { heap.Push(q, w) }
-
-// remove removes a waiter. It returns false if the waiter is not in the queue.
-func (q *waitQueue) remove(w *Waiter) bool {
-	if w.index < 0 {
-		return false
-	}
-	heap.Remove(q, w.index)
-	return true
-}
--- a/request/dispatch/silence.go
+++ b/request/dispatch/silence.go
@@ -49,6 +49,7 @@
 	defer d.mu.Unlock()
 	pool := d.pool(t.registration.Service)
 	pool.usualWait.record(wait)
+	pool.responseTimes.Observe(t.fullness(), wait, now)
 	t.lastProgress, pool.lastProgress = now, now
 }
 
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -72,6 +72,11 @@
 	return total
 }
 
+// fullness returns the target's load as a share of its slots.
+func (t *Target) fullness() float64 {
+	return float64(t.load()) / float64(max(t.registration.Capacity, 1))
+}
+
 // setRegistration updates the target from its latest registration.
 func (t *Target) setRegistration(registration target.Registration, now time.Time) {
 	t.registration = registration
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -10,6 +10,7 @@
 
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/capacity"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/intake"
@@ -86,7 +87,10 @@
 	}
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEventID = r.Header.Get(h.headers.LastEvent)
-	c.work = dispatch.Request{Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline()}
+	c.work = dispatch.Request{
+		Service: c.service, Urgency: c.urgency(), Organisation: c.organisationName(), Weight: c.weight(),
+		Timing: h.timing(c), QueueDeadline: c.queueDeadline(),
+	}
 	c.attempts = retry.NewSession(retry.Policy{
 		MaxAttempts: c.route.Direct.MaxAttempts, NonIdempotent: !c.route.Idempotent, Deadline: c.deadline,
 		Budget: h.budget(c.service), MinAttemptTime: minAttemptTime,
@@ -193,11 +197,30 @@
 	return c.route.Direct.Urgency
 }
 
+// weight returns the organisation's weight, 0 for the default one.
+func (c *call) weight() float64 {
+	if c.organisation == nil {
+		return 0
+	}
+	return c.organisation.Weight
+}
+
+// timing returns what the dispatcher needs to know of the time that the call has.
+func (h *Handler) timing(c *call) capacity.Timing {
+	timing := capacity.Timing{Arrived: c.started, Objective: c.route.Direct.Latency, Deadline: c.deadline}
+	// A caller that resumes a stream has received its first event already.
+	if left, ok := parseTimeout(c.request.Header.Get(h.headers.Deadline)); ok && c.lastEventID == "" {
+		timing.Age = h.attemptAges.age(c.route.Name, left)
+	}
+	return timing
+}
+
 // queueShare is the share of the route's latency objective that a request may spend
-// in the queue; after a longer wait it could not be served in time.
+// in the queue while the dispatcher does not know how long the targets need.
 const queueShare = 0.6
 
-// queueDeadline returns when the call is rejected if it is still in the queue.
+// queueDeadline returns when the call is rejected if it is still in the queue and the
+// dispatcher does not know how long the targets need.
 func (c *call) queueDeadline() time.Time {
 	latency := c.route.Direct.Latency
 	if latency <= 0 {
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -54,6 +54,7 @@
 	promptParts func(http.Header) []uint64
 	trialRank   func(fingerprint uint64) int
 	checks      *targetChecks
+	attemptAges *attemptAges
 	metrics     *metrics.Metrics
 	clock       clockwork.Clock
 	log         *logrus.Entry
@@ -64,7 +65,7 @@
 	return &Handler{
 		headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
-		promptParts: cfg.PromptParts, trialRank: cfg.TrialRank, checks: newTargetChecks(),
+		promptParts: cfg.PromptParts, trialRank: cfg.TrialRank, checks: newTargetChecks(), attemptAges: newAttemptAges(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
@@ -135,7 +136,7 @@
 }
 
 // awaitTarget obtains a target for a call. If none is free, it waits in the
-// dispatcher's queue until the call's queue deadline.
+// dispatcher's queue until the dispatcher gives it up.
 func (h *Handler) awaitTarget(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
 	now := h.clock.Now()
 	t, waiter := h.dispatcher.Acquire(c.work, now)
@@ -145,11 +146,11 @@
 	if waiter == nil {
 		return nil, h.noTarget(c)
 	}
-	timer := h.clock.NewTimer(c.work.QueueDeadline.Sub(now))
+	timer := h.clock.NewTimer(waiter.GiveUp().Sub(now))
 	defer timer.Stop()
 	select {
 	case t = <-waiter.Granted():
-		if t == nil {
+		if t == nil && !waiter.CrowdedOut() {
 			return nil, h.noTarget(c)
 		}
 	case <-timer.Chan():
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -135,7 +135,7 @@
 // available.
 func (h *Handler) resumeStream(ctx context.Context, c *call) *streamSource {
 	c.work.QueueDeadline = h.clock.Now().Add(resumeLatencies * c.route.Direct.Latency)
-	c.work.Urgency = resumeUrgency
+	c.work.Urgency, c.work.Timing.Objective = resumeUrgency, 0
 	for {
 		t, err := h.acquireTarget(ctx, c)
 		if err != nil {
