Reserve slots for more urgent requests, derive Retry-After from the drain time

An entry ordered its own queue only, so a burst of the least urgent kind took the slots of the service before more urgent requests arrived elsewhere, and engines ordered their queues by arrival.

Where the requests of a service differ in urgency, entries report arrivals and waiting requests by urgency in their heartbeats (field 12). A less urgent request starts only if the free slots exceed those that wait at all entries, expected arrivals that freed slots do not cover, and one standard deviation; each entry takes its share of the rest. Urgencies that start less than 0.3 times as often as all go first once. The urgency is sent to targets. Callers that came back late get one of four starts before less urgent requests. Retry-After is the expected drain time of the queue with jitter; until it is known, the fixed times apply.

--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -147,6 +147,7 @@
 	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(now), h.evidence(now))
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
+		e.dispatcher.SetPeerDemand(name, nil, now)
 	}
 	e.setProcesses()
 	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
@@ -160,7 +161,7 @@
 	encoded, err := cbor.Marshal(datagram{
 		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
 			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
-			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
+			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release, Demand: e.dispatcher.Demand(e.clock.Now()),
 		}},
 		Evidence: evidence,
 	})
@@ -233,6 +234,7 @@
 		}
 		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
 			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
+			h.entry.dispatcher.SetPeerDemand(received.Peer.Name, received.Demand, now)
 			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
 		}
 	}
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -43,6 +43,18 @@
 	Release release.Info `cbor:"10,keyasint,omitempty"`
 	// Limits are what targets told the process of how many requests they take.
 	Limits []TargetLimit `cbor:"11,keyasint,omitempty"`
+	// Demand is what the process has to serve, by service and urgency.
+	Demand []ServiceDemand `cbor:"12,keyasint,omitempty"`
+}
+
+// ServiceDemand is what a process has to serve of one urgency of a service.
+type ServiceDemand struct {
+	Service string `cbor:"1,keyasint"`
+	Urgency int    `cbor:"2,keyasint"`
+	// PerSecond is the number of requests that arrive per second, Waiting how many wait for a
+	// target that can still be served in time.
+	PerSecond float32 `cbor:"3,keyasint"`
+	Waiting   int     `cbor:"4,keyasint,omitempty"`
 }
 
 // Versions is the versions of the datagrams between entries that this build speaks.
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -14,10 +14,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	pool := d.pool(work.Service)
-	wait, known := pool.waitOf(&work, now)
-	if late := known && !now.Before(wait.LatestStart); !pool.waiting.blocks(late, work.Urgency) {
+	pool.recordArrival(&work, now)
+	wait := pool.waitOf(&work, now)
+	tier := tierOf(&work, wait, now)
+	if !pool.waiting.blocks(tier, work.Urgency) && d.mayStart(pool, tier, work.Urgency, now) {
 		if t := d.choose(pool, &work, now); t != nil {
-			t.take(now)
+			d.start(pool, t, &work, now)
 			return t, nil
 		}
 	}
@@ -54,6 +56,12 @@
 	return <-w.granted
 }
 
+// start records that a request is sent to a target.
+func (d *Dispatcher) start(pool *pool, t *Target, work *Request, now time.Time) {
+	t.take(now)
+	pool.recordStart(work, now)
+}
+
 // take counts a request as running on the target and records when it was sent.
 func (t *Target) take(now time.Time) {
 	t.running++
@@ -80,14 +88,21 @@
 	}
 }
 
-// grant assigns targets to the waiters of a pool in queue order. A waiter that was
-// already sent to some targets and finds none of the others free is skipped, so that
-// it does not block those behind it.
+// returnedTurn is the number of starts of which one goes to a caller that came back late
+// after a rejection, before less urgent requests that can be in time. It is served although
+// its response is worth less, and takes at most this part of their slots.
+const returnedTurn = 4
+
+// grant assigns targets to the waiters of a pool in queue order, except that requests of
+// urgencies that are started too rarely go first. A waiter that was already sent to some
+// targets and finds none of the others free is skipped, so that it does not block those
+// behind it. A class is passed over while the free slots are kept for more urgent requests.
 func (d *Dispatcher) grant(pool *pool, now time.Time) {
 	if pool.waiting.len() == 0 {
 		return
 	}
 	d.setAsideLate(pool, now)
+	d.grantBelowFloor(pool, now)
 	for _, class := range slices.Clone(pool.waiting.classes) {
 		if !d.grantClass(pool, class, now) {
 			break
@@ -96,6 +111,18 @@
 	pool.waiting.dropEmptyClasses()
 }
 
+// grantBelowFloor assigns a target to one waiter of each urgency that is started too rarely.
+func (d *Dispatcher) grantBelowFloor(pool *pool, now time.Time) {
+	if !pool.mixedUrgency() {
+		return
+	}
+	for _, class := range pool.waiting.classes {
+		if class.tier == timely && pool.startShares.BelowFloor(class.urgency, now) {
+			d.grantNext(pool, class, now)
+		}
+	}
+}
+
 // grantClass assigns targets to the waiters of one class. It returns false if no target is
 // free for any waiter.
 func (d *Dispatcher) grantClass(pool *pool, class *waitClass, now time.Time) bool {
@@ -105,24 +132,38 @@
 			class.order.Return(ticket)
 		}
 	}()
-	for class.order.Len() > 0 {
-		next := class.order.Peek()
-		w := next.Value.(*Waiter)
-		t := d.choose(pool, &w.work, now)
-		if t == nil && len(w.work.Tried) == 0 {
+	for class.order.Len() > 0 && d.mayStart(pool, class.tier, class.urgency, now) {
+		if returned := pool.waiting.returnedBefore(class.urgency); class.tier == timely && returned != nil {
+			if pool.startsSinceReturned++; pool.startsSinceReturned%returnedTurn == 0 {
+				d.grantNext(pool, returned, now)
+				continue
+			}
+		}
+		granted, free := d.grantNext(pool, class, now)
+		if !free {
 			return false
 		}
-		if t == nil {
+		if !granted {
 			skipped = append(skipped, class.order.Pop())
-			continue
 		}
-		pool.waiting.pop(class)
-		t.take(now)
-		w.granted <- t
 	}
 	return true
 }
 
+// grantNext assigns a target to the next waiter of a class, which is not empty. granted is
+// false if no target is free for it; free is false if none is for any waiter.
+func (d *Dispatcher) grantNext(pool *pool, class *waitClass, now time.Time) (granted, free bool) {
+	w := class.order.Peek().Value.(*Waiter)
+	t := d.choose(pool, &w.work, now)
+	if t == nil {
+		return false, len(w.work.Tried) > 0
+	}
+	pool.waiting.pop(class)
+	d.start(pool, t, &w.work, now)
+	w.granted <- t
+	return true, true
+}
+
 // rejectHopeless ends the wait of requests that no target takes before they give up.
 func (d *Dispatcher) rejectHopeless(pool *pool, now time.Time) {
 	ahead := 0
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -20,6 +20,11 @@
 	usualWait    usualWait
 	// responseTimes are learned from this process's own requests.
 	responseTimes capacity.ResponseTimes
+	sharing       sharing
+	startShares   capacity.StartShares
+	// startsSinceReturned counts the starts while callers that came back late wait; see
+	// returnedTurn.
+	startsSinceReturned int
 	// nextReassign is when the next request may be moved away from a slow target.
 	nextReassign time.Time
 }
@@ -62,6 +67,10 @@
 	learningUntil time.Time
 	// pauses holds the pauses that incarnations have asked for.
 	pauses map[incarnationID]*pause
+	// heardDemand is when the other processes last reported their demand, reportInterval the
+	// mean time between two reports of one.
+	heardDemand    map[string]time.Time
+	reportInterval time.Duration
 }
 
 // New returns a Dispatcher without targets.
@@ -71,6 +80,7 @@
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
 		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits,
+		heardDemand: map[string]time.Time{}, reportInterval: defaultReportInterval,
 	}
 }
 
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -46,9 +46,7 @@
 	sequence uint64
 	// latestStart is when the request becomes late; zero for never.
 	latestStart time.Time
-	// late is set once it cannot be served in time any more; it then starts only if no
-	// request waits that can.
-	late bool
+	tier        tier
 	// crowdedOut is set if it was rejected because too many late requests wait.
 	crowdedOut bool
 	// class and ticket are its place in the queue; nil after removal.
@@ -69,23 +67,42 @@
 // request to wait longer; otherwise no target takes it.
 func (w *Waiter) CrowdedOut() bool { return w.crowdedOut }
 
-// waitClass holds the waiters of one urgency that are late, or those that are not.
+// tier orders requests by whether they can be served in time.
+type tier uint8
+
+// Tiers.
+const (
+	// timely requests can still be served in time.
+	timely tier = iota
+	// lateReturned requests cannot. Their callers have come back after a rejection, so they
+	// get some slots before less urgent requests that can.
+	lateReturned
+	// late requests have waited too long. They get slots that no other request needs.
+	late
+)
+
+// tierOf returns the tier of a request that may wait as given.
+func tierOf(work *Request, wait capacity.Wait, now time.Time) tier {
+	switch {
+	case wait.LatestStart.IsZero() || now.Before(wait.LatestStart):
+		return timely
+	case work.Timing.Age > 0:
+		return lateReturned
+	default:
+		return late
+	}
+}
+
+// waitClass holds the waiters of one tier and urgency.
 type waitClass struct {
-	late    bool
+	tier    tier
 	urgency int
 	order   *admit.FairOrder
 }
 
-// compareClasses orders classes: requests that can be in time go before those that cannot,
-// then by urgency.
-func compareClasses(late bool, urgency int, class *waitClass) int {
-	if late != class.late {
-		if late {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Compare(urgency, class.urgency)
+// compareClasses orders classes by tier, then by urgency.
+func compareClasses(tier tier, urgency int, class *waitClass) int {
+	return cmp.Or(cmp.Compare(tier, class.tier), cmp.Compare(urgency, class.urgency))
 }
 
 // waitQueue holds the requests that wait for a target of a service.
@@ -101,17 +118,42 @@
 
 func (q *waitQueue) len() int { return q.count }
 
-// blocks reports whether waiters go before a new request.
-func (q *waitQueue) blocks(late bool, urgency int) bool {
-	return len(q.classes) > 0 && compareClasses(late, urgency, q.classes[0]) >= 0
+// blocks reports whether waiters go before a new request, always or at some turns.
+func (q *waitQueue) blocks(tier tier, urgency int) bool {
+	if len(q.classes) == 0 {
+		return false
+	}
+	return compareClasses(tier, urgency, q.classes[0]) >= 0 || q.returnedBefore(urgency) != nil
+}
+
+// returnedBefore returns the most urgent class of callers that came back late, if it is more
+// urgent than the given urgency, otherwise nil.
+func (q *waitQueue) returnedBefore(urgency int) *waitClass {
+	for _, class := range q.classes {
+		if class.tier == lateReturned && class.urgency < urgency && class.order.Len() > 0 {
+			return class
+		}
+	}
+	return nil
+}
+
+// waitingTimely returns the number of waiters that can be in time, by urgency.
+func (q *waitQueue) waitingTimely() map[int]int {
+	counts := map[int]int{}
+	for _, class := range q.classes {
+		if class.tier == timely {
+			counts[class.urgency] = class.order.Len()
+		}
+	}
+	return counts
 }
 
 // ahead returns the number of waiters that go before a new request. Those of other
 // organisations with the same urgency all count.
-func (q *waitQueue) ahead(late bool, urgency int) int {
+func (q *waitQueue) ahead(tier tier, urgency int) int {
 	count := 0
 	for _, class := range q.classes {
-		if compareClasses(late, urgency, class) >= 0 {
+		if compareClasses(tier, urgency, class) >= 0 {
 			count += class.order.Len()
 		}
 	}
@@ -119,22 +161,22 @@
 }
 
 // class returns the class of an urgency, which it adds if there is none.
-func (q *waitQueue) class(late bool, urgency int) *waitClass {
+func (q *waitQueue) class(tier tier, urgency int) *waitClass {
 	at, found := slices.BinarySearchFunc(q.classes, urgency, func(class *waitClass, urgency int) int {
-		return -compareClasses(late, urgency, class)
+		return -compareClasses(tier, urgency, class)
 	})
 	if !found {
-		q.classes = slices.Insert(q.classes, at, &waitClass{late: late, urgency: urgency, order: admit.NewFairOrder()})
+		q.classes = slices.Insert(q.classes, at, &waitClass{tier: tier, urgency: urgency, order: admit.NewFairOrder()})
 	}
 	return q.classes[at]
 }
 
 func (q *waitQueue) add(w *Waiter) {
-	w.class = q.class(w.late, w.work.Urgency)
+	w.class = q.class(w.tier, w.work.Urgency)
 	w.ticket = w.class.order.Push(w.work.Organisation, w.work.Weight, w)
 	w.index = -1
 	q.count++
-	if w.late {
+	if w.tier != timely {
 		q.lateCount++
 	} else if !w.latestStart.IsZero() {
 		heap.Push(&q.timely, w)
@@ -175,7 +217,7 @@
 // removed updates the queue after a waiter has left its class.
 func (q *waitQueue) removed(w *Waiter) {
 	q.count--
-	if w.late {
+	if w.tier != timely {
 		q.lateCount--
 	}
 	if w.index >= 0 {
--- a/request/dispatch/release.go
+++ b/request/dispatch/release.go
@@ -45,7 +45,9 @@
 	case AddressReused:
 		t.gone = true
 	}
-	d.grant(d.pool(t.registration.Service), now)
+	pool := d.pool(t.registration.Service)
+	pool.recordEnd(now)
+	d.grant(pool, now)
 }
 
 // downAfter is how long a service must have made no progress to count as down.
--- a/request/dispatch/waits.go
+++ b/request/dispatch/waits.go
@@ -10,16 +10,16 @@
 // service with few slots.
 const minLateWaiters = 4
 
-// waitOf returns how long a request may wait for a slot, and false if that is not known.
-func (p *pool) waitOf(work *Request, now time.Time) (capacity.Wait, bool) {
+// waitOf returns how long a request may wait for a slot; the zero Wait if that is not known.
+func (p *pool) waitOf(work *Request, now time.Time) capacity.Wait {
 	if work.Timing.Objective <= 0 {
-		return capacity.Wait{}, false
+		return capacity.Wait{}
 	}
 	needed, known := p.responseTimes.Needed(1, now)
 	if !known {
-		return capacity.Wait{}, false
+		return capacity.Wait{}
 	}
-	return capacity.NewWait(work.Timing, needed), true
+	return capacity.NewWait(work.Timing, needed)
 }
 
 // queue adds a request to the queue, or returns nil if no target will take it.
@@ -28,9 +28,9 @@
 	w := &Waiter{work: work, granted: make(chan *Target, 1), sequence: d.lastSequence, index: -1}
 	if !wait.LatestStart.IsZero() {
 		w.latestStart, w.work.QueueDeadline = wait.LatestStart, wait.GiveUp
-		w.late = !now.Before(wait.LatestStart)
+		w.tier = tierOf(&work, wait, now)
 	}
-	if !d.canServeLater(pool, &w.work, func() int { return pool.waiting.ahead(w.late, work.Urgency) }, now) {
+	if !d.canServeLater(pool, &w.work, func() int { return pool.waiting.ahead(w.tier, work.Urgency) }, now) {
 		return nil
 	}
 	if !wait.LatestStart.IsZero() && !now.Before(wait.GiveUp) {
@@ -52,7 +52,7 @@
 func (d *Dispatcher) setAsideLate(pool *pool, now time.Time) {
 	for w := pool.waiting.nextLate(now); w != nil; w = pool.waiting.nextLate(now) {
 		pool.waiting.remove(w)
-		w.late = true
+		w.tier = tierOf(&w.work, capacity.Wait{LatestStart: w.latestStart}, now)
 		pool.waiting.add(w)
 	}
 	for limit := d.maxLate(pool); pool.waiting.lateCount > limit; {
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -257,6 +257,18 @@
 // mistaken for a fault of the target.
 const deadlineSlack = 100 * time.Millisecond
 
+// mixedUrgency reports whether the requests of the call's service differ in urgency.
+func (c *call) mixedUrgency() bool {
+	if c.version == nil {
+		return false
+	}
+	service := c.version.Services[c.service]
+	return service != nil && service.MixedUrgency
+}
+
+// maxStatedUrgency is the least urgent value that targets know.
+const maxStatedUrgency = 9
+
 // outgoingRequest returns the request to send to a target.
 func (c *call) outgoingRequest(names *Headers, t *dispatch.Target, now time.Time) *direct.Request {
 	header := headers.EndToEnd(c.request.Header)
@@ -268,6 +280,9 @@
 	remaining := max(c.deadline.Sub(now).Milliseconds(), 1)
 	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(names.Expect, t.ID())
+	if names.Urgency != "" && c.mixedUrgency() {
+		header.Set(names.Urgency, strconv.Itoa(min(max(c.work.Urgency, 0), maxStatedUrgency)))
+	}
 	if c.lastEventID != "" {
 		header.Set(names.LastEvent, c.lastEventID)
 	}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -185,6 +185,9 @@
 		return err.WithRetryAfter(retryAfterPause(pause, rand.Float64()))
 	}
 	down := h.dispatcher.IsDown(c.service, now)
+	if drain, known := h.dispatcher.DrainTime(c.service, c.work.Urgency, now); known && kind == failure.Overloaded && !down {
+		return err.WithRetryAfter(retryAfterDrain(drain, c.deadline.Sub(now), rand.Float64()))
+	}
 	return err.WithRetryAfter(retryAfter(down, c.deadline.Sub(now), rand.Float64()))
 }
 
--- a/request/forward/headers.go
+++ b/request/forward/headers.go
@@ -29,6 +29,9 @@
 	Organisation string
 	// Key carries the caller's key, prefixed with KeyScheme.
 	Key, KeyScheme string
+	// Urgency tells a target, from 0 to 9, which requests to run first; lower values go
+	// first.
+	Urgency string
 	// LastEvent is the ID of the last event of a stream that the caller received.
 	LastEvent string
 }
--- a/request/forward/retry_after.go
+++ b/request/forward/retry_after.go
@@ -41,3 +41,18 @@
 	wait := least + time.Duration(random*float64(jitter))
 	return max(min(wait, time.Duration(maxWaitShare*float64(remaining))), minRetryAfter)
 }
+
+const (
+	// minDrainRetry is the least Retry-After while targets are busy: a caller that returns
+	// within a few responses of the targets finds the same queue.
+	minDrainRetry = 100 * time.Millisecond
+	// drainSpreadShare is the random part, as a share of the drain time.
+	drainSpreadShare = 0.5
+)
+
+// retryAfterDrain returns how long a rejected caller should wait whose queue is expected to
+// drain in the given time. random is in [0, 1).
+func retryAfterDrain(drain, remaining time.Duration, random float64) time.Duration {
+	wait := time.Duration(float64(max(drain, minDrainRetry)) * (1 + drainSpreadShare*random))
+	return max(min(wait, time.Duration(maxWaitShare*float64(remaining))), minRetryAfter)
+}
--- a/version/config/config.go
+++ b/version/config/config.go
@@ -42,6 +42,34 @@
 	return smallest
 }
 
+// SetMixedUrgency sets Service.MixedUrgency of all services from the urgencies of the routes
+// that lead to them and of the organisations, which override those of routes.
+func (v *Version) SetMixedUrgency() {
+	urgencies := map[string]map[int]bool{}
+	for _, route := range v.Routes.Table().Routes {
+		if route.Direct == nil {
+			continue
+		}
+		for _, share := range route.Direct.Split {
+			if urgencies[share.Pool] == nil {
+				urgencies[share.Pool] = map[int]bool{}
+			}
+			urgencies[share.Pool][route.Direct.Urgency] = true
+		}
+	}
+	for _, organisation := range v.Routes.Table().Organisations {
+		if organisation.Urgency == nil {
+			continue
+		}
+		for _, known := range urgencies {
+			known[*organisation.Urgency] = true
+		}
+	}
+	for name, service := range v.Services {
+		service.MixedUrgency = len(urgencies[name]) > 1
+	}
+}
+
 // Service is a set of interchangeable targets.
 type Service struct {
 	Name string
@@ -54,6 +82,8 @@
 	// number of requests per second that a cold target can take; 0 means no limit.
 	Warmup     time.Duration
 	WarmupRate float64
+	// MixedUrgency is set if the requests of the service differ in urgency.
+	MixedUrgency bool
 	// Engine describes the inference engines of a model service; nil for other
 	// services.
 	Engine *Engine
