Allot free slots that all entries know of to some of them

Entries hear of one another's starts 100 ms later. While requests wait at several entries, each took every slot that it saw free, so engines got one request per entry for each slot and the responses were late.

While requests wait, an entry uses a slot that it has freed itself within the last report interval, or one that is allotted to it: the free slots of a target go to as many entries as there are slots, to others with each interval. A less urgent request starts if the free slots exceed the reserve; the share by arrivals is gone.

--- a/request/capacity/reserve.go
+++ b/request/capacity/reserve.go
@@ -36,34 +36,18 @@
 	return sum
 }
 
-// Share returns the part of a service's slots for less urgent requests that is this process's:
-// that of its arrivals among all processes' of the same urgency and below.
-func Share(own, others []Claim, urgency int) float64 {
-	rate := func(claims []Claim) float64 {
-		sum := 0.0
-		for _, claim := range claims {
-			if claim.Urgency >= urgency {
-				sum += claim.PerSecond + claim.Waiting
-			}
-		}
-		return sum
-	}
-	mine, theirs := rate(own), rate(others)
-	if theirs <= 0 {
-		return 1
+// MayStart reports whether a request may start while the given number of slots are free and
+// some of them are reserved for others. A reserve of up to half a slot is none.
+func MayStart(free int, reserved float64) bool { return float64(free)-reserved >= 0.5 }
+
+// MayClaim reports whether a process may use a slot of a target that all of them know to be
+// free. If each did, the target would get as many requests as there are processes for every
+// slot, since they hear of one another's starts only later. So a target's free slots are
+// allotted to that many of the processes, to others with each turn. position is that of the
+// process among all, from 0; offset differs from target to target.
+func MayClaim(free, position, processes int, offset, turn uint64) bool {
+	if free >= processes {
+		return true
 	}
-	return mine / (mine + theirs)
+	return (uint64(position)+offset+turn)%uint64(processes) < uint64(max(free, 0))
 }
-
-// MayStart reports whether a process may start a request for which others go before. free is
-// the number of free slots as far as it knows, reserved how many of them are kept, share its
-// part of the rest and started how many such requests it has started that the other processes
-// have not heard of. They start theirs from the same slots meanwhile, so each takes no more
-// than its part.
-func MayStart(free, reserved, share float64, started int) bool {
-	return float64(started)+rounding <= share*(free+float64(started)-reserved)
-}
-
-// rounding makes a process whose part is half a slot start a request: parts below one slot
-// would otherwise leave the slots of all processes unused.
-const rounding = 0.5
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -65,6 +65,7 @@
 // take counts a request as running on the target and records when it was sent.
 func (t *Target) take(now time.Time) {
 	t.running++
+	t.freed = max(t.freed-1, 0)
 	t.pause.startsSince++
 	if t.limited() {
 		t.rateLimit.lastStart = now
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -11,7 +11,7 @@
 func (d *Dispatcher) choose(pool *pool, work *Request, now time.Time) *Target {
 	var best *Target
 	var bestScore float64
-	skipEjected, limitSlow := d.skipsEjected(pool, now), d.limitsSlow(pool, now)
+	skipEjected, limitSlow, contended := d.skipsEjected(pool, now), d.limitsSlow(pool, now), d.contended(pool, now)
 	for _, t := range pool.targets {
 		if !t.usable(d.domainsOut) || work.tried(t) || now.Before(t.fullUntil) || !t.pause.allowsStart(now) || !d.limitAllows(t, now) {
 			continue
@@ -23,6 +23,9 @@
 		if t.load() >= limit || d.warmupExhausted(t, now) {
 			continue
 		}
+		if contended && !d.mayClaim(t, limit, now) {
+			continue
+		}
 		score := d.score(t, limit)
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenaseam.example/verbenaseam/process/target"
 	"verbenaseam.example/verbenaseam/request/capacity"
 	"verbenaseam.example/verbenaseam/version/config"
@@ -52,7 +54,9 @@
 	domainsOut map[string]bool
 	// processes are those that send requests to the same targets. generation increases
 	// when they or the limits that they divide change.
-	processes  Processes
+	processes Processes
+	// position is that of this process among them.
+	position   int
 	generation uint64
 	// lastSequence is the sequence number of the latest Waiter.
 	lastSequence uint64
@@ -132,7 +136,7 @@
 	if d.processes.equal(processes) {
 		return
 	}
-	d.processes = processes
+	d.processes, d.position = processes, processes.position()
 	d.generation++
 }
 
@@ -158,7 +162,7 @@
 	}
 	pool := d.pool(registration.Service)
 	added := &Target{
-		service: pool.service, peerLoad: map[string]int{},
+		service: pool.service, peerLoad: map[string]int{}, claimOffset: xxhash.Sum64String(registration.ID),
 		incarnation: strconv.FormatInt(registration.StartedAt.UnixMilli(), 10),
 	}
 	added.setRegistration(registration, now)
--- a/request/dispatch/release.go
+++ b/request/dispatch/release.go
@@ -47,6 +47,7 @@
 	}
 	pool := d.pool(t.registration.Service)
 	pool.recordEnd(now)
+	t.recordFreed(now, d.reportInterval)
 	d.grant(pool, now)
 }
 
--- a/request/dispatch/reservation.go
+++ b/request/dispatch/reservation.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/presence"
@@ -28,15 +27,8 @@
 type sharing struct {
 	demand capacity.Demand
 	// ends counts this process's requests that have ended.
-	ends capacity.Rate
-	// starts are this process's latest starts, which the others may not have heard of.
-	starts []recentStart
-	slots  slotCount
-}
-
-type recentStart struct {
-	at      time.Time
-	urgency int
+	ends  capacity.Rate
+	slots slotCount
 }
 
 // slotCount is the number of a service's slots and of requests in them.
@@ -66,11 +58,7 @@
 	p.sharing.slots.free--
 	p.sharing.slots.own++
 	p.sharing.slots.all++
-	if !p.mixedUrgency() {
-		return
-	}
-	p.sharing.starts = append(p.sharing.starts, recentStart{at: now, urgency: work.Urgency})
-	if len(work.Tried) == 0 {
+	if len(work.Tried) == 0 && p.mixedUrgency() {
 		p.startShares.RecordStart(work.Urgency, now)
 	}
 }
@@ -89,8 +77,6 @@
 	if tier == timely && !pool.mixedUrgency() {
 		return true
 	}
-	slots := d.countSlots(pool, now)
-	own, others := slots.ownClaims, slots.others
 	first := urgency
 	switch tier {
 	case lateReturned:
@@ -98,27 +84,43 @@
 	case late:
 		first = math.MaxInt
 	}
-	before, beforeElsewhere := capacity.Before(own, first), capacity.Before(others, first)
+	slots := d.countSlots(pool, now)
+	before, beforeElsewhere := capacity.Before(slots.ownClaims, first), capacity.Before(slots.others, first)
 	before.PerSecond += beforeElsewhere.PerSecond
 	before.Waiting += beforeElsewhere.Waiting
 	if before.PerSecond == 0 && before.Waiting == 0 {
 		return true
 	}
-	reserved := capacity.Reserve(before, slots.total, pool.freedPerSecond(now), d.reportInterval)
-	share := capacity.Share(own, others, urgency)
-	return capacity.MayStart(float64(slots.free), reserved, share, pool.unheardStarts(urgency, now.Add(-d.reportInterval)))
+	return capacity.MayStart(slots.free, capacity.Reserve(before, slots.total, pool.freedPerSecond(now), d.reportInterval))
 }
 
-// unheardStarts returns the number of starts of an urgency and below since a time.
-func (p *pool) unheardStarts(urgency int, since time.Time) int {
-	p.sharing.starts = slices.DeleteFunc(p.sharing.starts, func(s recentStart) bool { return s.at.Before(since) })
-	count := 0
-	for _, s := range p.sharing.starts {
-		if s.urgency >= urgency {
-			count++
-		}
+// contended reports whether requests wait at this process or at others, so that several
+// processes start requests as soon as they hear of a free slot.
+func (d *Dispatcher) contended(pool *pool, now time.Time) bool {
+	if d.processes.Count() == 1 {
+		return false
+	}
+	return pool.waiting.len() > 0 || pool.mixedUrgency() && capacity.Before(d.countSlots(pool, now).others, math.MaxInt).Waiting > 0
+}
+
+// mayClaim reports whether this process may use a free slot of a target with the given limit
+// of a contended service: one that it has freed itself, or one that is allotted to it.
+func (d *Dispatcher) mayClaim(t *Target, limit int, now time.Time) bool {
+	if t.freed > 0 && now.Before(t.freedUntil) {
+		return true
+	}
+	turn := uint64(now.UnixMilli() / max(d.reportInterval.Milliseconds(), 1))
+	return capacity.MayClaim(limit-t.load(), d.position, d.processes.Count(), t.claimOffset, turn)
+}
+
+// recordFreed counts a slot of the target that this process has freed. The others do not know
+// that it is free until its next report.
+func (t *Target) recordFreed(now time.Time, reportInterval time.Duration) {
+	if !now.Before(t.freedUntil) {
+		t.freed = 0
 	}
-	return count
+	t.freed++
+	t.freedUntil = now.Add(reportInterval)
 }
 
 // freedPerSecond returns how many slots become free per second at all processes: as many per
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -40,6 +40,12 @@
 	// lastProgress is when this process last received a response or part of a stream
 	// from the target.
 	lastProgress time.Time
+	// freed is the number of slots that this process has freed and not used again, of which
+	// the others do not know until freedUntil. claimOffset is derived from the ID; see
+	// capacity.MayClaim.
+	freed       int
+	freedUntil  time.Time
+	claimOffset uint64
 	// gone is set once the target is removed or its address belongs to another.
 	gone bool
 	// slowdown is the time that the target takes relative to its usual time, valid
