Log and count how waits end, report held-back requests, test the parts together

verbenaseam_queued_total counts how each wait ended, verbenaseam_requests_held_back shows services of which requests wait although slots are free; one line in the log when that begins and ends.

--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -44,6 +44,7 @@
 		require.LessOrEqual(t, len(peers.Releases(now)), 1)
 		dispatch.New(dispatch.Config{}).MergeLeavings(received.Leavings, now)
 		dispatch.New(dispatch.Config{}).MergeLimits(received.Limits, now)
+		dispatch.New(dispatch.Config{}).SetPeerDemand("peer", received.Demand, now)
 		if received.Evidence != nil {
 			tracker := poison.NewTracker(poison.Config{}, clock)
 			tracker.Merge(*received.Evidence)
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -96,6 +96,8 @@
 	rowVersion atomic.Pointer[platform.Version]
 	// refusedParts are the prompt parts that logRefusedParts logged last; tick uses it alone.
 	refusedParts []uint64
+	// heldBack holds the services that logHeldBack logged last; tick uses it alone.
+	heldBack map[string]bool
 	// readyLogged is set once the entry has been ready for the first time.
 	readyLogged atomic.Bool
 	leaving     atomic.Bool
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -161,6 +161,26 @@
 	e.targets.tick()
 	e.dispatcher.Tick(e.clock.Now())
 	e.logRefusedParts()
+	e.logHeldBack()
+}
+
+// logHeldBack logs and exports the services of which requests wait although slots are free,
+// when they change.
+func (e *Entry) logHeldBack() {
+	held := e.dispatcher.HeldBack(e.clock.Now())
+	for service := range held {
+		if !e.heldBack[service] {
+			e.log.WithField("service", service).Info("free slots are kept for more urgent requests")
+			e.metrics.SetHeldBack(service, true)
+		}
+	}
+	for service := range e.heldBack {
+		if !held[service] {
+			e.log.WithField("service", service).Info("no more slots are kept for more urgent requests")
+			e.metrics.SetHeldBack(service, false)
+		}
+	}
+	e.heldBack = held
 }
 
 // logRefusedParts logs and counts the prompt parts whose requests are refused, when they change.
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -33,6 +33,8 @@
 	targetCrashes    *prometheus.CounterVec
 	refusedParts     prometheus.Gauge
 	targetNotices    *prometheus.CounterVec
+	queued           *prometheus.CounterVec
+	heldBack         *prometheus.GaugeVec
 }
 
 // New returns the metrics of a process with the given role. maxOrganisations is the
@@ -72,6 +74,14 @@
 		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, responses that asked for a pause, limits of requests that targets named or lifted.",
 		ConstLabels: constLabels,
 	}, []string{"service", "notice"})
+	m.queued = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_queued_total", Help: "Requests that left the queue of a service, by how their wait ended.", ConstLabels: constLabels,
+	}, []string{"service", "end"})
+	m.heldBack = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "verbenaseam_requests_held_back", Help: "1 while requests of a service wait although slots are free, which are kept for others.",
+		ConstLabels: constLabels,
+	}, []string{"service"})
+	registry.MustRegister(m.queued, m.heldBack)
 	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices)
 	return m
 }
@@ -114,6 +124,19 @@
 	m.targetNotices.WithLabelValues(service, notice).Inc()
 }
 
+// CountQueued counts a request that left the queue of a service; end is "started",
+// "started_late", "busy", "no_target" or "caller_gone".
+func (m *Metrics) CountQueued(service, end string) { m.queued.WithLabelValues(service, end).Inc() }
+
+// SetHeldBack sets whether requests of a service wait although slots are free.
+func (m *Metrics) SetHeldBack(service string, held bool) {
+	value := 0.0
+	if held {
+		value = 1
+	}
+	m.heldBack.WithLabelValues(service).Set(value)
+}
+
 // SetRetryBudget sets the number of retries that the retry budget allows.
 func (m *Metrics) SetRetryBudget(retries float64) { m.retryBudget.Set(retries) }
 
--- a/process/presence/presence_test.go
+++ b/process/presence/presence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 )
 
@@ -60,3 +61,18 @@
 	table.Remove("a")
 	require.Empty(t, table.Names())
 }
+
+// TestDemandIsSmall guards against heartbeats that grow by more than 100 bytes per peer and
+// urgency.
+func TestDemandIsSmall(t *testing.T) {
+	demand := ServiceDemand{Service: "engines-of-a-long-name-0123456789", Urgency: 9, PerSecond: 123456.7, Waiting: 1 << 30}
+	without, err := cbor.Marshal(Heartbeat{})
+	require.NoError(t, err)
+	with, err := cbor.Marshal(Heartbeat{Demand: []ServiceDemand{demand}})
+	require.NoError(t, err)
+	require.Less(t, len(with)-len(without), 100)
+	var old struct {
+		Ready bool `cbor:"2,keyasint"`
+	}
+	require.NoError(t, cbor.Unmarshal(with, &old), "a release that does not know the field")
+}
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -148,6 +148,9 @@
 			skipped = append(skipped, class.order.Pop())
 		}
 	}
+	if class.order.Len() > 0 {
+		pool.heldBackAt = now
+	}
 	return true
 }
 
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -27,6 +27,9 @@
 	// startsSinceReturned counts the starts while callers that came back late wait; see
 	// returnedTurn.
 	startsSinceReturned int
+	// heldBackAt is when requests last waited although slots were free, which were kept for
+	// others.
+	heldBackAt time.Time
 	// nextReassign is when the next request may be moved away from a slow target.
 	nextReassign time.Time
 }
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -63,6 +63,10 @@
 // GiveUp returns when the caller of Acquire should cancel the wait.
 func (w *Waiter) GiveUp() time.Time { return w.work.QueueDeadline }
 
+// Late reports, after Granted has yielded a target, whether the request could not be served in
+// time any more by then, as far as known.
+func (w *Waiter) Late() bool { return w.tier != timely }
+
 // CrowdedOut reports, after Granted has yielded nil, whether the targets are too busy for the
 // request to wait longer; otherwise no target takes it.
 func (w *Waiter) CrowdedOut() bool { return w.crowdedOut }
--- a/request/dispatch/reservation.go
+++ b/request/dispatch/reservation.go
@@ -226,3 +226,21 @@
 	before := capacity.Before(pool.sharing.demand.Own(pool.waiting.waitingTimely(), now), urgency+1)
 	return capacity.DrainTime(int(before.Waiting), before.PerSecond, pool.sharing.ends.PerSecond(now))
 }
+
+// heldBackSpan is how long requests of a service count as held back after they last were. It
+// bounds how often the state changes.
+const heldBackSpan = time.Second
+
+// HeldBack returns the services of which requests wait although slots are free, because these
+// are kept for requests that go before them.
+func (d *Dispatcher) HeldBack(now time.Time) map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	held := map[string]bool{}
+	for name, pool := range d.pools {
+		if now.Sub(pool.heldBackAt) < heldBackSpan {
+			held[name] = true
+		}
+	}
+	return held
+}
--- a/request/dispatch/waits_test.go
+++ b/request/dispatch/waits_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/request/capacity"
+	"verbenaseam.example/verbenaseam/version/config"
 )
 
 // newBusyDispatcher returns a dispatcher with one target that is full, on which requests
@@ -119,3 +121,62 @@
 	require.Equal(t, 10, served(small))
 	require.Equal(t, 14, served(large))
 }
+
+// newMixedDispatcher returns a dispatcher whose service has requests of several urgencies and
+// which knows one other process.
+func newMixedDispatcher(targets, slots int) *Dispatcher {
+	d := newDispatcher(targets, slots)
+	d.SetServices(map[string]*config.Service{"s": {Name: "s", MixedUrgency: true}}, start)
+	d.SetProcesses(NewProcesses("a", []string{"b"}))
+	return d
+}
+
+// TestLessUrgentRequestLeavesSlotsToOthers guards against a less urgent request that takes a
+// slot for which a more urgent one waits at another process, and against reports that hold
+// requests back long after they were sent.
+func TestLessUrgentRequestLeavesSlotsToOthers(t *testing.T) {
+	d := newMixedDispatcher(2, 2)
+	d.SetPeerDemand("b", []presence.ServiceDemand{{Service: "s", Urgency: 0, PerSecond: 1, Waiting: 5}}, start)
+	taken, waiter := d.Acquire(work(2), start)
+	require.Nil(t, taken)
+	require.NotNil(t, waiter)
+	urgent, _ := d.Acquire(work(0), start)
+	if urgent == nil {
+		urgent, _ = d.Acquire(work(0), at(defaultReportInterval))
+	}
+	d.Tick(at(300 * time.Millisecond))
+	require.Nil(t, granted(waiter))
+	require.True(t, d.HeldBack(at(300 * time.Millisecond))["s"])
+	d.Tick(at(950 * time.Millisecond))
+	require.NotNil(t, granted(waiter), "the report is too old")
+	require.Empty(t, d.HeldBack(at(3*time.Second)))
+}
+
+// TestRequestsStartWithoutReports guards against requests that wait or are rejected because
+// no other process has reported anything.
+func TestRequestsStartWithoutReports(t *testing.T) {
+	d := newMixedDispatcher(2, 10)
+	for n := range 18 {
+		taken, _ := d.Acquire(work(2*(n%2)), at(time.Duration(n)*100*time.Millisecond))
+		require.NotNil(t, taken)
+	}
+}
+
+// TestCallerThatCameBackGetsATurn guards against a caller that is rejected again and again
+// while less urgent new requests start.
+func TestCallerThatCameBackGetsATurn(t *testing.T) {
+	d, only := newBusyDispatcher(t, 1)
+	cameBack := timed(0, start)
+	cameBack.Timing.Age = 2 * time.Second
+	_, returned := d.Acquire(cameBack, start)
+	for range 20 {
+		_, w := d.Acquire(timed(2, start), start)
+		require.NotNil(t, w)
+	}
+	starts := 0
+	for granted(returned) == nil {
+		starts++
+		require.LessOrEqual(t, starts, returnedTurn)
+		d.Release(only, Served, start)
+	}
+}
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -57,6 +57,9 @@
 	// the total time in the dispatcher's queue.
 	target    string
 	queueWait time.Duration
+	// startedLate is set if the last target was granted when the call could not be in time
+	// any more.
+	startedLate bool
 }
 
 // newCall resolves the route and the organisation of a request and reads its body.
--- a/request/forward/failure.go
+++ b/request/forward/failure.go
@@ -78,6 +78,12 @@
 	if c.queueWait > time.Millisecond {
 		fields["waited_ms"] = c.queueWait.Milliseconds()
 	}
+	if c.startedLate {
+		fields["started_late"] = true
+	}
+	if c.work.Timing.Age > 0 {
+		fields["first_tried_ms"] = c.work.Timing.Age.Milliseconds()
+	}
 	if reason != "" {
 		fields["reason"] = reason
 	}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -151,6 +151,7 @@
 	select {
 	case t = <-waiter.Granted():
 		if t == nil && !waiter.CrowdedOut() {
+			h.metrics.CountQueued(c.service, "no_target")
 			return nil, h.noTarget(c)
 		}
 	case <-timer.Chan():
@@ -159,15 +160,27 @@
 		if t = h.dispatcher.CancelWait(waiter); t != nil {
 			h.dispatcher.Release(t, dispatch.Abandoned, h.clock.Now())
 		}
+		h.metrics.CountQueued(c.service, "caller_gone")
 		return nil, h.deadlineExceeded(c)
 	}
 	c.queueWait += h.clock.Since(now)
 	if t == nil {
+		h.metrics.CountQueued(c.service, "busy")
 		return nil, h.newFailure(c, failure.Overloaded, "all targets are busy")
 	}
+	c.startedLate = waiter.Late()
+	h.metrics.CountQueued(c.service, queuedEnd(c.startedLate))
 	return t, nil
 }
 
+// queuedEnd returns the metrics label of a request that got a target after a wait.
+func queuedEnd(late bool) string {
+	if late {
+		return "started_late"
+	}
+	return "started"
+}
+
 // noTarget returns the failure of a call that no target can take in time.
 func (h *Handler) noTarget(c *call) *failure.Error {
 	if h.dispatcher.IsLimited(c.service) {
