Allot slots among the entries whose requests wait, not to short requests

A free slot was allotted to one of all entries while requests waited at this one. With 70 entries most of them have nothing to start, and of requests that take 15 to 30 ms a slot that was free 300 ms ago says nothing. Free slots are now allotted among the entries whose requests wait by their reports, and only where requests take at least two report intervals. The report interval is learned also from entries without demand.

--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -147,7 +147,7 @@
 	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(now), h.evidence(now))
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
-		e.dispatcher.SetPeerDemand(name, nil, now)
+		e.dispatcher.DropPeerDemand(name, now)
 	}
 	e.setProcesses()
 	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
--- a/request/capacity/demand.go
+++ b/request/capacity/demand.go
@@ -112,6 +112,23 @@
 	return all
 }
 
+// Rank returns how many processes, this one included, have requests that wait, as far as
+// known, and the position of this one among them in the order of their names.
+func (d *Demand) Rank(self string, now time.Time) (position, count int) {
+	count = 1
+	for process, report := range d.reports {
+		waits := slices.ContainsFunc(report.claims, func(c Claim) bool { return c.Waiting > 0 })
+		if !waits || reportWeight(now.Sub(report.at)) == 0 {
+			continue
+		}
+		count++
+		if process < self {
+			position++
+		}
+	}
+	return position, count
+}
+
 // reportWeight returns how far a report of the given age counts, from 0 to 1.
 func reportWeight(age time.Duration) float64 {
 	return min(max(float64(reportExpiry-age)/float64(reportExpiry-reportFresh), 0), 1)
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -23,7 +23,7 @@
 		if t.load() >= limit || d.warmupExhausted(t, now) {
 			continue
 		}
-		if contended && !d.mayClaim(t, limit, now) {
+		if contended && !d.mayClaim(pool, t, limit, now) {
 			continue
 		}
 		score := d.score(t, limit)
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -57,9 +57,7 @@
 	domainsOut map[string]bool
 	// processes are those that send requests to the same targets. generation increases
 	// when they or the limits that they divide change.
-	processes Processes
-	// position is that of this process among them.
-	position   int
+	processes  Processes
 	generation uint64
 	// lastSequence is the sequence number of the latest Waiter.
 	lastSequence uint64
@@ -139,7 +137,7 @@
 	if d.processes.equal(processes) {
 		return
 	}
-	d.processes, d.position = processes, processes.position()
+	d.processes = processes
 	d.generation++
 }
 
--- a/request/dispatch/processes.go
+++ b/request/dispatch/processes.go
@@ -23,12 +23,6 @@
 // Count returns the number of processes, at least 1.
 func (p Processes) Count() int { return max(len(p.names), 1) }
 
-// position returns the position of this process among all, in the order of their names.
-func (p Processes) position() int {
-	position, _ := slices.BinarySearch(p.names, p.self)
-	return position
-}
-
 // equal reports whether both are the same process among the same ones.
 func (p Processes) equal(other Processes) bool {
 	return p.self == other.self && slices.Equal(p.names, other.names)
--- a/request/dispatch/reservation.go
+++ b/request/dispatch/reservation.go
@@ -27,16 +27,21 @@
 type sharing struct {
 	demand capacity.Demand
 	// ends counts this process's requests that have ended.
-	ends  capacity.Rate
-	slots slotCount
+	ends capacity.Rate
+	// running is the number of its requests at targets.
+	running int
+	slots   slotCount
 }
 
 // slotCount is the number of a service's slots and of requests in them.
 type slotCount struct {
-	at                time.Time
-	free, total       int
-	own, all          int
-	ownClaims, others []capacity.Claim
+	at          time.Time
+	free, total int
+	own, all    int
+	// claimants is the number of processes whose requests wait, this one included, and
+	// position that of this process among them.
+	claimants, position int
+	ownClaims, others   []capacity.Claim
 }
 
 // mixedUrgency reports whether requests of the service differ in urgency.
@@ -55,6 +60,7 @@
 
 // recordStart counts a request that is sent to a target.
 func (p *pool) recordStart(work *Request, now time.Time) {
+	p.sharing.running++
 	p.sharing.slots.free--
 	p.sharing.slots.own++
 	p.sharing.slots.all++
@@ -65,6 +71,7 @@
 
 // recordEnd counts a request of this process that has ended at a target.
 func (p *pool) recordEnd(now time.Time) {
+	p.sharing.running--
 	p.sharing.slots.free++
 	p.sharing.slots.own--
 	p.sharing.slots.all--
@@ -94,23 +101,38 @@
 	return capacity.MayStart(slots.free, capacity.Reserve(before, slots.total, pool.freedPerSecond(now), d.reportInterval))
 }
 
-// contended reports whether requests wait at this process or at others, so that several
-// processes start requests as soon as they hear of a free slot.
+// contended reports whether requests also wait at other processes, so that several start
+// requests as soon as they hear of a free slot. Where requests take less time than reports,
+// slots that are reported as free are not so any more, and it is always false.
 func (d *Dispatcher) contended(pool *pool, now time.Time) bool {
-	if d.processes.Count() == 1 {
+	if d.processes.Count() == 1 || pool.timeAtTargets(now) < minReportIntervals*d.reportInterval {
 		return false
 	}
-	return pool.waiting.len() > 0 || pool.mixedUrgency() && capacity.Before(d.countSlots(pool, now).others, math.MaxInt).Waiting > 0
+	return d.countSlots(pool, now).claimants > 1
+}
+
+// minReportIntervals is the least mean time of a request at a target, in report intervals, for
+// which free slots are allotted to processes.
+const minReportIntervals = 2
+
+// timeAtTargets returns the mean time that requests of this process take at targets.
+func (p *pool) timeAtTargets(now time.Time) time.Duration {
+	ends := p.sharing.ends.PerSecond(now)
+	if ends == 0 {
+		return 0
+	}
+	return time.Duration(float64(p.sharing.running) / ends * float64(time.Second))
 }
 
 // mayClaim reports whether this process may use a free slot of a target with the given limit
 // of a contended service: one that it has freed itself, or one that is allotted to it.
-func (d *Dispatcher) mayClaim(t *Target, limit int, now time.Time) bool {
+func (d *Dispatcher) mayClaim(pool *pool, t *Target, limit int, now time.Time) bool {
 	if t.freed > 0 && now.Before(t.freedUntil) {
 		return true
 	}
 	turn := uint64(now.UnixMilli() / max(d.reportInterval.Milliseconds(), 1))
-	return capacity.MayClaim(limit-t.load(), d.position, d.processes.Count(), t.claimOffset, turn)
+	slots := &pool.sharing.slots
+	return capacity.MayClaim(limit-t.load(), slots.position, slots.claimants, t.claimOffset, turn)
 }
 
 // recordFreed counts a slot of the target that this process has freed. The others do not know
@@ -155,6 +177,7 @@
 	}
 	slots.ownClaims = pool.sharing.demand.Own(pool.waiting.waitingTimely(), now)
 	slots.others = pool.sharing.demand.Others(now)
+	slots.position, slots.claimants = pool.sharing.demand.Rank(d.processes.self, now)
 	return slots
 }
 
@@ -184,7 +207,7 @@
 const minReportedRate = 0.1
 
 // SetPeerDemand records what another process reports that it has to serve. It replaces its
-// earlier report; nil removes that.
+// earlier report. Call it for each report of the process, also without any demand.
 func (d *Dispatcher) SetPeerDemand(process string, reports []presence.ServiceDemand, now time.Time) {
 	claims := map[string][]capacity.Claim{}
 	for _, report := range reports {
@@ -197,20 +220,26 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if heard := d.heardDemand[process]; !heard.IsZero() && reports != nil {
+	if heard := d.heardDemand[process]; !heard.IsZero() {
 		interval := min(now.Sub(heard), maxReportInterval)
 		d.reportInterval += time.Duration(reportIntervalShare * float64(interval-d.reportInterval))
 	}
-	if reports == nil {
-		delete(d.heardDemand, process)
-	} else {
-		d.heardDemand[process] = now
-	}
+	d.heardDemand[process] = now
 	for name, pool := range d.pools {
 		pool.sharing.demand.SetReport(process, claims[name], now)
 	}
 }
 
+// DropPeerDemand forgets what a process that is no longer alive has reported.
+func (d *Dispatcher) DropPeerDemand(process string, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.heardDemand, process)
+	for _, pool := range d.pools {
+		pool.sharing.demand.SetReport(process, nil, now)
+	}
+}
+
 // validRate reports whether a number can be a number of requests per second.
 func validRate(perSecond float32) bool {
 	return perSecond >= 0 && !math.IsInf(float64(perSecond), 1)
