--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -7,9 +7,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/internal/corpus"
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/poison"
@@ -20,7 +24,7 @@
 // TestMessagesOfEarlierReleasesAreRead guards against entries that do not understand each
 // other while a release is rolled out: a field that was renumbered, dropped or retyped.
 func TestMessagesOfEarlierReleasesAreRead(t *testing.T) {
-	require.NoError(t, corpus.Check(corpusFolder, map[string]any{"datagram": new(datagram)}))
+	require.NoError(t, corpus.Check(corpusFolder, map[string]any{"datagram": new(datagram), "compact": new(compactDatagram)}))
 }
 
 // FuzzDatagram guards against datagrams, of any release or of none, that stop an entry.
@@ -32,19 +36,32 @@
 		require.NoError(f, err)
 		f.Add(data)
 	}
+	compact, err := newCompactor(nil, nil).encode(datagram{Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
+		Peer: presence.Peer{Incarnation: 7}, Load: map[string]int{"t": 1},
+	}}}, time.Unix(1000, 0))
+	require.NoError(f, err)
+	f.Add(compact)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		var received datagram
-		if cbor.Unmarshal(data, &received) != nil {
-			return
-		}
 		clock := clockwork.NewFakeClock()
 		now := clock.Now()
 		peers := presence.NewPeerTable("self", time.Second)
+		// The compact datagram among the seeds has this sender.
+		peers.Register(presence.Peer{Name: "edge", Incarnation: 7}, now)
+		received, err := newCompactor(peers, func() []string { return []string{"t"} }).decode(data, now)
+		if err != nil {
+			return
+		}
 		peers.RecordHeartbeat(received.Heartbeat, now)
 		require.LessOrEqual(t, len(peers.Releases(now)), 1)
 		dispatch.New(dispatch.Config{}).MergeLeavings(received.Leavings, now)
 		dispatch.New(dispatch.Config{}).MergeLimits(received.Limits, now)
 		dispatch.New(dispatch.Config{}).SetPeerDemand("peer", received.Demand, now)
+		w := newStoreWatch(presence.Peer{Name: "self"}, logrus.NewEntry(logs.Discard()))
+		w.relay(follow.RelayConfig{Table: platform.TableTargets})
+		w.handleStatus(received.Peer.Name, received.Store)
+		if received.Changes != nil {
+			w.offer(*received.Changes)
+		}
 		if received.Evidence != nil {
 			tracker := poison.NewTracker(poison.Config{}, clock)
 			tracker.Merge(*received.Evidence)
--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -70,10 +70,14 @@
 	dispatcher *dispatch.Dispatcher
 	targets    *targetObserver
 	storeWatch *storeWatch
+	compact    *compactor
+	steering   *steering
 	budgets    *retryBudgets
 	poison     *poison.Tracker
 	handler    *forward.Handler
 	metrics    *metrics.Metrics
+	// choices is used by tick alone.
+	choices *choiceReporter
 
 	// newsForPeers asks for a heartbeat at once.
 	newsForPeers chan struct{}
@@ -125,11 +129,17 @@
 		}),
 	}
 	e.bounds.Store(&s.Bounds)
-	e.storeWatch = newStoreWatch(s.Name)
+	e.storeWatch = newStoreWatch(e.self, logs.Component(cfg.Logger, "store"))
 	e.targets = newTargetObserver(e.dispatcher, e.clock, logs.Component(cfg.Logger, "targets"))
 	e.budgets = newRetryBudgets(s.Bounds)
 	e.setProcesses()
 	e.metrics = metrics.New("direct", metrics.DefaultMaxOrganisations)
+	e.compact = newCompactor(e.peers, e.dispatcher.TargetIDs)
+	e.steering = newSteering(s, logs.Component(cfg.Logger, "directory"))
+	e.metrics.Registry().MustRegister(
+		e.storeWatch.followsStore, e.compact.sentBytes, e.steering.busyGauge, e.steering.elsewhere)
+	e.choices = newChoiceReporter(e, logs.Component(cfg.Logger, "dispatch"))
+	e.dispatcher.SetCrossing(dispatch.Crossing(s.Crossing))
 	e.builds = release.NewObserver(e.metrics.Registry(), logs.Component(cfg.Logger, "peers"))
 	e.poison = poison.NewTracker(poison.Config{TrialAfterCrashes: refuseAfterCrashes, RefuseAfterCrashes: refuseAfterCrashes}, e.clock)
 	crashes := poison.NewCrashDetector(poison.DetectorConfig{
@@ -204,6 +214,7 @@
 	}
 	e.bounds.Store(&loaded.Bounds)
 	e.dispatcher.SetWarmup(dispatch.Warmup{Share: loaded.Bounds.WarmupShare, Slack: loaded.Bounds.WarmupSlack}, e.clock.Now())
+	e.dispatcher.SetCrossing(dispatch.Crossing(loaded.Crossing))
 	e.log.WithField("file", e.file).Info("settings reloaded")
 }
 
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"net/netip"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +14,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/presence"
 	"verbenaseam.example/verbenaseam/process/release"
@@ -36,6 +40,7 @@
 	for _, row := range rows {
 		if row.Deleted {
 			o.entry.peers.Remove(row.Key)
+			o.entry.dispatcher.SetPeerLoad(row.Key, nil, o.entry.clock.Now())
 			continue
 		}
 		peer, err := platform.DecodePeer(row)
@@ -76,6 +81,9 @@
 	presence.Datagram
 	// Evidence reports target crashes and clearances; nil for none.
 	Evidence *poison.Evidence `cbor:"6,keyasint,omitempty"`
+	// Changes are those of a table of the store that the sender follows for the receiver;
+	// nil for none.
+	Changes *follow.Batch `cbor:"14,keyasint,omitempty"`
 }
 
 const (
@@ -144,31 +152,62 @@
 	defer h.mu.Unlock()
 	e := h.entry
 	now := e.clock.Now()
-	h.sendTo(e.peers.Addresses(), e.dispatcher.Limits(now), h.evidence(now))
+	h.sendToAll(datagram{Evidence: h.evidence(now)}, e.dispatcher.Limits(now), nil)
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
 		e.dispatcher.DropPeerDemand(name, now)
 	}
 	e.setProcesses()
-	e.builds.Update(release.NewCensus(append(e.peers.Releases(now), e.release)))
+	census := release.NewCensus(append(e.peers.Releases(now), e.release))
+	e.builds.Update(census)
 	e.storeWatch.update(e.peers.Ready(now))
+	e.compact.update(census, e.storeWatch.liveEntries())
 }
 
-// sendTo sends a heartbeat with the given limits and evidence to some peers. The caller holds mu.
-func (h *heartbeater) sendTo(addresses []string, limits []presence.TargetLimit, evidence *poison.Evidence) {
+// heartbeat returns the next heartbeat. The caller holds mu.
+func (h *heartbeater) heartbeat(limits []presence.TargetLimit) presence.Heartbeat {
 	e := h.entry
 	h.sequence++
-	encoded, err := cbor.Marshal(datagram{
-		Datagram: presence.Datagram{Heartbeat: presence.Heartbeat{
-			Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
-			Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release, Demand: e.dispatcher.Demand(e.clock.Now()),
-		}},
-		Evidence: evidence,
-	})
+	return presence.Heartbeat{
+		Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
+		Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
+		Capacity: e.steering.capacity(), Demand: e.dispatcher.Demand(e.clock.Now()),
+	}
+}
+
+// sendToAll sends a heartbeat with the given limits, and with the other parts of the datagram,
+// to all peers but some: in compact form to those that are alive, if that is due. The caller
+// holds mu.
+func (h *heartbeater) sendToAll(message datagram, limits []presence.TargetLimit, except []string) {
+	now := h.entry.clock.Now()
+	message.Heartbeat = h.heartbeat(limits)
+	alive, others := h.entry.peers.SplitAddresses(now, except)
+	if !h.entry.compact.next() {
+		alive, others = nil, append(alive, others...)
+	}
+	if len(alive) > 0 {
+		encoded, err := h.entry.compact.encode(message, now)
+		h.write(encoded, err, alive, "compact")
+	}
+	if len(others) > 0 {
+		encoded, err := cbor.Marshal(message)
+		h.write(encoded, err, others, "full")
+	}
+}
+
+// sendTo sends a heartbeat with the given limits to a peer. The caller holds mu.
+func (h *heartbeater) sendTo(address string, limits []presence.TargetLimit) {
+	encoded, err := cbor.Marshal(datagram{Datagram: presence.Datagram{Heartbeat: h.heartbeat(limits)}})
+	h.write(encoded, err, []string{address}, "full")
+}
+
+// write sends an encoded datagram, unless encoding it failed.
+func (h *heartbeater) write(encoded []byte, err error, addresses []string, form string) {
 	if err != nil {
 		h.log.WithError(err).Error("heartbeat cannot be encoded")
 		return
 	}
+	h.entry.compact.sentBytes.WithLabelValues(form).Add(float64(len(encoded) * len(addresses)))
 	for _, address := range addresses {
 		to, err := netip.ParseAddrPort(address)
 		if err != nil {
@@ -184,13 +223,27 @@
 // maxLimitsAtStart is the maximum number of limits in a datagram to an entry that has started.
 const maxLimitsAtStart = 32
 
-// sendLimits sends all limits that targets have told this entry to a peer that has started.
+// sendLimits sends all limits that targets have told this entry to a peer that has started. It
+// sends a full heartbeat in any case if the next ones are compact.
 func (h *heartbeater) sendLimits(peer presence.Peer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	limits := h.entry.dispatcher.AllLimits(h.entry.clock.Now())
 	for chunk := range slices.Chunk(limits, maxLimitsAtStart) {
-		h.sendTo([]string{peer.PeerAddress}, chunk, nil)
+		h.sendTo(peer.PeerAddress, chunk)
+	}
+	if len(limits) == 0 && h.entry.compact.allowed {
+		h.sendTo(peer.PeerAddress, nil)
+	}
+}
+
+// forwardChanges sends changes of a table to the entries that do not follow it, each batch
+// with a heartbeat, since releases without changes take every datagram for one.
+func (h *heartbeater) forwardChanges(changes []follow.Batch, pollers []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range changes {
+		h.sendToAll(datagram{Changes: &changes[i]}, nil, pollers)
 	}
 }
 
@@ -204,39 +257,73 @@
 	e.targets.setProcesses(processes.Count())
 }
 
+// receiveErrorPause is the pause after an error of the socket, which may last.
+const receiveErrorPause = 100 * time.Millisecond
+
 // receive processes datagrams until the socket is closed.
 func (h *heartbeater) receive() {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, _, err := h.socket.ReadFromUDP(buffer)
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
-		var received datagram
-		if err := cbor.Unmarshal(buffer[:n], &received); err != nil {
-			h.log.WithError(err).Warn("datagram cannot be decoded; dropped")
-			continue
-		}
-		now := h.entry.clock.Now()
-		if received.TargetReport != nil {
-			h.applyTargetReport(*received.TargetReport, now)
+		if err != nil {
+			h.log.WithError(err).Warn("receiving datagrams failed; trying again")
+			time.Sleep(receiveErrorPause)
 			continue
 		}
-		if received.Evidence != nil && h.entry.poison.Merge(*received.Evidence) {
-			h.log.WithFields(logrus.Fields{
-				"peer": received.Peer.Name, "crashes": len(received.Evidence.Crashes), "clearances": len(received.Evidence.Clearances),
-			}).Info("crashes heard of")
-		}
-		h.mergeLeavings(received.Peer.Name, received.Leavings, now)
-		h.mergeLimits(received.Peer.Name, received.Limits, now)
-		if !h.entry.peers.HasHeard(received.Peer) && received.Peer.Name != h.entry.self.Name {
-			h.sendLimits(received.Peer)
-		}
-		if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
-			h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
-			h.entry.dispatcher.SetPeerDemand(received.Peer.Name, received.Demand, now)
-			h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
+		h.handle(buffer[:n], h.entry.clock.Now())
+	}
+}
+
+// handle processes a datagram. A panic drops the datagram: what it changes are reports that the
+// next ones replace, and each part of the entry is consistent when its lock is free.
+func (h *heartbeater) handle(data []byte, now time.Time) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			h.log.WithFields(logrus.Fields{"panic": fmt.Sprint(cause), "stack": string(debug.Stack())}).Error("datagram dropped: its handling panicked")
 		}
+	}()
+	h.process(data, now)
+}
+
+func (h *heartbeater) process(data []byte, now time.Time) {
+	received, err := h.entry.compact.decode(data, now)
+	if errors.Is(err, errUnknownSender) {
+		// The sender's next full heartbeat follows.
+		return
+	}
+	if err != nil {
+		h.log.WithError(err).Warn("datagram cannot be decoded; dropped")
+		return
+	}
+	if received.TargetReport != nil {
+		h.applyTargetReport(*received.TargetReport, now)
+		return
+	}
+	if !received.Peer.Valid() {
+		h.log.WithField("peer", received.Peer.Name).Warn("heartbeat without a name or an address; dropped")
+		return
+	}
+	if received.Changes != nil {
+		h.entry.storeWatch.offer(*received.Changes)
+	}
+	if received.Evidence != nil && h.entry.poison.Merge(*received.Evidence) {
+		h.log.WithFields(logrus.Fields{
+			"peer": received.Peer.Name, "crashes": len(received.Evidence.Crashes), "clearances": len(received.Evidence.Clearances),
+		}).Info("crashes heard of")
+	}
+	h.mergeLeavings(received.Peer.Name, received.Leavings, now)
+	h.mergeLimits(received.Peer.Name, received.Limits, now)
+	if !h.entry.peers.HasHeard(received.Peer) && received.Peer.Name != h.entry.self.Name {
+		h.sendLimits(received.Peer)
+	}
+	if h.entry.peers.RecordHeartbeat(received.Heartbeat, now) {
+		h.entry.dispatcher.SetPeerDomain(received.Peer.Name, received.Peer.FailureDomain)
+		h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
+		h.entry.dispatcher.SetPeerDemand(received.Peer.Name, received.Demand, now)
+		h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
 	}
 }
 
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -27,6 +26,8 @@
 	// shutdownMargin is the time reserved at the end of the grace period for what Run does
 	// after shutDown.
 	shutdownMargin = 700 * time.Millisecond
+	// finishOthersTimeout limits finishOthers, which must fit into shutdownMargin too.
+	finishOthersTimeout = 100 * time.Millisecond
 )
 
 // Run implements command.Daemon.
@@ -47,6 +48,7 @@
 	e.shutDown(abort, servers, heartbeats)
 	e.unregister()
 	stop()
+	servers.finishOthers()
 	servers.close()
 	wg.Wait()
 	e.log.WithField("ran_s", e.clock.Since(started).Seconds()).Info("stopped")
@@ -60,9 +62,10 @@
 	peers := &snapshotNotifier{
 		Observer: &peerObserver{entry: e, log: logs.Component(e.logger, "peers")}, done: e.joinPeers,
 	}
-	events := e.storeWatch.events
+	e.storeWatch.forward, e.storeWatch.onLost = heartbeats.forwardChanges, e.notifyPeers
 	followTable := func(cfg follow.Config) {
-		cfg.Reader, cfg.Log, cfg.Events = e.store, log, events
+		cfg.Reader, cfg.Log, cfg.Events = e.store, log, e.storeWatch.events
+		cfg.Relay = e.storeWatch.relay(follow.RelayConfig{Table: cfg.Table, Settle: e.awaitPeers})
 		wg.Go(func() { follow.Table(ctx, cfg) })
 	}
 	followTable(follow.Config{
@@ -75,7 +78,7 @@
 		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(targetsBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
 	followTable(follow.Config{
-		Table: platform.TableEntries, Observer: peers, Position: follow.NewPosition(),
+		Table: platform.TableEntries, Observer: peers, Position: e.storeWatch.entries,
 		FeedWait: follow.Always(follow.LongFeedWait), BatchDelay: e.batchDelay(entriesBatchDelay), MaxBackoff: e.registrationMaxBackoff(),
 	})
 	wg.Go(func() {
@@ -85,6 +88,7 @@
 	wg.Go(func() { e.evidence.run(ctx) })
 	wg.Go(func() { runEvery(ctx, e.clock, heartbeatInterval, heartbeats.tick) })
 	wg.Go(func() { heartbeats.sendOnChange(ctx) })
+	wg.Go(func() { runEvery(ctx, e.clock, steerInterval, e.steer) })
 	started := e.clock.Now()
 	wg.Go(func() {
 		runEvery(ctx, e.clock, tickInterval, func() {
@@ -125,6 +129,23 @@
 	}
 }
 
+// settleCheckInterval is the time between two checks whether all other entries are heard.
+const settleCheckInterval = 20 * time.Millisecond
+
+// awaitPeers waits until the entries in the store are heard, so that an entry which needs not
+// follow a table knows it before its first long poll. It waits no longer than for more changes
+// of targets, and not at all if there are few entries.
+func (e *Entry) awaitPeers(ctx context.Context) {
+	deadline := e.clock.Now().Add(e.batchDelay(targetsBatchDelay)())
+	for e.clock.Now().Before(deadline) && ctx.Err() == nil {
+		known := 1 + len(e.peers.Names())
+		if e.peersLoaded.Load() && (known <= maxPollingEntries || e.storeWatch.liveEntries() >= known) {
+			return
+		}
+		e.sleep(ctx, settleCheckInterval)
+	}
+}
+
 // registrationMaxBackoff returns the maximum backoff of the tables of targets and
 // entries. They must be read again well before the store counts as reachable, which it
 // does settings.Bounds.Contact after a disturbance.
@@ -160,6 +181,7 @@
 func (e *Entry) tick() {
 	e.targets.tick()
 	e.dispatcher.Tick(e.clock.Now())
+	e.choices.tick(e.clock.Now())
 	e.logRefusedParts()
 	e.logHeldBack()
 }
@@ -202,8 +224,9 @@
 	// others are the servers for readiness, the directory and metrics.
 	others []*http.Server
 	// listeners are those of callers and others, in that order.
-	listeners  []net.Listener
-	peerSocket *net.UDPConn
+	listeners      []net.Listener
+	callerListener *callerListener
+	peerSocket     *net.UDPConn
 }
 
 // listen opens all sockets.
@@ -227,7 +250,8 @@
 			return nil, &ListenError{Address: address, Cause: err}
 		}
 		if len(s.listeners) == 0 {
-			listener = &callerListener{listener, e.callerTimeouts}
+			s.callerListener = newCallerListener(listener, e.callerTimeouts)
+			listener = s.callerListener
 		}
 		s.listeners = append(s.listeners, listener)
 	}
@@ -266,6 +290,17 @@
 	}
 }
 
+// finishOthers lets the servers for readiness, the directory and metrics finish requests that
+// have arrived; they take milliseconds.
+func (s *servers) finishOthers() {
+	ctx, cancel := context.WithTimeout(context.Background(), finishOthersTimeout)
+	defer cancel()
+	for _, server := range s.others {
+		// close aborts what is left.
+		_ = server.Shutdown(ctx)
+	}
+}
+
 func (s *servers) close() {
 	for _, server := range append([]*http.Server{s.callers}, s.others...) {
 		_ = server.Close()
@@ -303,8 +338,8 @@
 	e.sleep(abort, directoryTTL)
 	ctx, cancel := context.WithTimeout(abort, max(deadline.Sub(e.clock.Now()), 0))
 	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		e.log.WithError(err).Warn("shutdown did not complete; aborting requests in flight")
+	if left := s.callerListener.drain(ctx); left > 0 {
+		e.log.WithField("connections", left).Warn("shutdown did not complete; aborting requests in flight")
 	}
 }
 
--- a/internal/measure/load/admission.go
+++ b/internal/measure/load/admission.go
@@ -169,7 +169,7 @@
 		names = append(names, fmt.Sprint("entry-", n))
 	}
 	for n := range admissionEntries {
-		d := dispatch.New(dispatch.Config{FailureDomain: "d"})
+		d := dispatch.New(dispatch.Config{FailureDomain: "d", Random: s.random.Float64})
 		d.SetServices(map[string]*config.Service{"s": service}, s.now())
 		d.SetProcesses(dispatch.NewProcesses(names[n], names))
 		s.entries = append(s.entries, &admissionEntry{sim: s, name: names[n], dispatcher: d})
--- a/internal/measure/load/admission_study.go
+++ b/internal/measure/load/admission_study.go
@@ -6,8 +6,8 @@
 	"verbenaseam.example/verbenaseam/internal/measure"
 )
 
-// admissionSeeds is the number of runs of each case. Dispatchers draw random numbers that are
-// not seeded, so the figures vary by about 0.01.
+// admissionSeeds is the number of runs of each case. Means of so few differ by about 0.01 from
+// those of other seeds.
 const admissionSeeds = 4
 
 // The policies that are compared.
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -35,6 +35,7 @@
 	targetNotices    *prometheus.CounterVec
 	queued           *prometheus.CounterVec
 	heldBack         *prometheus.GaugeVec
+	sentRequests     *prometheus.CounterVec
 }
 
 // New returns the metrics of a process with the given role. maxOrganisations is the
@@ -82,7 +83,11 @@
 		ConstLabels: constLabels,
 	}, []string{"service"})
 	registry.MustRegister(m.queued, m.heldBack)
-	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices)
+	m.sentRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_sent_requests_total", Help: "Requests sent to targets in this process's failure domain (own) and in others.",
+		ConstLabels: constLabels,
+	}, []string{"service", "domain"})
+	registry.MustRegister(m.requestSeconds, m.firstByteSeconds, m.failures, m.attempts, m.retryBudget, m.targetCrashes, m.refusedParts, m.targetNotices, m.sentRequests)
 	return m
 }
 
@@ -137,6 +142,13 @@
 	m.heldBack.WithLabelValues(service).Set(value)
 }
 
+// AddCrossings counts requests that were sent to targets of a service, and how many of them
+// to other failure domains.
+func (m *Metrics) AddCrossings(service string, crossed, total uint64) {
+	m.sentRequests.WithLabelValues(service, "own").Add(float64(total - crossed))
+	m.sentRequests.WithLabelValues(service, "other").Add(float64(crossed))
+}
+
 // SetRetryBudget sets the number of retries that the retry budget allows.
 func (m *Metrics) SetRetryBudget(retries float64) { m.retryBudget.Set(retries) }
 
--- a/request/dispatch/acquire.go
+++ b/request/dispatch/acquire.go
@@ -58,12 +58,17 @@
 
 // start records that a request is sent to a target.
 func (d *Dispatcher) start(pool *pool, t *Target, work *Request, now time.Time) {
-	t.take(now)
+	d.take(pool, t, now)
 	pool.recordStart(work, now)
 }
 
 // take counts a request as running on the target and records when it was sent.
-func (t *Target) take(now time.Time) {
+func (d *Dispatcher) take(pool *pool, t *Target, now time.Time) {
+	pool.residence.Start(now)
+	pool.crossings.Total++
+	if t.remote {
+		pool.crossings.Crossed++
+	}
 	t.running++
 	t.freed = max(t.freed-1, 0)
 	t.pause.startsSince++
--- a/request/dispatch/queue.go
+++ b/request/dispatch/queue.go
@@ -25,6 +25,8 @@
 	// QueueDeadline is when the request is rejected if it is still in the queue, unless
 	// response times of the service and an objective are known.
 	QueueDeadline time.Time
+	// Bytes is the expected size of the request and its response; 0 if it is not known.
+	Bytes float64
 	// Tried are the targets that the request was already sent to.
 	Tried []*Target
 }
--- a/request/dispatch/reservation.go
+++ b/request/dispatch/reservation.go
@@ -159,8 +159,8 @@
 		return slots
 	}
 	*slots = slotCount{at: now}
-	limitSlow, skipEjected := d.limitsSlow(pool, now), d.skipsEjected(pool, now)
-	for _, t := range pool.targets {
+	skipEjected, limitSlow := d.exclusions(pool, now)
+	for _, t := range pool.list {
 		load := t.load()
 		slots.own += t.running
 		slots.all += load
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/target"
+	"verbenaseam.example/verbenaseam/request/balance"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -15,10 +16,14 @@
 	// incarnation distinguishes targets with the same ID; it never changes.
 	incarnation string
 	service     *config.Service
+	// remote is set if the target is not in this process's failure domain.
+	remote bool
 	// running counts the requests of this process at the target; peerLoad holds the
 	// counts that other processes report, by process.
 	running  int
 	peerLoad map[string]int
+	// peerTotal is the sum of peerLoad.
+	peerTotal int
 	// coldUntil is when the target's warm-up ends.
 	coldUntil time.Time
 	// sends holds the times of this process's requests to the target within
@@ -52,6 +57,12 @@
 	// until slowdownUntil.
 	slowdown      float64
 	slowdownUntil time.Time
+	// responses are the response times that this process has observed. slowness is how much
+	// longer they are than those of faster targets, as a share; reportedSlow is set while
+	// PaceChanges has reported the target as slow.
+	responses    balance.ResponseTimes
+	slowness     float64
+	reportedSlow bool
 }
 
 // ID returns the target's ID. A target that restarts may keep it; see Incarnation.
@@ -70,12 +81,16 @@
 func (t *Target) FailureDomain() string { return t.registration.FailureDomain }
 
 // load returns how many requests all known processes have at the target.
-func (t *Target) load() int {
-	total := t.running
-	for _, count := range t.peerLoad {
-		total += count
+func (t *Target) load() int { return t.running + t.peerTotal }
+
+// setPeerLoad sets the number of requests of another process.
+func (t *Target) setPeerLoad(process string, count int) {
+	t.peerTotal += count - t.peerLoad[process]
+	if count > 0 {
+		t.peerLoad[process] = count
+	} else {
+		delete(t.peerLoad, process)
 	}
-	return total
 }
 
 // fullness returns the target's load as a share of its slots.
@@ -83,9 +98,11 @@
 	return float64(t.load()) / float64(max(t.registration.Capacity, 1))
 }
 
-// setRegistration updates the target from its latest registration.
-func (t *Target) setRegistration(registration target.Registration, now time.Time) {
+// setRegistration updates the target from its latest registration; ownDomain is the failure
+// domain of this process.
+func (t *Target) setRegistration(registration target.Registration, ownDomain string, now time.Time) {
 	t.registration = registration
+	t.remote = registration.FailureDomain != ownDomain
 	if registration.WarmupRemaining > 0 {
 		t.coldUntil = now.Add(registration.WarmupRemaining)
 	}
@@ -94,7 +111,7 @@
 // usable reports whether the target may get new requests, now or after a pause: it is
 // registered, is not leaving, and its failure domain is not among domainsOut.
 func (t *Target) usable(domainsOut map[string]bool) bool {
-	return !t.gone && !t.registration.Leaving && !t.saidLeaving && !domainsOut[t.registration.FailureDomain]
+	return !t.gone && !t.registration.Leaving && !t.saidLeaving && (len(domainsOut) == 0 || !domainsOut[t.registration.FailureDomain])
 }
 
 // ConnectionLimit returns how many connections one of several processes may open to
--- a/request/dispatch/waits.go
+++ b/request/dispatch/waits.go
@@ -68,7 +68,7 @@
 		return minLateWaiters
 	}
 	slots := 0
-	for _, t := range pool.targets {
+	for _, t := range pool.list {
 		if t.usable(d.domainsOut) {
 			slots += t.registration.Capacity
 		}
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -60,6 +60,8 @@
 	// startedLate is set if the last target was granted when the call could not be in time
 	// any more.
 	startedLate bool
+	// held is the target that the call holds a slot at while an attempt runs, or nil.
+	held *dispatch.Target
 }
 
 // newCall resolves the route and the organisation of a request and reads its body.
@@ -70,7 +72,7 @@
 	if version == nil {
 		return nil, failure.New(failure.NotReady, failure.NotRun, "this entry has no configuration yet").WithRetryAfter(time.Second)
 	}
-	c := &call{id: r.Header.Get(h.headers.Attempt), request: r, version: version, started: h.clock.Now()}
+	c := &call{id: attemptID(r.Header.Get(h.headers.Attempt)), request: r, version: version, started: h.clock.Now()}
 	if err := c.setRoute(&h.headers); err != nil {
 		return c, err
 	}
@@ -92,7 +94,7 @@
 	c.lastEventID = r.Header.Get(h.headers.LastEvent)
 	c.work = dispatch.Request{
 		Service: c.service, Urgency: c.urgency(), Organisation: c.organisationName(), Weight: c.weight(),
-		Timing: h.timing(c), QueueDeadline: c.queueDeadline(),
+		Timing: h.timing(c), QueueDeadline: c.queueDeadline(), Bytes: h.transfers.expected(c.route.Name),
 	}
 	c.attempts = retry.NewSession(retry.Policy{
 		MaxAttempts: c.route.Direct.MaxAttempts, NonIdempotent: !c.route.Idempotent, Deadline: c.deadline,
@@ -101,6 +103,15 @@
 	return c, nil
 }
 
+// attemptID returns the ID that a caller gave to its request, or a new one. Without an ID, a
+// late response to one request could be taken for that to another.
+func attemptID(given string) string {
+	if given != "" {
+		return given
+	}
+	return strconv.FormatUint(rand.Uint64(), 36)
+}
+
 // minAttemptTime is the least remaining time for which a retry is worthwhile.
 const minAttemptTime = 20 * time.Millisecond
 
@@ -283,6 +294,7 @@
 	remaining := max(c.deadline.Sub(now).Milliseconds(), 1)
 	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(names.Expect, t.ID())
+	header.Set(names.Attempt, c.id)
 	if names.Urgency != "" && c.mixedUrgency() {
 		header.Set(names.Urgency, strconv.Itoa(min(max(c.work.Urgency, 0), maxStatedUrgency)))
 	}
