--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -55,6 +55,7 @@
 		require.LessOrEqual(t, len(peers.Releases(now)), 1)
 		dispatch.New(dispatch.Config{}).MergeLeavings(received.Leavings, now)
 		dispatch.New(dispatch.Config{}).MergeLimits(received.Limits, now)
+		dispatch.New(dispatch.Config{}).SetPeerDemand("peer", received.Demand, now)
 		w := newStoreWatch(presence.Peer{Name: "self"}, logrus.NewEntry(logs.Discard()))
 		w.relay(follow.RelayConfig{Table: platform.TableTargets})
 		w.handleStatus(received.Peer.Name, received.Store)
--- a/daemon/direct/malformed_test.go
+++ b/daemon/direct/malformed_test.go
@@ -91,7 +91,7 @@
 	receiver.send()
 	e.tick()
 	require.False(t, e.dispatcher.IsLimited("s"))
-	granted, _ := e.dispatcher.Acquire(dispatch.Request{Service: "s", Arrived: now, QueueDeadline: now.Add(time.Second)}, now)
+	granted, _ := e.dispatcher.Acquire(dispatch.Request{Service: "s", QueueDeadline: now.Add(time.Second)}, now)
 	require.NotNil(t, granted, "the target does not leave")
 }
 
--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -156,6 +156,7 @@
 	for _, name := range e.peers.Dead(now) {
 		e.dispatcher.SetPeerLoad(name, nil, now)
 		e.dispatcher.SetPeerTokens(name, nil, now)
+		e.dispatcher.DropPeerDemand(name, now)
 	}
 	e.setProcesses()
 	census := release.NewCensus(append(e.peers.Releases(now), e.release))
@@ -171,7 +172,7 @@
 	return presence.Heartbeat{
 		Peer: e.self, Ready: e.ready(), Leaving: e.leaving.Load(), Load: e.dispatcher.Load(), Sequence: h.sequence, Store: e.storeWatch.status(),
 		Leavings: e.dispatcher.Leavings(e.clock.Now()), Limits: limits, Release: e.release,
-		Capacity: e.steering.capacity(), Tokens: e.dispatcher.Tokens(),
+		Capacity: e.steering.capacity(), Tokens: e.dispatcher.Tokens(), Demand: e.dispatcher.Demand(e.clock.Now()),
 	}
 }
 
@@ -323,6 +324,7 @@
 		h.entry.dispatcher.SetPeerDomain(received.Peer.Name, received.Peer.FailureDomain)
 		h.entry.dispatcher.SetPeerTokens(received.Peer.Name, received.Tokens, now)
 		h.entry.dispatcher.SetPeerLoad(received.Peer.Name, received.Load, now)
+		h.entry.dispatcher.SetPeerDemand(received.Peer.Name, received.Demand, now)
 		h.entry.storeWatch.handleStatus(received.Peer.Name, received.Store)
 	}
 }
--- a/internal/measure/load/sloworders.go
+++ b/internal/measure/load/sloworders.go
@@ -90,7 +90,7 @@
 	d := s.dispatchers[s.source.random.IntN(len(s.dispatchers))]
 	now := s.loop.clock.Now()
 	s.sent++
-	t, waiter := d.Acquire(dispatch.Request{Service: "orders", Arrived: now, QueueDeadline: now.Add(orderObjective)}, now)
+	t, waiter := d.Acquire(dispatch.Request{Service: "orders", QueueDeadline: now.Add(orderObjective)}, now)
 	if t == nil {
 		if waiter != nil {
 			d.CancelWait(waiter)
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -33,6 +33,8 @@
 	targetCrashes    *prometheus.CounterVec
 	refusedParts     prometheus.Gauge
 	targetNotices    *prometheus.CounterVec
+	queued           *prometheus.CounterVec
+	heldBack         *prometheus.GaugeVec
 	sentRequests     *prometheus.CounterVec
 	memoryDecisions  *prometheus.CounterVec
 	stalledPeers     *prometheus.CounterVec
@@ -75,6 +77,14 @@
 		Name: "verbenaseam_target_notices_total", Help: "Targets that said that they leave, responses that asked for a pause, limits of requests that targets named or lifted.",
 		ConstLabels: constLabels,
 	}, []string{"service", "notice"})
+	m.queued = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "verbenaseam_queued_total", Help: "Requests that left the queue of a service, by how their wait ended.", ConstLabels: constLabels,
+	}, []string{"service", "end"})
+	m.heldBack = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "verbenaseam_requests_held_back", Help: "1 while requests of a service wait although slots are free, which are kept for others.",
+		ConstLabels: constLabels,
+	}, []string{"service"})
+	registry.MustRegister(m.queued, m.heldBack)
 	m.sentRequests = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "verbenaseam_sent_requests_total", Help: "Requests sent to targets in this process's failure domain (own) and in others.",
 		ConstLabels: constLabels,
@@ -130,6 +140,19 @@
 	m.targetNotices.WithLabelValues(service, notice).Inc()
 }
 
+// CountQueued counts a request that left the queue of a service; end is "started",
+// "started_late", "busy", "no_target" or "caller_gone".
+func (m *Metrics) CountQueued(service, end string) { m.queued.WithLabelValues(service, end).Inc() }
+
+// SetHeldBack sets whether requests of a service wait although slots are free.
+func (m *Metrics) SetHeldBack(service string, held bool) {
+	value := 0.0
+	if held {
+		value = 1
+	}
+	m.heldBack.WithLabelValues(service).Set(value)
+}
+
 // AddCrossings counts requests that were sent to targets of a service, and how many of them
 // to other failure domains.
 func (m *Metrics) AddCrossings(service string, crossed, total uint64) {
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -51,6 +51,8 @@
 	Release release.Info `cbor:"10,keyasint,omitzero"`
 	// Limits are what targets told the process of how many requests they take.
 	Limits []TargetLimit `cbor:"11,keyasint,omitempty"`
+	// Demand is what the process has to serve, by service and urgency.
+	Demand []ServiceDemand `cbor:"12,keyasint,omitempty"`
 	// Tokens is by how many units of 1,024 tokens the requests of the process at each target,
 	// by target ID, exceed their shares of its memory; see request/dispatch/tokens.go.
 	Tokens map[string]int `cbor:"13,keyasint,omitempty"`
@@ -60,6 +62,16 @@
 	Capacity Capacity `cbor:"16,keyasint,omitzero"`
 }
 
+// ServiceDemand is what a process has to serve of one urgency of a service.
+type ServiceDemand struct {
+	Service string `cbor:"1,keyasint"`
+	Urgency int    `cbor:"2,keyasint"`
+	// PerSecond is the number of requests that arrive per second, Waiting how many wait for a
+	// target that can still be served in time.
+	PerSecond float32 `cbor:"3,keyasint"`
+	Waiting   int     `cbor:"4,keyasint,omitempty"`
+}
+
 // Capacity is how much a process can serve and does; zero if it does not state it.
 type Capacity struct {
 	Millicores uint32 `cbor:"1,keyasint,omitempty"`
--- a/request/dispatch/choose.go
+++ b/request/dispatch/choose.go
@@ -13,6 +13,7 @@
 func (d *Dispatcher) choose(pool *pool, work *Request, now time.Time) *Target {
 	d.candidates, d.eligible = d.candidates[:0], d.eligible[:0]
 	skipEjected, limitSlow := d.exclusions(pool, now)
+	contended := d.contended(pool, now)
 	mean := pool.residence.Mean()
 	penalty := d.penalties(pool, work, mean)
 	for _, t := range pool.list {
@@ -29,6 +30,9 @@
 		if t.load() >= pool.pacedLimit(t, limit) || !t.coldUntil.IsZero() && d.warmupExhausted(t, now) || !t.fits(work) {
 			continue
 		}
+		if contended && !d.mayClaim(pool, t, limit, now) {
+			continue
+		}
 		candidate := t.candidate(limit)
 		if t.remote {
 			candidate.Remote = true
--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -7,8 +7,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"verbenaseam.example/verbenaseam/process/target"
 	"verbenaseam.example/verbenaseam/request/balance"
+	"verbenaseam.example/verbenaseam/request/capacity"
 	"verbenaseam.example/verbenaseam/version/config"
 )
 
@@ -33,6 +36,16 @@
 	// lastProgress is when any of the targets last made progress.
 	lastProgress time.Time
 	usualWait    usualWait
+	// responseTimes are learned from this process's own requests.
+	responseTimes capacity.ResponseTimes
+	sharing       sharing
+	startShares   capacity.StartShares
+	// startsSinceReturned counts the starts while callers that came back late wait; see
+	// returnedTurn.
+	startsSinceReturned int
+	// heldBackAt is when requests last waited although slots were free, which were kept for
+	// others.
+	heldBackAt time.Time
 	// nextReassign is when the next request may be moved away from a slow target.
 	nextReassign time.Time
 }
@@ -89,6 +102,10 @@
 	// learning is Config.LearnsLimits. It ends at learningUntil; zero if that is not known yet.
 	learning      bool
 	learningUntil time.Time
+	// heardDemand is when the other processes last reported their demand, reportInterval the
+	// mean time between two reports of one.
+	heardDemand    map[string]time.Time
+	reportInterval time.Duration
 	// pauses holds the pauses that incarnations have asked for.
 	pauses   map[incarnationID]*pause
 	crossing Crossing
@@ -113,6 +130,7 @@
 		random: cfg.Random, failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
 		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
+		heardDemand: map[string]time.Time{}, reportInterval: defaultReportInterval,
 		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits, peerDomains: map[string]string{},
 	}
 }
@@ -191,7 +209,7 @@
 	}
 	pool := d.pool(registration.Service)
 	added := &Target{
-		service: pool.service, peerLoad: map[string]int{}, peerTokens: map[string]int{},
+		service: pool.service, peerLoad: map[string]int{}, peerTokens: map[string]int{}, claimOffset: xxhash.Sum64String(registration.ID),
 		incarnation: strconv.FormatInt(registration.StartedAt.UnixMilli(), 10),
 	}
 	added.setRegistration(registration, d.failureDomain, now)
--- a/request/dispatch/release.go
+++ b/request/dispatch/release.go
@@ -47,6 +47,8 @@
 	case AddressReused:
 		t.gone = true
 	}
+	pool.recordEnd(now)
+	t.recordFreed(now, d.reportInterval)
 	d.grant(pool, now)
 }
 
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -49,6 +49,12 @@
 	// lastProgress is when this process last received a response or part of a stream
 	// from the target.
 	lastProgress time.Time
+	// freed is the number of slots that this process has freed and not used again, of which
+	// the others do not know until freedUntil. claimOffset is derived from the ID; see
+	// capacity.MayClaim.
+	freed       int
+	freedUntil  time.Time
+	claimOffset uint64
 	// gone is set once the target is removed or its address belongs to another.
 	gone bool
 	// slowdown is the time that the target takes relative to its usual time, valid
@@ -91,6 +97,11 @@
 	}
 }
 
+// fullness returns the target's load as a share of its slots.
+func (t *Target) fullness() float64 {
+	return float64(t.load()) / float64(max(t.registration.Capacity, 1))
+}
+
 // setRegistration updates the target from its latest registration; ownDomain is the failure
 // domain of this process.
 func (t *Target) setRegistration(registration target.Registration, ownDomain string, now time.Time) {
--- a/request/dispatch/tokens.go
+++ b/request/dispatch/tokens.go
@@ -77,6 +77,14 @@
 	return false
 }
 
+// firstWaitsForMemory reports whether the first request in the queue may wait for memory.
+func (p *pool) firstWaitsForMemory() bool {
+	if len(p.waiting.classes) == 0 || p.waiting.classes[0].order.Len() == 0 {
+		return false
+	}
+	return p.waitsForMemory(&p.waiting.classes[0].order.Peek().Value.(*Waiter).work)
+}
+
 // ExceedsMemory reports whether a request with the given tokens is larger than the memory of
 // any target of a service.
 func (d *Dispatcher) ExceedsMemory(service string, tokens int) bool {
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -12,6 +12,7 @@
 	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/process/memory"
+	"verbenaseam.example/verbenaseam/request/capacity"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/intake"
@@ -64,6 +65,9 @@
 	undelivered error
 	// held is what the process holds for the call.
 	held *memory.Holder
+	// startedLate is set if the last target was granted when the call could not be in time
+	// any more.
+	startedLate bool
 }
 
 // newCall resolves the route and the organisation of a request and reads its body.
@@ -97,7 +101,8 @@
 	c.lastEventID = r.Header.Get(h.headers.LastEvent)
 	prompt, output := h.tokens(r.Header)
 	c.work = dispatch.Request{
-		Service: c.service, Urgency: c.urgency(), Arrived: c.started, QueueDeadline: c.queueDeadline(),
+		Service: c.service, Urgency: c.urgency(), Organisation: c.organisationName(), Weight: c.weight(),
+		Timing: h.timing(c), QueueDeadline: c.queueDeadline(),
 		Bytes: h.transfers.expected(c.route.Name), Tokens: prompt + output,
 	}
 	if h.dispatcher.ExceedsMemory(c.service, c.work.Tokens) {
@@ -225,11 +230,30 @@
 	return c.route.Direct.Urgency
 }
 
+// weight returns the organisation's weight, 0 for the default one.
+func (c *call) weight() float64 {
+	if c.organisation == nil {
+		return 0
+	}
+	return c.organisation.Weight
+}
+
+// timing returns what the dispatcher needs to know of the time that the call has.
+func (h *Handler) timing(c *call) capacity.Timing {
+	timing := capacity.Timing{Arrived: c.started, Objective: c.route.Direct.Latency, Deadline: c.deadline}
+	// A caller that resumes a stream has received its first event already.
+	if left, ok := parseTimeout(c.request.Header.Get(h.headers.Deadline)); ok && c.lastEventID == "" {
+		timing.Age = h.attemptAges.age(c.route.Name, left)
+	}
+	return timing
+}
+
 // queueShare is the share of the route's latency objective that a request may spend
-// in the queue; after a longer wait it could not be served in time.
+// in the queue while the dispatcher does not know how long the targets need.
 const queueShare = 0.6
 
-// queueDeadline returns when the call is rejected if it is still in the queue.
+// queueDeadline returns when the call is rejected if it is still in the queue and the
+// dispatcher does not know how long the targets need.
 func (c *call) queueDeadline() time.Time {
 	latency := c.route.Direct.Latency
 	if latency <= 0 {
@@ -266,6 +290,18 @@
 // mistaken for a fault of the target.
 const deadlineSlack = 100 * time.Millisecond
 
+// mixedUrgency reports whether the requests of the call's service differ in urgency.
+func (c *call) mixedUrgency() bool {
+	if c.version == nil {
+		return false
+	}
+	service := c.version.Services[c.service]
+	return service != nil && service.MixedUrgency
+}
+
+// maxStatedUrgency is the least urgent value that targets know.
+const maxStatedUrgency = 9
+
 // outgoingRequest returns the request to send to a target.
 func (c *call) outgoingRequest(names *Headers, rate pace.Rate, t *dispatch.Target, now time.Time) *direct.Request {
 	header := headers.EndToEnd(c.request.Header)
@@ -278,6 +314,9 @@
 	header.Set(names.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(names.Expect, t.ID())
 	header.Set(names.Attempt, c.id)
+	if names.Urgency != "" && c.mixedUrgency() {
+		header.Set(names.Urgency, strconv.Itoa(min(max(c.work.Urgency, 0), maxStatedUrgency)))
+	}
 	if c.lastEventID != "" {
 		header.Set(names.LastEvent, c.lastEventID)
 	}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -66,6 +66,7 @@
 	checks      *targetChecks
 	pace        pace.Rate
 	memory      *memory.Account
+	attemptAges *attemptAges
 	metrics     *metrics.Metrics
 	transfers   transfers
 	clock       clockwork.Clock
@@ -83,7 +84,7 @@
 	return &Handler{
 		pace: cfg.Pace, memory: cfg.Memory, headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
-		promptParts: cfg.PromptParts, tokens: cfg.Tokens, trialRank: cfg.TrialRank, checks: newTargetChecks(),
+		promptParts: cfg.PromptParts, tokens: cfg.Tokens, trialRank: cfg.TrialRank, checks: newTargetChecks(), attemptAges: newAttemptAges(),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
@@ -164,7 +165,7 @@
 }
 
 // awaitTarget obtains a target for a call. If none is free, it waits in the
-// dispatcher's queue until the call's queue deadline.
+// dispatcher's queue until the dispatcher gives it up.
 func (h *Handler) awaitTarget(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
 	now := h.clock.Now()
 	t, waiter := h.dispatcher.Acquire(c.work, now)
@@ -174,11 +175,12 @@
 	if waiter == nil {
 		return nil, h.noTarget(c)
 	}
-	timer := h.clock.NewTimer(c.work.QueueDeadline.Sub(now))
+	timer := h.clock.NewTimer(waiter.GiveUp().Sub(now))
 	defer timer.Stop()
 	select {
 	case t = <-waiter.Granted():
-		if t == nil {
+		if t == nil && !waiter.CrowdedOut() {
+			h.metrics.CountQueued(c.service, "no_target")
 			return nil, h.noTarget(c)
 		}
 	case <-timer.Chan():
@@ -187,15 +189,27 @@
 		if t = h.dispatcher.CancelWait(waiter); t != nil {
 			h.release(c, t, dispatch.Abandoned)
 		}
+		h.metrics.CountQueued(c.service, "caller_gone")
 		return nil, h.deadlineExceeded(c)
 	}
 	c.queueWait += h.clock.Since(now)
 	if t == nil {
+		h.metrics.CountQueued(c.service, "busy")
 		return nil, h.newFailure(c, failure.Overloaded, "all targets are busy")
 	}
+	c.startedLate = waiter.Late()
+	h.metrics.CountQueued(c.service, queuedEnd(c.startedLate))
 	return t, nil
 }
 
+// queuedEnd returns the metrics label of a request that got a target after a wait.
+func queuedEnd(late bool) string {
+	if late {
+		return "started_late"
+	}
+	return "started"
+}
+
 // noTarget returns the failure of a call that no target can take in time.
 func (h *Handler) noTarget(c *call) *failure.Error {
 	if h.dispatcher.IsLimited(c.service) {
@@ -213,6 +227,9 @@
 		return err.WithRetryAfter(retryAfterPause(pause, rand.Float64()))
 	}
 	down := h.dispatcher.IsDown(c.service, now)
+	if drain, known := h.dispatcher.DrainTime(c.service, c.work.Urgency, now); known && kind == failure.Overloaded && !down {
+		return err.WithRetryAfter(retryAfterDrain(drain, c.deadline.Sub(now), rand.Float64()))
+	}
 	return err.WithRetryAfter(retryAfter(down, c.deadline.Sub(now), rand.Float64()))
 }
 
