--- a/daemon/direct/peers.go
+++ b/daemon/direct/peers.go
@@ -41,6 +41,7 @@
 		if row.Deleted {
 			o.entry.peers.Remove(row.Key)
 			o.entry.dispatcher.SetPeerLoad(row.Key, nil, o.entry.clock.Now())
+			o.entry.dispatcher.DropPeerDemand(row.Key, o.entry.clock.Now())
 			continue
 		}
 		peer, err := platform.DecodePeer(row)
