Add config check for tables and platform configurations

Cause: faults such as shadowed routes or withdrawn keys showed only after publication. Change: version/check finds them in a parsed configuration and compares two configurations; verbenaseam config check prints the findings.

--- a/daemon/tool/tool.go
+++ b/daemon/tool/tool.go
@@ -60,6 +60,8 @@
 	must(tables.AddCommand("get", "Print the newest tables", "", &tablesGet{tool: t}))
 	must(tables.AddCommand("diff", "Show the changes that applying a file would make", "", &tablesDiff{tool: t}))
 	must(tables.AddCommand("apply", "Replace the tables by those in a file", "", &tablesApply{tool: t}))
+	configuration := must(parser.AddCommand("config", "Check configurations", "", &struct{}{}))
+	must(configuration.AddCommand("check", "Find problems of a tables file or platform's configuration before it is published; exit status 1 means findings", "", &configCheck{tool: t}))
 	domain := must(parser.AddCommand("domain", "Take a failure domain out of service or bring it back", "", &struct{}{}))
 	must(domain.AddCommand("out", "Send no new work to the failure domain", "", &domainState{tool: t, out: true}))
 	must(domain.AddCommand("in", "Bring the failure domain back", "", &domainState{tool: t}))
--- a/version/table/line_index.go
+++ b/version/table/line_index.go
@@ -74,6 +74,12 @@
 	e.Line = line
 }
 
+// Lines holds the line numbers of the sections and keys of a parsed file.
+type Lines struct{ index *lineIndex }
+
+// Locate sets the source and the line of an error in the file.
+func (l *Lines) Locate(e *ValidationError) { l.index.locate(e) }
+
 func sectionKind(section string) string {
 	kind, _, _ := strings.Cut(section, " ")
 	return kind
--- a/version/table/parse.go
+++ b/version/table/parse.go
@@ -11,13 +11,19 @@
 // Parse reads a table from INI text and validates it. The version of the table is
 // 0. It fails with ReadError, or with ValidationErrors that hold every error found.
 func Parse(r io.Reader, source string) (*Table, error) {
+	parsed, _, err := ParseWithLines(r, source)
+	return parsed, err
+}
+
+// ParseWithLines is Parse with the line numbers of the sections and keys.
+func ParseWithLines(r io.Reader, source string) (*Table, *Lines, error) {
 	text, err := io.ReadAll(r)
 	if err != nil {
-		return nil, &ReadError{Source: source, Cause: err}
+		return nil, nil, &ReadError{Source: source, Cause: err}
 	}
 	file, err := ini.LoadSources(iniOptions(), text)
 	if err != nil {
-		return nil, ValidationErrors{{Source: source, Line: 1, Reason: err.Error()}}
+		return nil, nil, ValidationErrors{{Source: source, Line: 1, Reason: err.Error()}}
 	}
 	index := newLineIndex(string(text), source)
 	decoder := &decoder{table: New(), errs: index.errs}
@@ -30,9 +36,9 @@
 	}
 	slices.SortStableFunc(errs, func(a, b *ValidationError) int { return a.Line - b.Line })
 	if len(errs) > 0 {
-		return nil, errs
+		return nil, nil, errs
 	}
-	return decoder.table, nil
+	return decoder.table, &Lines{index: index}, nil
 }
 
 func iniOptions() ini.LoadOptions {
