--- a/version/check/check.go
+++ b/version/check/check.go
@@ -41,6 +41,9 @@
 	ObjectiveOverTimeout Code = "objective_over_timeout"
 	// QuotaBelowOne is a quota of less than one request a second.
 	QuotaBelowOne Code = "quota_below_one"
+	// WarmupBelowOne is a service whose cold targets take less than one request in the
+	// whole warm-up.
+	WarmupBelowOne Code = "warmup_below_one"
 	// FewerTargets, FewerSlots, KeysWithdrawn, OrdersRepeatable, RouteWithdrawn and
 	// RoutePublic are the risky changes against another version.
 	FewerTargets     Code = "fewer_targets"
@@ -51,6 +54,14 @@
 	RoutePublic      Code = "route_public"
 )
 
+// Codes lists every code.
+var Codes = []Code{
+	Invalid, ShadowedRoute, UnmatchableHost, MissingService, EmptyPool, DuplicateKey,
+	OrganisationWithoutKeys, DomainWithoutTargets, AttemptsOverTargets, ObjectiveOverTimeout,
+	QuotaBelowOne, WarmupBelowOne, FewerTargets, FewerSlots, KeysWithdrawn, OrdersRepeatable,
+	RouteWithdrawn, RoutePublic,
+}
+
 // Finding is one problem of a configuration.
 type Finding struct {
 	Code Code `json:"code"`
@@ -125,6 +136,9 @@
 	for _, name := range sortedNames(c.Table.Routes) {
 		c.checkRoute(c.Table.Routes[name])
 	}
+	for _, name := range sortedNames(c.Services) {
+		c.checkWarmup(c.Services[name])
+	}
 	c.checkKeys()
 	c.checkDomains()
 	slices.SortStableFunc(c.findings, func(a, b Finding) int { return cmp.Compare(a.Line, b.Line) })
--- a/version/check/rules.go
+++ b/version/check/rules.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"verbenaseam.example/verbenaseam/version/config"
 	"verbenaseam.example/verbenaseam/version/table"
 )
 
@@ -49,6 +50,13 @@
 	}
 }
 
+// checkWarmup compares the rate and the duration of the warm-up. A rate of 0 is no limit.
+func (c *checker) checkWarmup(service *config.Service) {
+	if admitted := service.WarmupRate * service.Warmup.Seconds(); service.Warmup > 0 && service.WarmupRate > 0 && admitted < 1 {
+		c.add(WarmupBelowOne, "service "+service.Name, "", fmt.Sprintf("a cold target takes %.2g requests in the warm-up of %v", admitted, service.Warmup))
+	}
+}
+
 // checkPool checks the targets of a pool that a route names. Only idempotent requests
 // are sent to another target after one that may have executed them.
 func (c *checker) checkPool(section, key, name string, idempotent bool) {
