--- a/version/table/line_index.go
+++ b/version/table/line_index.go
@@ -18,7 +18,8 @@
 type location struct{ section, key string }
 
 func newLineIndex(text, source string) *lineIndex {
-	index := &lineIndex{source: source, lines: map[location]int{}}
+	// At most every line is recorded; the size saves the growth of the map in large files.
+	index := &lineIndex{source: source, lines: make(map[location]int, strings.Count(text, "\n"))}
 	section := ""
 	for i, line := range strings.Split(text, "\n") {
 		section = index.addLine(strings.TrimSpace(line), section, i+1)
