--- a/version/check/check_test.go
+++ b/version/check/check_test.go
@@ -62,7 +62,7 @@
 		"unmatchable_host.ini": `unmatchable_host.ini:30: [route chat] host: can never match: hosts of requests are compared in lower case (unmatchable_host)`,
 		"missing_service.json": `missing_service.json: [route lookups] no such service: stok (missing_service)`,
 		"empty_pool.ini":       `empty_pool.ini:45: [route orders] pool: no target of pool spare may get new work (empty_pool)`,
-		"duplicate_key.json": `duplicate_key.json: [organisation packers] key_sha256: keys withdrawn: 8c731f4e0378 (keys_withdrawn)` + "\n" +
+		"duplicate_key.json": `duplicate_key.json: [organisation packers] key_sha256: keys no longer belong to the organisation: 8c731f4e0378 (keys_withdrawn)` + "\n" +
 			`duplicate_key.json: [organisation sorters] key_sha256: key 207d28c47238 already belongs to organisation packers (duplicate_key)`,
 		"organisation_without_keys.ini": `organisation_without_keys.ini:42: [organisation packers] key_sha256: can never match: the organisation has no key (organisation_without_keys)`,
 		"domain_without_targets.ini":    `domain_without_targets.ini:42: [failure_domain kirtipur] no target belongs to the failure domain (domain_without_targets)`,
@@ -75,13 +75,13 @@
 		"fewer_targets.ini":           `fewer_targets.ini:22: [pool advice] targets: 2 targets may get new work, 3 before (fewer_targets)`,
 		"fewer_slots.ini":             `fewer_slots.ini:23: [pool advice] maximum: 18 concurrent requests, 24 before (fewer_slots)`,
 		"fewer_slots.json":            `fewer_slots.json: [service stock] max_connections: 16 before, 8 now (fewer_slots)`,
-		"keys_withdrawn.ini":          `keys_withdrawn.ini:27: [organisation sorters] key_sha256: keys withdrawn: fcde2b2edba5 (keys_withdrawn)`,
+		"keys_withdrawn.ini":          `keys_withdrawn.ini:27: [organisation sorters] key_sha256: keys no longer belong to the organisation: fcde2b2edba5 (keys_withdrawn)`,
 		"orders_repeatable.ini":       `orders_repeatable.ini:40: [route orders] idempotent: requests may now be executed more than once (orders_repeatable)`,
 		"route_withdrawn.ini":         `route_withdrawn.ini: [route orders] route withdrawn (route_withdrawn)`,
 		"route_public.json":           `route_public.json: [route lookups] requests are now accepted without a key (route_public)`,
 		"risky_changes.ini": `risky_changes.ini:22: [pool advice] targets: 2 targets may get new work, 3 before (fewer_targets)` + "\n" +
 			`risky_changes.ini:24: [pool advice] maximum: 12 concurrent requests, 24 before (fewer_slots)` + "\n" +
-			`risky_changes.ini:28: [organisation sorters] key_sha256: keys withdrawn: fcde2b2edba5 (keys_withdrawn)` + "\n" +
+			`risky_changes.ini:28: [organisation sorters] key_sha256: keys no longer belong to the organisation: fcde2b2edba5 (keys_withdrawn)` + "\n" +
 			`risky_changes.ini:41: [route orders] idempotent: requests may now be executed more than once (orders_repeatable)`,
 	}
 	files, err := os.ReadDir("testdata")
--- a/version/check/compare.go
+++ b/version/check/compare.go
@@ -86,7 +86,7 @@
 			}
 		}
 		if len(withdrawn) > 0 {
-			c.add(KeysWithdrawn, "organisation "+name, "key_sha256", "keys withdrawn: "+strings.Join(withdrawn, ", "))
+			c.add(KeysWithdrawn, "organisation "+name, "key_sha256", "keys no longer belong to the organisation: "+strings.Join(withdrawn, ", "))
 		}
 	}
 }
