--- a/version/table/line_index.go
+++ b/version/table/line_index.go
@@ -18,7 +18,8 @@
 type location struct{ section, key string }
 
 func newLineIndex(text, source string) *lineIndex {
-	index := &lineIndex{source: source, lines: map[location]int{}}
+	// At most every line is recorded; the size saves the growth of the map in large files.
+	index := &lineIndex{source: source, lines: make(map[location]int, strings.Count(text, "\n"))}
 	section := ""
 	for i, line := range strings.Split(text, "\n") {
 		section = index.addLine(strings.TrimSpace(line), section, i+1)
@@ -74,6 +75,12 @@
 	e.Line = line
 }
 
+// Lines holds the line numbers of the sections and keys of a parsed file.
+type Lines struct{ index *lineIndex }
+
+// Locate sets the source and the line of an error in the file.
+func (l *Lines) Locate(e *ValidationError) { l.index.locate(e) }
+
 func sectionKind(section string) string {
 	kind, _, _ := strings.Cut(section, " ")
 	return kind
