--- a/request/capacity/latest.go
+++ b/request/capacity/latest.go
@@ -12,8 +12,8 @@
 	minWaitShare = 0.1
 	// lateObjectives is how long after its arrival, in multiples of its objective, a request
 	// that can no longer be in time may still wait. Callers give up on a silent stream after
-	// four times the objective.
-	lateObjectives = 3
+	// four times the objective, and a rejection must leave them time to come back.
+	lateObjectives = 2
 )
 
 // Timing is what is known of the time that a request has.
