Review case 2: entries of another writer take live runners out for good

A script that shows a broken RECOVER rule: after the final fault nothing is served while the registry holds entries of a service that no configuration names, at the addresses of live runners.

--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -18,7 +18,9 @@
 
 // cases holds the cases by name. Each gets its folder and whether to cause the disruption.
 var cases = map[string]func(*bench) (broken bool, err error){
-	"maps": runMaps,
+	"drain":   runDrain,
+	"maps":    runMaps,
+	"recover": runRecover,
 }
 
 func main() {
