Review case 3: sound requests are refused for a part that nobody may try

A script that shows a broken LOST rule: after requests with a part that crashes runners, sound ones with the same new first part are refused for minutes at the entries of a zone, because only entries of other zones may try the part.

--- a/review/_standins/entries.go
+++ b/review/_standins/entries.go
@@ -176,6 +176,8 @@
 	runners []*appRunner
 	entries []*entry
 	random  *rand.Rand
+	// started counts the entries that were started.
+	started int
 
 	// mu guards the fields below.
 	mu       sync.Mutex
@@ -186,6 +188,8 @@
 type entry struct {
 	*process
 	zone, caller, ready, directory string
+	// entryName is its node_name.
+	entryName string
 }
 
 var zones = []string{"suva", "nadi", "lautoka"}
@@ -203,7 +207,9 @@
 
 // startEntries starts count entries, the first two in the first zone.
 func (s *system) startEntries(count int, storeAddress string) error {
-	for i := range count {
+	for range count {
+		i := s.started
+		s.started++
 		host := fmt.Sprintf("127.0.12.%d", i+1)
 		var ports []string
 		for range 4 {
@@ -214,8 +220,9 @@
 			ports = append(ports, net.JoinHostPort(host, port))
 		}
 		e := &entry{zone: zones[max(i-1, 0)%len(zones)], caller: ports[0], ready: ports[1], directory: ports[2]}
-		settings := fmt.Sprintf("[entry]\nname = edge-%s-%d\nfailure_domain = %s\nregion = viti-levu\nprocessor = 0.608\ncores = 1\nlink = 1500\ncaller_address = %s\nready_address = %s\ndirectory_address = %s\npeer_address = %s\nfiles = 6300\nmemory = 414\n[store]\naddress = %s\n",
-			e.zone, i+1, e.zone, e.caller, e.ready, e.directory, ports[3], storeAddress) + boundsOf
+		e.entryName = fmt.Sprintf("edge-%s-%d", e.zone, i+1)
+		settings := fmt.Sprintf("[entry]\nname = %s\nfailure_domain = %s\nregion = viti-levu\nprocessor = 0.608\ncores = 1\nlink = 1500\ncaller_address = %s\nready_address = %s\ndirectory_address = %s\npeer_address = %s\nfiles = 6300\nmemory = 414\n[store]\naddress = %s\n",
+			e.entryName, e.zone, e.caller, e.ready, e.directory, ports[3], storeAddress) + boundsOf
 		var err error
 		if e.process, err = s.bench.start(fmt.Sprintf("edge-%d", i+1), "verbenaseam-direct", settings); err != nil {
 			return err
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -18,9 +18,12 @@
 
 // cases holds the cases by name. Each gets its folder and whether to cause the disruption.
 var cases = map[string]func(*bench) (broken bool, err error){
-	"drain":   runDrain,
-	"maps":    runMaps,
-	"recover": runRecover,
+	"drain":    runDrain,
+	"parts":    runParts,
+	"explore":  runExplore,
+	"mapchaos": runMapChaos,
+	"maps":     runMaps,
+	"recover":  runRecover,
 }
 
 func main() {
