Review case 4: a part that crashes runners is let through after many crashes

A script that shows a broken BUDGET rule: crashes within a second count as one, so a second batch of requests with the part reaches runners.

--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -18,6 +18,7 @@
 
 // cases holds the cases by name. Each gets its folder and whether to cause the disruption.
 var cases = map[string]func(*bench) (broken bool, err error){
+	"bursts":   runBursts,
 	"drain":    runDrain,
 	"parts":    runParts,
 	"explore":  runExplore,
--- a/review/_standins/parts.go
+++ b/review/_standins/parts.go
@@ -35,6 +35,8 @@
 	begun   map[string]bool
 	crashes int
 	fifthAt time.Time
+	// deadlyAt is when requests with the part that crashes runners reached runners.
+	deadlyAt []time.Time
 }
 
 // crash ends a runner, which comes back after runnerDown as another incarnation.
@@ -67,6 +69,7 @@
 	deadly := strings.Contains(request.Header.Get("Verbenaseam-Prefix-Hash"), deadlyPart)
 	first := false
 	if deadly {
+		p.deadlyAt = append(p.deadlyAt, time.Now())
 		r.mu.Lock()
 		first = !r.gone
 		r.gone = true
