--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -18,13 +18,11 @@
 
 // cases holds the cases by name. Each gets its folder and whether to cause the disruption.
 var cases = map[string]func(*bench) (broken bool, err error){
-	"bursts":   runBursts,
-	"drain":    runDrain,
-	"parts":    runParts,
-	"explore":  runExplore,
-	"mapchaos": runMapChaos,
-	"maps":     runMaps,
-	"recover":  runRecover,
+	"bursts":  runBursts,
+	"drain":   runDrain,
+	"parts":   runParts,
+	"maps":    runMaps,
+	"recover": runRecover,
 }
 
 func main() {
