--- a/review/_standins/bench.go
+++ b/review/_standins/bench.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -70,6 +71,18 @@
 	_ = b.out.Close()
 }
 
+// endOnSignal ends all processes when this one is told to end.
+func (b *bench) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		b.record("result: the case was ended by a signal")
+		b.close()
+		os.Exit(exitFailed)
+	}()
+}
+
 // serve serves a handler at an address and returns the address, with the port that was chosen.
 func (b *bench) serve(address string, handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", address)
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -40,6 +40,7 @@
 		return exitFailed
 	}
 	defer b.close()
+	b.endOnSignal()
 	broken, err := cases[name](b)
 	switch {
 	case err != nil:
