Planners claim their epochs; agents compare the contents of maps

Cause: a planner chose its epoch above the numbers that statuses name, and no status names a map that a rank is still copying. A restarted planner gave the number of the earlier one to another map. Agents, vote and promise compared numbers only.

Change: a planner numbers maps only in an epoch that the engine of its own rank has accepted, which it does once. Statuses, parts and proposals state checksums of contents; agents promise a switch only to contents that they told their engine to copy. Epochs of maps being copied are reported. A refused map leads to a higher epoch, a rank that missed a map gets the next one in full.

Tests changed: the harness of planners has an engine that accepts numbers; the comparison of two planners' epochs uses claims, as strict as before.

--- a/daemon/rank/agent.go
+++ b/daemon/rank/agent.go
@@ -136,6 +136,10 @@
 	counts countsReporter
 	// assembly collects the parts of the map that the planner wants copied.
 	assembly rebalance.MapAssembler
+	// highestEpoch is the highest epoch of the maps that this run of the agent has heard of.
+	highestEpoch uint64
+	copiedSums   copiedSums
+	claim        epochClaim
 	// sentReport is the report that the latest status was made from.
 	sentReport      expertmap.RankReport
 	statusSequence  uint64
@@ -253,6 +257,7 @@
 	a.driver.Tick(now)
 	a.releaseStrayHold(now)
 	a.startPlanningIfNeeded(ctx, now)
+	a.claimEpoch()
 	a.prepareMap(ctx, now)
 	a.readCountsBaseline(ctx, now)
 	interval := rebalance.StatusInterval(a.engine.LastReport().Size)
--- a/daemon/rank/datagrams.go
+++ b/daemon/rank/datagrams.go
@@ -84,10 +84,10 @@
 		a.handleDirective(*envelope.Directive, received.from, now)
 	}
 	if envelope.Part != nil {
-		a.recordInvalid(a.assembly.AddPart(*envelope.Part), received.from, now)
+		a.recordMapError(a.assembly.AddPart(*envelope.Part), received.from, now)
 	}
 	if envelope.Delta != nil {
-		a.recordInvalid(a.assembly.AddDelta(*envelope.Delta), received.from, now)
+		a.recordMapError(a.assembly.AddDelta(*envelope.Delta), received.from, now)
 	}
 	if envelope.Relay != nil {
 		a.handleRelay(*envelope.Relay, received.from)
@@ -109,6 +109,17 @@
 	}
 }
 
+// recordMapError records the error of a received map. A map whose number has two contents is
+// refused, so that its planner gives it up.
+func (a *Agent) recordMapError(err error, from netip.AddrPort, now time.Time) {
+	a.recordInvalid(err, from, now)
+	var conflict *rebalance.MapConflictError
+	if !errors.As(err, &conflict) {
+		return
+	}
+	a.preparing = preparation{mapNumber: conflict.Number, refusedMap: conflict.Number}
+}
+
 // handleDirective processes a directive of another agent of the group. While several agents plan,
 // the directives of the lowest rank take precedence.
 func (a *Agent) handleDirective(directive rebalance.Directive, from netip.AddrPort, now time.Time) {
@@ -128,6 +139,7 @@
 		a.planner = nil
 	}
 	a.directive, a.plannerAddress, a.directiveReceivedAt = &directive, from, now
+	a.observeMap(directive.Prepare)
 	if host, known := directive.Host(directive.Planner); known {
 		// The directive may have come through a relay.
 		a.plannerAddress = netip.AddrPortFrom(host, a.port)
--- a/daemon/rank/groups_test.go
+++ b/daemon/rank/groups_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -34,38 +33,63 @@
 	store        *standin.Store
 	peerPort     string
 	groups       []*standin.Group
-	agents       []*Agent
-	running      sync.WaitGroup
+	agents       []Config
+	// targets are the agents' targets.
+	targets []*standin.Target
+	// stops end the agents; each returns once its agent has ended.
+	stops []func()
 }
 
 func startServiceWithGroups(t *testing.T, names ...string) *serviceWithGroups {
+	t.Helper()
+	return startService(t, standin.Configuration(1, "/look/"), names...)
+}
+
+// startService is startServiceWithGroups with a configuration.
+func startService(t *testing.T, configuration []byte, names ...string) *serviceWithGroups {
 	t.Helper()
 	s := &serviceWithGroups{t: t, store: standin.NewStore()}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
 	s.storeAddress = strings.TrimPrefix(server.URL, "http://")
-	s.store.Put(platform.TableOperator, platform.KeyConfiguration, standin.Configuration(1, "/look/"))
+	s.store.Put(platform.TableOperator, platform.KeyConfiguration, configuration)
 	_, port, err := net.SplitHostPort(listenLoopback(t).LocalAddr().String())
 	require.NoError(t, err)
 	s.peerPort = port
 	for _, name := range names {
 		s.addGroup(name)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	for _, agent := range s.agents {
-		s.running.Go(func() {
-			if err := agent.Run(ctx, ctx); err != nil {
-				t.Error(err)
-			}
-		})
+	for at := range s.agents {
+		s.startAgent(at)
 	}
 	t.Cleanup(func() {
-		cancel()
-		s.running.Wait()
+		for _, stop := range s.stops {
+			stop()
+		}
 	})
 	return s
 }
 
+// startAgent starts the agent at an index, in place of one that was stopped.
+func (s *serviceWithGroups) startAgent(at int) {
+	agent := New(s.agents[at])
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := agent.Run(ctx, ctx); err != nil {
+			s.t.Error(err)
+		}
+	}()
+	s.stops[at] = func() {
+		cancel()
+		<-done
+	}
+}
+
+// stopAgent stops the agent at an index.
+func (s *serviceWithGroups) stopAgent(at int) { s.stops[at]() }
+
 func (s *serviceWithGroups) addGroup(name string) {
 	s.t.Helper()
 	var ranks []*standin.Target
@@ -80,10 +104,12 @@
 		address := listener.Addr().String()
 		s.store.Put(platform.TableTargets, rank.ID, rank.RegistrationValue(address, "ready"))
 		ranks = append(ranks, rank)
-		s.agents = append(s.agents, New(Config{
+		s.targets = append(s.targets, rank)
+		s.stops = append(s.stops, nil)
+		s.agents = append(s.agents, Config{
 			Settings: settings.Rank{Name: host, TargetAddress: address, Service: "model", PeerAddress: net.JoinHostPort(host, s.peerPort), Bandwidth: 100},
 			Store:    platform.NewStore(s.storeAddress), Clock: clockwork.NewRealClock(), Logger: logs.Discard(),
-		}))
+		})
 	}
 	s.groups = append(s.groups, standin.NewNamedGroup(name, 1, 6, ranks...))
 }
--- a/daemon/rank/refresh.go
+++ b/daemon/rank/refresh.go
@@ -111,7 +111,7 @@
 	a.planner, a.directive, a.formedAt = nil, nil, now
 	a.resetCounts(report.Rank, report.Size, now)
 	a.assembly = rebalance.NewMapAssembler(report.Size)
-	a.preparing = preparation{}
+	a.preparing, a.copiedSums = preparation{}, nil
 	a.log.WithFields(logrus.Fields{
 		"group": report.Group.String(), "rank": report.Rank, "size": report.Size, "running": report.Running,
 	}).Info("group formed")
--- a/daemon/rank/status.go
+++ b/daemon/rank/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/platform"
@@ -12,16 +13,56 @@
 
 // statusOf returns the status for a report, without sequence number and held experts.
 func (a *Agent) statusOf(report expertmap.RankReport) rebalance.Status {
-	epoch := uint64(0)
+	epoch := a.highestEpoch
 	if a.driver != nil {
-		epoch = a.driver.Agent().Epoch()
+		epoch = max(epoch, a.driver.Agent().Epoch())
 	}
 	return rebalance.Status{
 		Rank: report.Rank, Size: report.Size, AgentIncarnation: a.incarnation, Running: report.Running, Prepared: report.Prepared, Armed: report.Armed,
 		RunningKnown: a.assembly.Knows(report.Running), Refused: a.preparing.refusedMap, Slowdown: report.Slowdown, Epoch: epoch, Release: a.release,
+		PreparedSum: a.copiedSums.of(report.Prepared), RunningSum: a.copiedSums.of(report.Running),
 	}
 }
 
+// observeMap records that the engine of a rank may have been told to copy a map. No status
+// shows that before the copy ends.
+func (a *Agent) observeMap(number uint64) {
+	a.highestEpoch = max(a.highestEpoch, expertmap.MapIDFromNumber(number).Epoch)
+}
+
+// copiedSums holds the checksums of the contents of the maps that the engine was last told to
+// copy, in that order.
+type copiedSums []copiedSum
+
+type copiedSum struct{ number, sum uint64 }
+
+// maxCopiedSums is the number of maps kept: the one in use and those given up since.
+const maxCopiedSums = 8
+
+// add records the contents of a map. Those of the map in use, which may have been copied long
+// before, stay.
+func (s *copiedSums) add(number, sum, running uint64) {
+	kept := slices.DeleteFunc(*s, func(c copiedSum) bool { return c.number == number })
+	if len(kept) == maxCopiedSums {
+		oldest := 0
+		if kept[0].number == running {
+			oldest = 1
+		}
+		kept = slices.Delete(kept, oldest, oldest+1)
+	}
+	*s = append(kept, copiedSum{number, sum})
+}
+
+// of returns the checksum of a map's contents, 0 if it is not known.
+func (s copiedSums) of(number uint64) uint64 {
+	for _, c := range s {
+		if c.number == number {
+			return c.sum
+		}
+	}
+	return 0
+}
+
 // sendStatus sends this rank's status, and its counts when they are due, to the planner,
 // which may run in this agent.
 func (a *Agent) sendStatus(ctx context.Context, now time.Time) {
@@ -67,6 +108,14 @@
 	}
 }
 
+// recordCopy records the contents of a map that the engine is told to copy.
+func (a *Agent) recordCopy(wanted *rebalance.Map) {
+	number, sum := wanted.ID.Number(), wanted.Sum()
+	a.observeMap(number)
+	a.copiedSums.add(number, sum, a.engine.LastReport().Running)
+	a.engine.RecordCopy(number, sum)
+}
+
 // preparation is the state of this rank's copy of a map.
 type preparation struct {
 	mapNumber uint64
@@ -110,6 +159,7 @@
 	if a.preparing.accepted || a.preparing.refusedMap == number || report.Armed != 0 {
 		return
 	}
+	a.recordCopy(wanted)
 	preconditions := platform.CommandPrecondition{CommandCount: report.CommandCount, Incarnation: report.Group.Incarnation}
 	ok, err := a.target.Prepare(ctx, preconditions, number, wanted.Experts)
 	if ok {
--- a/version/expertmap/command_engine.go
+++ b/version/expertmap/command_engine.go
@@ -52,6 +52,9 @@
 	unconfirmedMap uint64
 	// unconfirmedGo is the highest step for which a Go command may still take effect.
 	unconfirmedGo uint64
+	// copied is the number of the newest map that the engine was told to copy by this agent,
+	// copiedSum the checksum of its contents.
+	copied, copiedSum uint64
 }
 
 const (
@@ -72,6 +75,10 @@
 	return &CommandEngine{commands: commands}
 }
 
+// RecordCopy records that the engine is told to copy a map with a checksum of its contents. It
+// promises no switch to other contents under the number of the map.
+func (e *CommandEngine) RecordCopy(number, sum uint64) { e.copied, e.copiedSum = number, sum }
+
 // LastReport returns the latest report, updated by the commands sent since.
 func (e *CommandEngine) LastReport() RankReport { return e.lastReport }
 
@@ -226,7 +233,13 @@
 	if r.Armed != 0 && (r.Armed != proposal.To.Number() || r.ArmedStep != proposal.Step) {
 		return false
 	}
-	return r.Running == proposal.From.Number() && r.Prepared == proposal.To.Number()
+	return r.Running == proposal.From.Number() && r.Prepared == proposal.To.Number() && e.hasContents(proposal)
+}
+
+// hasContents reports whether the prepared map has the contents that the proposal states. An
+// agent that did not tell its engine to copy the map cannot know.
+func (e *CommandEngine) hasContents(proposal Proposal) bool {
+	return proposal.ToSum == 0 || e.copied == proposal.To.Number() && e.copiedSum == proposal.ToSum
 }
 
 // Release implements Engine.
--- a/version/expertmap/command_engine_test.go
+++ b/version/expertmap/command_engine_test.go
@@ -112,3 +112,37 @@
 		})
 	}
 }
+
+// TestPromiseNeedsContentsOfProposal guards against a promise to switch to another map that has the
+// number of the proposed one.
+func TestPromiseNeedsContentsOfProposal(t *testing.T) {
+	to := MapID{Epoch: 1, Version: 2}
+	for name, c := range map[string]struct {
+		stated, copied uint64
+		promised       bool
+	}{
+		"the same contents":                       {stated: 7, copied: 7, promised: true},
+		"other contents":                          {stated: 7, copied: 8},
+		"contents that the agent did not copy":    {stated: 7},
+		"a proposer of an earlier release":        {copied: 8, promised: true},
+		"neither the proposer nor the agent know": {promised: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newSimGroup(1, 2, true, simNoFault)
+			g.lossRate = 0
+			require.True(t, g.ranks[0].copyMap(to.Number()))
+			engine := NewCommandEngine(&simCommands{group: g, rank: 0})
+			_, err := engine.Refresh()
+			require.NoError(t, err)
+			if c.copied != 0 {
+				engine.RecordCopy(to.Number(), c.copied)
+			}
+			proposal := Proposal{ID: NewProposalID(to, 4), Group: g.id, To: to, ToSum: c.stated, Step: 4, GroupHeld: true, Holder: 1, Proposer: 1}
+			held, err := engine.Hold(proposal)
+			require.Equal(t, c.promised, held && err == nil)
+			if !c.promised {
+				require.Zero(t, g.ranks[0].report.Armed)
+			}
+		})
+	}
+}
--- a/version/expertmap/types.go
+++ b/version/expertmap/types.go
@@ -37,6 +37,8 @@
 	Group GroupID
 	// From is the map that the proposal replaces, To the one it introduces.
 	From, To MapID
+	// ToSum is a checksum of the contents of To; 0 if the proposer does not state it.
+	ToSum uint64 `cbor:",omitempty"`
 	// Step is the first step that runs on To.
 	Step uint64
 	// Agents holds, by rank, the incarnation of the agent that is asked. A later
--- a/version/rebalance/map_parts.go
+++ b/version/rebalance/map_parts.go
@@ -18,6 +18,8 @@
 	FirstLayer int       `cbor:"3,keyasint"`
 	FirstRank  int       `cbor:"6,keyasint,omitempty"`
 	Experts    [][][]int `cbor:"4,keyasint"`
+	// Sum is the checksum of the contents of the map; 0 if the sender does not state it.
+	Sum uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 const (
@@ -42,16 +44,17 @@
 // are small, of some ranks of one layer otherwise.
 func (m *Map) Parts() []MapPart {
 	var parts []MapPart
+	sum := m.Sum()
 	size := maxPartSize // makes the first layer start a part
 	for layer, ranks := range m.Experts {
 		layerSize := encodedSize(ranks)
 		if layerSize > maxPartSize {
-			parts = append(parts, m.layerParts(layer)...)
+			parts = append(parts, m.layerParts(layer, sum)...)
 			size = maxPartSize
 			continue
 		}
 		if size+layerSize > maxPartSize {
-			parts = append(parts, m.newPart(layer, 0))
+			parts = append(parts, m.newPart(layer, 0, sum))
 			size = 0
 		}
 		last := &parts[len(parts)-1]
@@ -61,26 +64,28 @@
 	return parts
 }
 
-func (m *Map) newPart(layer, rank int) MapPart {
-	return MapPart{Number: m.ID.Number(), Layers: len(m.Experts), Ranks: len(m.Experts[layer]), FirstLayer: layer, FirstRank: rank}
+func (m *Map) newPart(layer, rank int, sum uint64) MapPart {
+	return MapPart{
+		Number: m.ID.Number(), Layers: len(m.Experts), Ranks: len(m.Experts[layer]), FirstLayer: layer, FirstRank: rank, Sum: sum,
+	}
 }
 
-// layerParts splits one layer into parts of consecutive ranks.
-func (m *Map) layerParts(layer int) []MapPart {
+// layerParts splits one layer into parts of consecutive ranks. sum is the checksum of the map.
+func (m *Map) layerParts(layer int, sum uint64) []MapPart {
 	var parts []MapPart
 	first, size := 0, 0
 	ranks := m.Experts[layer]
 	for rank := range ranks {
 		rankSize := encodedSize(ranks[rank : rank+1])
 		if size > 0 && size+rankSize > maxPartSize {
-			part := m.newPart(layer, first)
+			part := m.newPart(layer, first, sum)
 			part.Experts = [][][]int{ranks[first:rank]}
 			parts = append(parts, part)
 			first, size = rank, 0
 		}
 		size += rankSize
 	}
-	part := m.newPart(layer, first)
+	part := m.newPart(layer, first, sum)
 	part.Experts = [][][]int{ranks[first:]}
 	return append(parts, part)
 }
@@ -99,12 +104,25 @@
 	return fmt.Sprintf("map %d has %d ranks, the group has %d", e.Number, e.Ranks, e.GroupSize)
 }
 
+// MapConflictError reports a map whose contents differ from those that were received under the
+// same number before. No rank may use either.
+type MapConflictError struct{ Number uint64 }
+
+// Error implements error.
+func (e *MapConflictError) Error() string {
+	return fmt.Sprintf("two maps with different contents have the number %d", e.Number)
+}
+
 // MapAssembler reconstructs a map from its parts or from a delta.
 type MapAssembler struct {
 	// size is the number of ranks of the group.
 	size    int
 	number  uint64
 	experts [][][]int
+	// sum is the checksum of the contents as their sender states it, 0 if it does not.
+	sum uint64
+	// conflicting is set if maps with different contents were received under number.
+	conflicting bool
 	// missing is the number of ranks, over all layers, that have not been received.
 	missing int
 	// complete holds the latest complete maps, to which deltas are applied. A map that
@@ -151,25 +169,47 @@
 }
 
 // AddDelta processes a delta, or a part of one. It ignores deltas whose base it does not
-// have, and those of older or already complete maps. It fails with MapShapeError.
+// have, and those of older or already complete maps. It fails with MapShapeError or
+// MapConflictError.
 func (a *MapAssembler) AddDelta(delta Delta) error {
 	if delta.Ranks != a.size {
 		return &MapShapeError{Number: delta.Number, Ranks: delta.Ranks, GroupSize: a.size}
 	}
-	if delta.Number < a.number || delta.Number == a.number && a.missing == 0 {
+	if delta.Number < a.number {
 		return nil
 	}
+	if delta.Number == a.number {
+		if err := a.checkSum(delta.Sum); err != nil || a.missing == 0 {
+			return err
+		}
+	}
 	whole, complete := a.joinDelta(delta)
 	if !complete {
 		return nil
 	}
 	if next, ok := whole.Apply(a.completeMap(whole.Base)); ok {
 		a.number, a.experts, a.missing = whole.Number, next.Experts, 0
+		a.sum, a.conflicting = whole.Sum, false
 		a.Remember(next)
 	}
 	return nil
 }
 
+// checkSum compares the checksum of contents that were received under the current number with
+// that of the contents before. It fails with MapConflictError.
+func (a *MapAssembler) checkSum(sum uint64) error {
+	if a.sum == 0 {
+		a.sum = sum
+	}
+	if sum != 0 && sum != a.sum {
+		a.conflicting = true
+	}
+	if a.conflicting {
+		return &MapConflictError{Number: a.number}
+	}
+	return nil
+}
+
 // maxDeltaParts bounds the number of parts of a received delta.
 const maxDeltaParts = 256
 
@@ -202,7 +242,7 @@
 
 // AddPart processes a part. A part of a newer map, or one with another number of layers,
 // discards the parts received before. A part of an older map, or one that is out of
-// range, is ignored. It fails with MapShapeError.
+// range, is ignored. It fails with MapShapeError or MapConflictError.
 func (a *MapAssembler) AddPart(part MapPart) error {
 	if part.Ranks != a.size {
 		return &MapShapeError{Number: part.Number, Ranks: part.Ranks, GroupSize: a.size}
@@ -210,8 +250,14 @@
 	if part.Number < a.number || !part.inRange() {
 		return nil
 	}
+	if part.Number == a.number {
+		if err := a.checkSum(part.Sum); err != nil || a.missing == 0 {
+			return err
+		}
+	}
 	if part.Number > a.number || len(a.experts) != part.Layers {
 		a.number, a.experts, a.missing = part.Number, make([][][]int, part.Layers), part.Layers*a.size
+		a.sum, a.conflicting = part.Sum, false
 		for layer := range a.experts {
 			a.experts[layer] = make([][]int, a.size)
 		}
@@ -225,9 +271,14 @@
 			}
 		}
 	}
-	if a.missing == 0 {
-		a.Remember(&Map{ID: expertmap.MapIDFromNumber(a.number), Experts: a.experts})
+	if a.missing > 0 {
+		return nil
+	}
+	whole := &Map{ID: expertmap.MapIDFromNumber(a.number), Experts: a.experts}
+	if err := a.checkSum(whole.Sum()); err != nil {
+		return err
 	}
+	a.Remember(whole)
 	return nil
 }
 
@@ -250,7 +301,7 @@
 
 // Map returns the map with the given number once it is complete.
 func (a *MapAssembler) Map(number uint64) (*Map, bool) {
-	if number == 0 || a.number != number || a.missing > 0 {
+	if number == 0 || a.number != number || a.missing > 0 || a.conflicting {
 		return nil, false
 	}
 	return &Map{ID: expertmap.MapIDFromNumber(number), Experts: a.experts}, true
--- a/version/rebalance/messages.go
+++ b/version/rebalance/messages.go
@@ -52,12 +52,17 @@
 	Held [][]int `cbor:"11,keyasint"`
 	// Refused is the number of a map that the engine refuses to copy; 0 for none.
 	Refused uint64 `cbor:"12,keyasint"`
-	// Epoch is the highest map epoch known to the agent.
+	// Epoch is the highest map epoch known to the agent, also that of a map that its engine
+	// is copying.
 	Epoch uint64 `cbor:"14,keyasint,omitempty"`
 	// Slowdown is the factor by which the rank is slower than usual; 1 is normal speed.
 	Slowdown float64 `cbor:"13,keyasint,omitempty"`
 	// Release is the build of the agent and the versions of datagrams that it speaks.
 	Release release.Info `cbor:"16,keyasint,omitempty"`
+	// PreparedSum and RunningSum are the checksums of the contents of the prepared map and
+	// of the one in use (see Map.Sum), as the agent told its engine; 0 if it has not.
+	PreparedSum uint64 `cbor:"17,keyasint,omitempty"`
+	RunningSum  uint64 `cbor:"18,keyasint,omitempty"`
 }
 
 // Versions is the versions of the datagrams between agents that this build speaks.
--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -31,9 +31,6 @@
 	maxLead = 10
 	// retryDelay is the time between an abort and the next proposal.
 	retryDelay = 100 * time.Millisecond
-	// rankBits is the number of low bits of an epoch that hold the planner's rank,
-	// so that two planners never create the same epoch.
-	rankBits = 12
 	// maxSearchSteps bounds the work of the search for one map.
 	maxSearchSteps = 400
 )
@@ -62,6 +59,21 @@
 	// held lists, by layer, the experts that the map in use assigns to the rank; nil
 	// if not known.
 	held [][]int
+	// needsFullMap is set if the rank did not copy a map in time. It gets the next one in
+	// full: the map that it applies deltas to may be another one than the planner's.
+	needsFullMap bool
+}
+
+// hasPrepared reports whether the rank has copied a map with these contents. Ranks of releases
+// that do not state the contents are believed.
+func (m *member) hasPrepared(number, sum uint64) bool {
+	return m.status.Prepared == number && (m.status.PreparedSum == sum || m.status.PreparedSum == 0)
+}
+
+// contradicts reports whether the rank uses another map than the one with this number and
+// these contents.
+func (m *member) contradicts(number, sum uint64) bool {
+	return m.status.Running != number || m.status.RunningSum != sum && m.status.RunningSum != 0
 }
 
 // Planner decides on the expert maps of one incarnation of a group.
@@ -76,14 +88,16 @@
 
 	members []*member
 	demand  *demand
-	// epoch and version are those of the latest map that the planner created, and
-	// highestNumber is the highest map number reported by any rank.
-	epoch, version uint64
-	highestNumber  uint64
-	// current is the map in use; nil while its contents are not known.
-	current *Map
-	// next is the map that is to replace current; nil for none.
+	numbers mapNumbers
+	// current is the map in use; nil while its contents are not known. currentSum is the
+	// checksum of its contents, currentMade is set if this planner made it.
+	current     *Map
+	currentSum  uint64
+	currentMade bool
+	// next is the map that is to replace current; nil for none. nextSum is the checksum of
+	// its contents.
 	next       *Map
+	nextSum    uint64
 	phase      phase
 	phaseStart time.Time
 	// lead is the least number of steps ahead for which a switch is proposed. It
@@ -112,7 +126,7 @@
 	return &Planner{
 		stepTimer: stepTimer{maxGap: maxGap},
 		policy:    policy, experts: experts, group: group,
-		rank: own.Rank, size: own.Size, agentIncarnation: own.AgentIncarnation,
+		rank: own.Rank, size: own.Size, agentIncarnation: own.AgentIncarnation, numbers: mapNumbers{rank: own.Rank},
 		members: make([]*member, own.Size), demand: newDemand(experts.Sets, experts.PerSet, policy),
 		lead: policy.MinLead,
 	}
@@ -143,12 +157,31 @@
 	if next.held == nil && old != nil && old.status.Running == status.Running {
 		next.held = old.held
 	}
+	if old != nil {
+		next.needsFullMap = old.needsFullMap && !(p.next != nil && next.hasPrepared(p.next.ID.Number(), p.nextSum))
+	}
 	p.members[status.Rank] = next
-	lowestOfEpoch := expertmap.MapID{Epoch: status.Epoch}
-	p.highestNumber = max(p.highestNumber, status.Running, status.Prepared, status.Armed, lowestOfEpoch.Number())
+	p.numbers.observe(max(status.Running, status.Prepared, status.Armed))
+	p.numbers.observeEpoch(status.Epoch)
 	return nil
 }
 
+// Claim returns the number that the engine of the planner's rank must accept before the planner
+// makes further maps (see mapNumbers); 0 for none. prepared is the number that this engine
+// reports as prepared.
+func (p *Planner) Claim(prepared uint64) uint64 {
+	if p.phase != idle {
+		return 0
+	}
+	return p.numbers.claim(prepared)
+}
+
+// ClaimSent records that the engine has been, or is about to be, told to accept the claim.
+func (p *Planner) ClaimSent() { p.numbers.claimSent() }
+
+// ClaimRefused records that the engine does not accept the claim.
+func (p *Planner) ClaimRefused() { p.numbers.refused() }
+
 // Releases returns what the agents of the group state of their releases, as far as known.
 func (p *Planner) Releases() []release.Info {
 	var all []release.Info
@@ -241,13 +274,13 @@
 // which the delta applies.
 func (p *Planner) CanApplyDelta(rank int) bool {
 	m := p.members[rank]
-	return m != nil && p.current != nil && m.status.RunningKnown && m.status.Running == p.current.ID.Number()
+	return m != nil && p.current != nil && m.status.RunningKnown && !m.needsFullMap && !m.contradicts(p.current.ID.Number(), p.currentSum)
 }
 
 // Prepared reports whether a rank has copied the next map; true if there is none.
 func (p *Planner) Prepared(rank int) bool {
 	m := p.members[rank]
-	return p.next == nil || m != nil && m.status.Prepared == p.next.ID.Number()
+	return p.next == nil || m != nil && m.hasPrepared(p.next.ID.Number(), p.nextSum)
 }
 
 // DecisionKind is the kind of a planner's decision.
@@ -318,7 +351,7 @@
 	if !p.allStatusesRecent(now) || !p.learnCurrent() {
 		return nil
 	}
-	if now.Sub(p.lastSearch) < sliceDuration {
+	if now.Sub(p.lastSearch) < sliceDuration || !p.numbers.usable() {
 		return nil
 	}
 	p.lastSearch = now
@@ -344,9 +377,10 @@
 		return nil
 	}
 	p.plan = plan
-	p.next = &Map{ID: p.nextID(), Experts: plan.Experts}
-	p.proposedStep = 0
+	p.next = &Map{ID: p.numbers.next(), Experts: plan.Experts}
 	p.next.sort()
+	p.nextSum = p.next.Sum()
+	p.proposedStep = 0
 	took := p.enterPhase(preparing, now)
 	return &Decision{Kind: Prepare, Map: p.next.ID, Plan: plan, Took: took}
 }
@@ -359,17 +393,6 @@
 	return slowdowns
 }
 
-// nextID returns a map ID that no other planner uses. If a rank has reported a
-// higher epoch, it starts a new epoch above that.
-func (p *Planner) nextID() expertmap.MapID {
-	if highest := expertmap.MapIDFromNumber(p.highestNumber); highest.Epoch > p.epoch || p.epoch == 0 {
-		p.epoch = (highest.Epoch>>rankBits+1)<<rankBits | uint64(p.rank)
-		p.version = 0
-	}
-	p.version = expertmap.NextVersion(p.version)
-	return expertmap.MapID{Epoch: p.epoch, Version: p.version}
-}
-
 // learnCurrent determines the contents of the map in use. It returns false while
 // they are not known, while the ranks report different maps, or while a rank is
 // armed to switch.
@@ -378,7 +401,7 @@
 	if !p.allRanks(func(s Status) bool { return s.Running == running && s.Armed == 0 }) {
 		return false
 	}
-	if p.current != nil && p.current.ID.Number() == running {
+	if p.current != nil && p.current.ID.Number() == running && !p.currentContradicted() {
 		return true
 	}
 	p.current = nil
@@ -394,5 +417,16 @@
 	}
 	p.current = &Map{ID: expertmap.MapIDFromNumber(running), Experts: experts}
 	p.current.sort()
+	p.currentSum, p.currentMade = p.current.Sum(), false
 	return true
 }
+
+// currentContradicted reports whether a rank uses other contents than those of the map in use
+// that this planner made. Contents that the ranks reported as held are not doubted.
+func (p *Planner) currentContradicted() bool {
+	if !p.currentMade {
+		return false
+	}
+	number := p.current.ID.Number()
+	return slices.ContainsFunc(p.members, func(m *member) bool { return m.contradicts(number, p.currentSum) })
+}
--- a/version/rebalance/planner_test.go
+++ b/version/rebalance/planner_test.go
@@ -26,6 +26,9 @@
 	status   [testRanks]Status
 	// silent holds the ranks that send no status.
 	silent map[int]bool
+	// accepted is the highest number that the engine of rank 0 has accepted. It outlives
+	// planners.
+	accepted uint64
 }
 
 func newHarness(t *testing.T) *harness {
@@ -64,9 +67,26 @@
 		}
 		require.NoError(h.t, h.planner.HandleStatus(status, hostOf(rank), h.now))
 	}
+	h.claim()
 	return h.planner.Step(h.step, h.now)
 }
 
+// claim makes the engine of rank 0 accept what the planner claims, if it is higher than all that
+// it has accepted.
+func (h *harness) claim() {
+	number := h.planner.Claim(h.status[0].Prepared)
+	if number == 0 {
+		return
+	}
+	h.planner.ClaimSent()
+	if number <= h.accepted {
+		h.planner.ClaimRefused()
+		return
+	}
+	h.accepted, h.status[0].Prepared = number, number
+	h.planner.Claim(number)
+}
+
 // tickUntil ticks until the planner takes a decision, which must be of the given
 // kind.
 func (h *harness) tickUntil(kind DecisionKind) (*Decision, *expertmap.Proposal) {
@@ -232,6 +252,102 @@
 	require.Greater(t, second.Map.Number(), first.Map.Number())
 }
 
+// TestRestartedPlannerReusesNoMapIDThatNobodyReports guards against a planner that gives out a
+// number again: it was restarted while the ranks copied its first map, of which no status tells, and
+// its own engine has or has not accepted that map.
+func TestRestartedPlannerReusesNoMapIDThatNobodyReports(t *testing.T) {
+	for name, ownCopy := range map[string]bool{"not accepted by its own engine": false, "accepted by its own engine": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			first, _ := h.tickUntil(Prepare)
+			if ownCopy {
+				// The engine reports no prepared map while it copies one.
+				h.accepted, h.status[0].Prepared = first.Map.Number(), 0
+			}
+			h.startPlanner()
+			second, _ := h.tickUntil(Prepare)
+			require.Greater(t, second.Map.Epoch, first.Map.Epoch)
+			require.Greater(t, second.Map.Number(), first.Map.Number())
+		})
+	}
+}
+
+// TestRankWithUnreportedNumbersTakesALaterMap guards against a group that takes no further map: the
+// engine of a rank refuses all numbers up to one that nobody reports.
+func TestRankWithUnreportedNumbersTakesALaterMap(t *testing.T) {
+	h := newHarness(t)
+	unreported := expertmap.MapID{Epoch: 40<<rankBits | 3, Version: 6}.Number()
+	for range 12 {
+		decision, _ := h.tickUntil(Prepare)
+		if decision.Map.Number() > unreported {
+			return
+		}
+		h.status[2].Refused = decision.Map.Number()
+		h.tickUntil(GivenUp)
+	}
+	t.Fatal("no map lies above the unreported number")
+}
+
+// TestMapWithOtherContentsIsNotProposed guards against a switch to "the" map of a number whose
+// contents differ between ranks.
+func TestMapWithOtherContentsIsNotProposed(t *testing.T) {
+	h := newHarness(t)
+	decision, _ := h.tickUntil(Prepare)
+	sum := h.planner.MapToCopy().Sum()
+	h.setPrepared(decision.Map.Number())
+	for rank := range h.status {
+		h.status[rank].PreparedSum = sum
+	}
+	h.status[2].PreparedSum = sum + 1
+	h.tickUntil(GivenUp)
+}
+
+// TestContradictedMapInUseIsReadAgain guards against a planner whose deltas nobody can apply any
+// more: it knows the map in use by its number, with other contents than the ranks.
+func TestContradictedMapInUseIsReadAgain(t *testing.T) {
+	h := newHarness(t)
+	decision, _ := h.tickUntil(Prepare)
+	h.setPrepared(decision.Map.Number())
+	_, proposal := h.tickUntil(Propose)
+	require.NotZero(t, proposal.ToSum)
+	h.planner.HandleOutcome(expertmap.Outcome{ID: proposal.ID, Decision: expertmap.Commit}, h.now)
+	for rank := range h.status {
+		h.status[rank].Running, h.status[rank].RunningSum, h.status[rank].RunningKnown = decision.Map.Number(), proposal.ToSum, true
+		h.status[rank].Held = nil
+	}
+	h.tickUntil(InUse)
+	require.False(t, h.planner.Directive().RequestHeld)
+	require.True(t, h.planner.CanApplyDelta(2))
+
+	h.status[2].RunningSum++
+	h.tick()
+	require.True(t, h.planner.Directive().RequestHeld)
+	for rank := range h.status {
+		h.status[rank].Held = [][]int{{rank, rank + testRanks}}
+	}
+	h.tick()
+	require.False(t, h.planner.Directive().RequestHeld, "what the ranks hold is not doubted")
+}
+
+// TestRankThatMissedAMapGetsTheNextInFull guards against a rank that never copies a map again,
+// because it cannot apply the planner's deltas.
+func TestRankThatMissedAMapGetsTheNextInFull(t *testing.T) {
+	h := newHarness(t)
+	for rank := range h.status {
+		h.status[rank].RunningKnown = true
+	}
+	decision, _ := h.tickUntil(Prepare)
+	h.setPrepared(decision.Map.Number())
+	h.status[2].Prepared = 0
+	h.tickUntil(GivenUp)
+	decision, _ = h.tickUntil(Prepare)
+	require.True(t, h.planner.CanApplyDelta(1))
+	require.False(t, h.planner.CanApplyDelta(2))
+	h.setPrepared(decision.Map.Number())
+	h.tickUntil(Propose)
+	require.True(t, h.planner.CanApplyDelta(2))
+}
+
 func TestPlannerStartsAboveHighestReportedEpoch(t *testing.T) {
 	h := newHarness(t)
 	// After the group was formed anew, no rank reports a map of this epoch, but an
@@ -245,9 +361,11 @@
 	h := newHarness(t)
 	h.tickUntil(Prepare)
 	own := h.planner.next.ID
-	other := *h.planner
-	other.rank, other.epoch, other.version = 1, 0, 0
-	require.NotEqual(t, own.Epoch, other.nextID().Epoch)
+	other := mapNumbers{rank: 1}
+	require.NotZero(t, other.claim(0))
+	other.claimSent()
+	require.Zero(t, other.claim(other.claimNumber()))
+	require.NotEqual(t, own.Epoch, other.next().Epoch)
 }
 
 func TestProposalWithUnknownOutcomeAbandoned(t *testing.T) {
--- a/version/rebalance/switch.go
+++ b/version/rebalance/switch.go
@@ -1,6 +1,7 @@
 package rebalance
 
 import (
+	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/version/expertmap"
@@ -9,21 +10,51 @@
 // awaitPrepared proposes the switch once all ranks have copied the map. It gives
 // the map up if a rank refuses to copy it or prepareTimeout passes.
 func (p *Planner) awaitPrepared(step uint64, now time.Time) (*Decision, *expertmap.Proposal) {
-	number := p.next.ID.Number()
-	if p.allRanks(func(s Status) bool { return s.Prepared == number }) && p.allStatusesRecent(now) && p.mayPropose(step, now) {
+	if p.allPrepared() && p.allStatusesRecent(now) && p.mayPropose(step, now) {
+		p.numbers.accepted()
 		took := p.enterPhase(proposed, now)
 		return &Decision{Kind: Propose, Map: p.next.ID, Plan: p.plan, Took: took}, p.newProposal(step)
 	}
-	// A rank that was told to copy a later map refuses this one.
-	refused := !p.allRanks(func(s Status) bool { return s.Refused != number && s.Prepared <= number })
-	if refused || now.Sub(p.phaseStart) > prepareTimeout {
-		failed := p.next.ID
-		p.next = nil
-		return &Decision{Kind: GivenUp, Map: failed, Took: p.enterPhase(idle, now)}, nil
+	if p.anyRefused() {
+		p.numbers.refused()
+		return p.giveUp(now), nil
+	}
+	if now.Sub(p.phaseStart) > prepareTimeout {
+		for rank, m := range p.members {
+			m.needsFullMap = m.needsFullMap || !p.Prepared(rank)
+		}
+		return p.giveUp(now), nil
 	}
 	return nil, nil
 }
 
+// allPrepared reports whether all ranks have copied the next map.
+func (p *Planner) allPrepared() bool {
+	for rank := range p.members {
+		if !p.Prepared(rank) {
+			return false
+		}
+	}
+	return true
+}
+
+// anyRefused reports whether a rank refuses to copy the next map, was told to copy a later one,
+// or has copied other contents under its number.
+func (p *Planner) anyRefused() bool {
+	number := p.next.ID.Number()
+	return slices.ContainsFunc(p.members, func(m *member) bool {
+		otherContents := m.status.Prepared == number && !m.hasPrepared(number, p.nextSum)
+		return m.status.Refused == number || m.status.Prepared > number || otherContents
+	})
+}
+
+// giveUp abandons the next map.
+func (p *Planner) giveUp(now time.Time) *Decision {
+	failed := p.next.ID
+	p.next = nil
+	return &Decision{Kind: GivenUp, Map: failed, Took: p.enterPhase(idle, now)}
+}
+
 // mayPropose reports whether a map may be proposed, for the first time or again.
 // After an abort it waits, since it takes a while until the hold of the aborted
 // proposal is released. It also bounds how far ahead of the group the proposed
@@ -52,7 +83,7 @@
 	}
 	return &expertmap.Proposal{
 		ID: expertmap.NewProposalID(p.next.ID, switchStep), Group: p.group,
-		From: p.current.ID, To: p.next.ID, Step: switchStep, Agents: agents,
+		From: p.current.ID, To: p.next.ID, ToSum: p.nextSum, Step: switchStep, Agents: agents,
 	}
 }
 
@@ -95,6 +126,7 @@
 	if !p.allRanks(func(s Status) bool { return s.Running == number }) {
 		return nil
 	}
-	p.current, p.next = p.next, nil
+	p.current, p.currentSum, p.currentMade = p.next, p.nextSum, true
+	p.next = nil
 	return &Decision{Kind: InUse, Map: p.current.ID, Plan: p.plan, Took: p.enterPhase(idle, now)}
 }
