Coordinators of one lease epoch share the counters of their IDs

A group's coordinator is replaced when its members change, and when the lease counts as lost for a moment, and counted maps and proposals of the same epoch from 1 again. Ranks know a loaded map by its ID alone.

Change: group.Numbers outlives the coordinators of a group in its process. TestCoordinatorsOfOneEpochShareNoIDs gives out an ID twice without it.

--- a/daemon/entry/groups.go
+++ b/daemon/entry/groups.go
@@ -50,6 +50,8 @@
 
 	campaigning bool
 	states      map[string]*groupState
+	// numbers holds the IDs given out by group; it is kept while this entry runs.
+	numbers     map[string]*group.Numbers
 	lastOrderID uint64
 	// pendingReads holds the unanswered orders to read a map or the load, by id.
 	pendingReads     map[uint64]pendingRead
@@ -84,7 +86,7 @@
 		}),
 		inbox: make(chan func(time.Time), inboxCapacity), budget: placement.NewBudget(rebalanceBudget),
 		metrics: placement.NewMetrics(e.metrics.Registry()), log: logs.Component(cfg.Logger, "groups"),
-		states: map[string]*groupState{}, pendingReads: map[uint64]pendingRead{}, pendingEngineOrders: map[uint64]pendingEngineOrder{},
+		states: map[string]*groupState{}, numbers: map[string]*group.Numbers{}, pendingReads: map[uint64]pendingRead{}, pendingEngineOrders: map[uint64]pendingEngineOrder{},
 	}
 }
 
@@ -237,8 +239,11 @@
 			continue
 		}
 		g.budget.End(pool.Name)
+		if g.numbers[pool.Name] == nil {
+			g.numbers[pool.Name] = &group.Numbers{}
+		}
 		g.states[pool.Name] = &groupState{
-			coordinator: group.NewCoordinator(pool.Name, len(pool.Targets)),
+			coordinator: group.NewCoordinator(pool.Name, len(pool.Targets), g.numbers[pool.Name]),
 			planner:     group.NewPlanner(pool.Name, len(pool.Targets), g.budget, g.metrics),
 			members:     pool.Targets,
 		}
--- a/daemon/group/coordinator.go
+++ b/daemon/group/coordinator.go
@@ -83,18 +83,41 @@
 	pool  string
 	ranks []rankState
 
-	epoch             uint64
-	sequence, version uint64
-	inProgress        *changeInProgress
+	epoch      uint64
+	numbers    *Numbers
+	inProgress *changeInProgress
 	// currentMap is the content of the map whose ID is currentID.
 	currentMap     *placement.Map
 	currentID      expertmap.MapID
 	mapRequestedAt time.Time
 }
 
-// NewCoordinator returns a coordinator that has received no reports of its group.
-func NewCoordinator(pool string, size int) *Coordinator {
-	return &Coordinator{pool: pool, ranks: make([]rankState, size)}
+// Numbers gives out the IDs of a group's proposals and maps under the epochs of the lease. It
+// outlives the Coordinators of the group, of which an epoch may have several: ranks know a map
+// that they have loaded by its ID alone, so that no ID may be given out twice.
+type Numbers struct{ epoch, sequence, version uint64 }
+
+// enter starts to give out the IDs of an epoch, unless it does so already.
+func (n *Numbers) enter(epoch uint64) {
+	if epoch != n.epoch {
+		*n = Numbers{epoch: epoch}
+	}
+}
+
+func (n *Numbers) nextMap() expertmap.MapID {
+	n.version++
+	return expertmap.MapID{Epoch: n.epoch, Version: n.version}
+}
+
+func (n *Numbers) nextProposal() expertmap.ProposalID {
+	n.sequence++
+	return expertmap.ProposalID{Epoch: n.epoch, Sequence: n.sequence}
+}
+
+// NewCoordinator returns a coordinator that has received no reports of its group. numbers are
+// those of all coordinators of the group in this process.
+func NewCoordinator(pool string, size int, numbers *Numbers) *Coordinator {
+	return &Coordinator{pool: pool, ranks: make([]rankState, size), numbers: numbers}
 }
 
 // Size returns the number of ranks of the group.
@@ -142,8 +165,7 @@
 	if c.inProgress != nil || c.CurrentMap(now) == nil {
 		return
 	}
-	c.version++
-	c.inProgress = &changeInProgress{change: change, startedAt: now, to: expertmap.MapID{Epoch: c.epoch, Version: c.version}}
+	c.inProgress = &changeInProgress{change: change, startedAt: now, to: c.numbers.nextMap()}
 }
 
 // InProgress reports whether a change is in progress.
@@ -153,7 +175,8 @@
 // discards the change in progress.
 func (c *Coordinator) Step(now time.Time, epoch uint64) Output {
 	if epoch != c.epoch {
-		c.epoch, c.sequence, c.version, c.inProgress = epoch, 0, 0, nil
+		c.epoch, c.inProgress = epoch, nil
+		c.numbers.enter(epoch)
 	}
 	switch {
 	case c.inProgress != nil && c.inProgress.proposal != nil:
@@ -222,9 +245,8 @@
 }
 
 func (c *Coordinator) propose(now time.Time) Output {
-	c.sequence++
 	proposal := &expertmap.Proposal{
-		ID:    expertmap.ProposalID{Epoch: c.epoch, Sequence: c.sequence},
+		ID:    c.numbers.nextProposal(),
 		Group: c.ranks[0].report.Group,
 		From:  c.currentID, To: c.inProgress.to, Step: c.switchStep(now),
 	}
@@ -233,7 +255,7 @@
 	}
 	c.inProgress.proposal, c.inProgress.proposedAt = proposal, now
 	// The proposing rank rotates, so that proposals do not depend on a single agent.
-	rank := int(c.sequence) % len(c.ranks)
+	rank := int(proposal.ID.Sequence % uint64(len(c.ranks)))
 	return Output{Orders: []RankOrder{{Rank: rank, Order: Order{
 		Pool: c.pool, Kind: OrderPropose, Epoch: c.epoch, Proposal: proposal,
 	}}}}
--- a/daemon/group/coordinator_test.go
+++ b/daemon/group/coordinator_test.go
@@ -23,7 +23,7 @@
 		for rank := range ranks {
 			ranks[rank] = Report{Pool: "p", Rank: rank, Size: size, AgentIncarnation: uint64(10 + rank), Group: expertmap.GroupID{Incarnation: 1}, Current: expertmap.MapID{Version: 1}}
 		}
-		c := NewCoordinator("p", size)
+		c := NewCoordinator("p", size, &Numbers{})
 		var last expertmap.ProposalID
 		for range rapid.IntRange(1, 80).Draw(t, "turns") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
@@ -102,7 +102,7 @@
 		t.Run(tc.desc, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			to := expertmap.MapID{Epoch: 4, Version: 1}
-			c := NewCoordinator("p", 1)
+			c := NewCoordinator("p", 1, &Numbers{})
 			report := Report{Size: 1, Group: expertmap.GroupID{Incarnation: 1}, Current: expertmap.MapID{Version: 1}, Loaded: []expertmap.MapID{to}}
 			c.HandleReport(now, report)
 			c.SetMapContent(report.Current, &placement.Map{})
@@ -128,7 +128,7 @@
 func TestCoordinatorAbortsWhenLoadTimesOut(t *testing.T) {
 	now := time.Unix(1000, 0)
 	report := Report{Size: 1, Group: expertmap.GroupID{Incarnation: 1}, Current: expertmap.MapID{Version: 1}}
-	c := NewCoordinator("p", 1)
+	c := NewCoordinator("p", 1, &Numbers{})
 	c.HandleReport(now, report)
 	c.SetMapContent(report.Current, &placement.Map{})
 	c.Begin(now, Change{Content: &placement.Map{}})
@@ -138,3 +138,25 @@
 	require.Equal(t, expertmap.Abort, out.Outcome.Decision)
 	require.Zero(t, out.Outcome.Took)
 }
+
+// TestCoordinatorsOfOneEpochShareNoIDs guards against two maps with one ID: the members of a group
+// change, or the lease counts as lost for a moment, and another coordinator goes on in the epoch.
+func TestCoordinatorsOfOneEpochShareNoIDs(t *testing.T) {
+	numbers := &Numbers{}
+	now := time.Unix(1000, 0)
+	maps := map[expertmap.MapID]bool{}
+	for _, epoch := range []uint64{4, 4, 4, 5, 5} {
+		c := NewCoordinator("p", 1, numbers)
+		current := expertmap.MapID{Version: 1}
+		c.HandleReport(now, Report{Pool: "p", Size: 1, Group: expertmap.GroupID{Incarnation: 1}, Current: current})
+		c.SetMapContent(current, &placement.Map{})
+		c.Step(now, epoch)
+		c.Begin(now, Change{Content: &placement.Map{}})
+		out := c.Step(now, epoch)
+		require.Len(t, out.Orders, 1)
+		loaded := out.Orders[0].Order.Map
+		require.Equal(t, epoch, loaded.Epoch)
+		require.False(t, maps[loaded], "map %v is given out twice", loaded)
+		maps[loaded] = true
+	}
+}
