Streams hold no errors of the targets that resume them

What callers could see (a report of other operators): the text of an error, or the head of another response, in the middle of a stream, or a stream that ends as if it were complete.

Cause: any signed 2xx response counted as the continuation of a broken stream, also one of another type, without IDs or without events; the head of a response within a stream was passed on. The product's own interface wrote its error event into the middle of an event.

Change: a continuation has the status and type of the first response and IDs in its events; after a broken event an event must follow; a status line ends the stream. The gateway adds its error between two events only.

--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -207,7 +207,11 @@
 		h.beginAttempt(c, t)
 		attemptCtx, watchdog := h.startWatchdog(ctx, c, t)
 		response, v := h.send(ctx, attemptCtx, c, t)
+		if v.success() && !out.continues(response) {
+			v = incomplete(dispatch.Failed, "response does not continue the stream")
+		}
 		if v.success() {
+			out.resumed = true
 			return &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog}
 		}
 		if response != nil {
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 
 	"verbenaseam.example/verbenaseam/connection/direct"
 )
@@ -34,6 +35,15 @@
 	errTargetTrickles = streamError("target sends too slowly")
 	// errTargetSlow means that the target is slow and others have free capacity.
 	errTargetSlow = streamError("target is slow while others have free capacity")
+	// errForeignResponse means that the head of another response stands in a stream, which a
+	// faulty target has sent after it broke off.
+	errForeignResponse = streamError("head of another response within the stream")
+	// errUnidentifiedEvent means that a resumed stream has an event without an ID, which may be
+	// the text of an error or one that the caller has already received.
+	errUnidentifiedEvent = streamError("event without an ID in a resumed stream")
+	// errNothingResumed means that the target that resumes a stream ends it at once, although
+	// the one before was in the middle of an event.
+	errNothingResumed = streamError("target resumed the stream without its next event")
 )
 
 const (
@@ -58,6 +68,24 @@
 	// unidentified is set if an event with data but without an ID was written after that
 	// one. Another target cannot know that the caller has it.
 	unidentified bool
+	// first is the response that the stream began with; nil before that.
+	first *direct.Response
+	// resumed is set once another target has continued the stream. truncated is set while the
+	// stream has ended in the middle of an event that did not come whole since.
+	resumed, truncated bool
+}
+
+// continues reports whether a response may continue the stream: it has the status of the first
+// one, and the type, if both state one. Otherwise it may be the text of an error.
+func (s *streamWriter) continues(response *direct.Response) bool {
+	own, first := mediaType(response), mediaType(s.first)
+	return response.Status == s.first.Status && (own == first || own == "" || first == "")
+}
+
+// mediaType returns the media type of a response without parameters, in lower case.
+func mediaType(response *direct.Response) string {
+	name, _, _ := strings.Cut(response.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
 }
 
 // started reports whether the response head has been written.
@@ -80,7 +108,7 @@
 				progress()
 			}
 			src.watchdog.pauseReading()
-			writeErr := s.write(src.ctx, events, src.response.Status, begin)
+			writeErr := s.write(src.ctx, events, src.response, begin)
 			src.watchdog.resumeReading()
 			if writeErr != nil {
 				return writeErr
@@ -88,9 +116,12 @@
 			pending = append(pending[:0], rest...)
 		}
 		src.watchdog.received(n, len(pending) > 0)
+		s.truncated = s.truncated || err != nil && hasField(pending)
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			return errTruncatedEvent
+		case errors.Is(err, io.EOF) && s.truncated:
+			return errNothingResumed
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
@@ -125,21 +156,27 @@
 }
 
 // write queues events and skips those that the caller has already received. It returns the
-// error of writing earlier ones.
-func (s *streamWriter) write(ctx context.Context, events []byte, status int, begin func()) error {
+// error of writing earlier ones, or why an event cannot belong to the stream.
+func (s *streamWriter) write(ctx context.Context, events []byte, response *direct.Response, begin func()) error {
 	for len(events) > 0 {
 		end := bytes.Index(events, []byte("\n\n")) + 2
 		event := events[:end]
 		events = events[end:]
 		id := eventID(event)
+		if err := s.foreign(event, id); err != nil {
+			s.truncated = true
+			return err
+		}
 		if id != "" && !isNewer(id, s.lastID) {
 			continue
 		}
 		if !s.started() {
 			begin()
-			s.w.WriteHeader(status)
+			s.w.WriteHeader(response.Status)
+			s.first = response
 			s.queue = startStreamQueue(s.output)
 		}
+		s.truncated = s.truncated && !hasField(event)
 		s.queue.add(event)
 		if id != "" {
 			s.lastID, s.unidentified = id, false
@@ -153,6 +190,23 @@
 	return s.queue.flush(ctx)
 }
 
+// foreign returns why an event with the given ID cannot belong to the stream, nil if it can.
+func (s *streamWriter) foreign(event []byte, id string) error {
+	if hasStatusLine(event) {
+		return errForeignResponse
+	}
+	if s.resumed && id == "" && hasField(event) {
+		return errUnidentifiedEvent
+	}
+	return nil
+}
+
+// hasStatusLine reports whether a line of an event is the first one of an HTTP response, which no
+// field of an event looks like.
+func hasStatusLine(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("HTTP/1.")) || bytes.Contains(event, []byte("\nHTTP/1."))
+}
+
 // failure returns the error of writing to the caller, nil if there was none.
 func (s *streamWriter) failure() error {
 	if !s.started() {
--- a/request/gateway/gateway_test.go
+++ b/request/gateway/gateway_test.go
@@ -190,3 +190,43 @@
 	}
 	return l.switchableLinks.Get(name)
 }
+
+// brokenAgent sends part of a response and then fails.
+type brokenAgent struct{ part string }
+
+func (a *brokenAgent) ServeStream(_ context.Context, _ *link.Link, s *link.Stream) {
+	head := &stream.ResponseHead{Status: http.StatusOK, Header: []stream.Field{{Name: "Content-Type", Value: "text/event-stream"}}}
+	_ = s.SendHead(head, nil, false)
+	_, _ = s.Write([]byte(a.part))
+	// The bytes sent must not be overtaken by the failure.
+	time.Sleep(20 * time.Millisecond)
+	s.Cancel("the target failed in the middle of the answer")
+}
+
+func (a *brokenAgent) ServeMessage(context.Context, *link.Link, uint16, []byte) {}
+
+// TestErrorOfABrokenResponseStandsBetweenEvents guards against the text of an error in the middle of an
+// event.
+func TestErrorOfABrokenResponseStandsBetweenEvents(t *testing.T) {
+	for name, c := range map[string]struct {
+		agent     brokenAgent
+		wantError bool
+	}{
+		"between events":      {brokenAgent{"data: 1\n\n"}, true},
+		"between CRLF events": {brokenAgent{"data: 1\r\n\r\n"}, true},
+		"before the first":    {brokenAgent{""}, true},
+		"within an event":     {brokenAgent{"data: 1\n\ndata: {\"a\":"}, false},
+		"after a line":        {brokenAgent{"data: 1\n"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newGateway(t, linkTo(t, &c.agent), clockwork.NewRealClock())
+			request := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/stock/tents", strings.NewReader(""))
+			request.Header.Set("Authorization", "Bearer "+callerKey)
+			recorder := httptest.NewRecorder()
+			require.PanicsWithError(t, http.ErrAbortHandler.Error(), func() { g.ServeHTTP(recorder, request) })
+			rest, found := strings.CutPrefix(recorder.Body.String(), c.agent.part)
+			require.True(t, found, "%q", recorder.Body.String())
+			require.Equal(t, c.wantError, rest != "", "%q", rest)
+		})
+	}
+}
--- a/request/gateway/relay.go
+++ b/request/gateway/relay.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/stream"
@@ -43,9 +45,10 @@
 
 // relayStream forwards a streamed response as it arrives. Its header carries
 // the outcome "done", which holds if the stream completes. An interrupted stream
-// ends with an event that carries an ErrorBody and with the outcome "unknown" in
-// its trailer, and its connection is closed so that no client takes the response
-// for complete.
+// has the outcome "unknown" in its trailer, and its connection is closed so that no
+// client takes the response for complete. If it was interrupted between two events, it
+// ends with one that carries an ErrorBody; within an event the text would be taken for a
+// part of that.
 func (g *Gateway) relayStream(ctx context.Context, w http.ResponseWriter, c *call, response *targetResponse) {
 	stop := context.AfterFunc(ctx, func() { response.stream.Cancel("the caller left or its deadline passed") })
 	defer stop()
@@ -54,9 +57,11 @@
 	w.WriteHeader(response.head.Status)
 	control := http.NewResponseController(w)
 	buffer := make([]byte, relayBufferBytes)
+	var boundary eventBoundary
 	for {
 		n, err := response.stream.Read(buffer)
 		if n > 0 {
+			boundary.add(buffer[:n])
 			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
 				response.stream.Cancel("the caller left")
 				response.finish(false)
@@ -73,19 +78,42 @@
 		}
 		if err != nil {
 			response.finish(false)
-			g.abortStream(ctx, w, c, err)
+			g.abortStream(ctx, w, c, err, boundary.reached())
 		}
 	}
 }
 
-// abortStream terminates an incomplete stream. It panics with
-// http.ErrAbortHandler and does not return.
-func (g *Gateway) abortStream(ctx context.Context, w http.ResponseWriter, c *call, cause error) {
+// eventBoundary tells whether a stream is between two events. It holds the last bytes of the
+// stream.
+type eventBoundary []byte
+
+// eventEnds are the blank lines that end an event.
+var eventEnds = []string{"\n\n", "\r\n\r\n"}
+
+// maxEventEnd is the length of the longest of eventEnds.
+const maxEventEnd = 4
+
+// add takes the next bytes of the stream.
+func (b *eventBoundary) add(data []byte) {
+	tail := append(*b, data[max(0, len(data)-maxEventEnd):]...)
+	*b = append((*b)[:0], tail[max(0, len(tail)-maxEventEnd):]...)
+}
+
+// reached reports whether the stream has not begun, or has ended an event.
+func (b *eventBoundary) reached() bool {
+	return len(*b) == 0 || slices.ContainsFunc(eventEnds, func(end string) bool { return strings.HasSuffix(string(*b), end) })
+}
+
+// abortStream terminates an incomplete stream, with an event if betweenEvents is set. It
+// panics with http.ErrAbortHandler and does not return.
+func (g *Gateway) abortStream(ctx context.Context, w http.ResponseWriter, c *call, cause error, betweenEvents bool) {
 	err := exchangeFailure(ctx, cause)
 	g.metrics.CountFailure(string(err.Kind))
 	g.finish(c, failure.Unknown)
-	event, _ := json.Marshal(NewErrorBody(err))
-	_, _ = w.Write(append(append([]byte("data: "), event...), '\n', '\n'))
+	if betweenEvents {
+		event, _ := json.Marshal(NewErrorBody(err))
+		_, _ = w.Write(append(append([]byte("data: "), event...), '\n', '\n'))
+	}
 	w.Header().Set(HeaderOutcome, string(failure.Unknown))
 	_ = http.NewResponseController(w).Flush()
 	panic(http.ErrAbortHandler)
