Late copies of responses match no later request or command

What callers could see (a report of other operators): 'not run' for a request that runs, because its target repeats the refusal of an earlier one. Agents could take an earlier acceptance for that of another command.

Cause: responses are matched by the ID that callers give, which may come twice to one connection; commands to engines were matched by their order.

Change: a connection carries no two of its latest 32 requests with one ID. The engine client of the product's own interface rejects a response that names another request.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -61,7 +61,7 @@
 // ExchangeError. If fresh is set, a new connection is used. The end of ctx aborts the
 // exchange, even while the body is being read.
 func (p *Pool) Do(ctx context.Context, request *Request, fresh bool) (*Response, error) {
-	c, err := p.get(ctx, time.Now(), fresh)
+	c, err := p.get(ctx, time.Now(), request.ID, fresh)
 	if err != nil {
 		return nil, &ExchangeError{Cause: err}
 	}
@@ -76,6 +76,7 @@
 	_ = c.SetDeadline(request.Deadline)
 	e.detach = context.AfterFunc(ctx, e.abort)
 	e.first, c.carried = !c.carried, true
+	c.recordID(request.ID)
 	if n, err := c.Write(request.encode()); err != nil {
 		e.end(false)
 		return nil, &ExchangeError{Sent: n > 0, Cause: errors.Join(ctx.Err(), err)}
--- a/connection/direct/late_test.go
+++ b/connection/direct/late_test.go
@@ -186,3 +186,33 @@
 		})
 	}
 }
+
+// TestLateRefusalOfAnEarlierRequestWithTheSameID guards against a caller that is told that its request
+// has not run, although it runs: the target has refused an earlier request with the same ID, and sends that
+// refusal once more on the connection.
+func TestLateRefusalOfAnEarlierRequestWithTheSameID(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nX-Id: 1\r\nContent-Length: 0\r\n\r\n"
+	s := startTarget(t, func(c net.Conn, in *bufio.Reader, number int) {
+		for {
+			if _, _, err := readRequest(in); err != nil {
+				return
+			}
+			if number == 1 {
+				// The request that follows the refused one runs, and its response takes time.
+				_, _ = io.WriteString(c, refusal)
+				continue
+			}
+			_, _ = io.WriteString(c, responseTo("1", "own"))
+		}
+	})
+	pool := s.pool(4)
+	response, err := pool.Do(t.Context(), request("1"), false)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, response.Status)
+	require.Empty(t, readAll(t, response))
+	require.Equal(t, 1, pool.IdleCount())
+	response, err = pool.Do(t.Context(), request("1"), false)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.Status)
+	require.Equal(t, "own", readAll(t, response))
+}
--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -4,9 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -66,6 +69,24 @@
 	// expires is the time from which the idle connection is no longer used, because
 	// the target may close it.
 	expires time.Time
+	// sentIDs holds the hashes of the IDs of the latest requests, the oldest at nextID.
+	sentIDs [maxSentIDs]uint64
+	nextID  int
+}
+
+// maxSentIDs is the number of requests of a connection whose IDs are kept.
+const maxSentIDs = 32
+
+// recordID records the ID of a request that is written to the connection.
+func (c *conn) recordID(id string) {
+	c.sentIDs[c.nextID] = xxhash.Sum64String(id)
+	c.nextID = (c.nextID + 1) % maxSentIDs
+}
+
+// hasSent reports whether one of the latest requests had the ID. A late copy of the response to
+// that one would be taken for that to another with the ID.
+func (c *conn) hasSent(id string) bool {
+	return slices.Contains(c.sentIDs[:], xxhash.Sum64String(id))
 }
 
 // NewPool returns a pool of at most limit connections to an IP:port address; a limit
@@ -96,14 +117,15 @@
 	return optionErr
 }
 
-// get returns an idle connection, or a new one if none is idle or fresh is set.
-func (p *Pool) get(ctx context.Context, now time.Time, fresh bool) (*conn, error) {
+// get returns an idle connection that has not carried a request with the ID, or a new one if
+// there is none or fresh is set.
+func (p *Pool) get(ctx context.Context, now time.Time, id string, fresh bool) (*conn, error) {
 	for !fresh {
 		c, ok := p.takeIdle(now)
 		if !ok {
 			break
 		}
-		if c.usable() {
+		if c.usable() && !c.hasSent(id) {
 			return c, nil
 		}
 		p.discard(c)
@@ -153,7 +175,7 @@
 // Check reports whether the target accepts connections: it returns nil if an idle
 // connection is still open or a new one can be made, which then becomes idle.
 func (p *Pool) Check(ctx context.Context) error {
-	c, err := p.get(ctx, time.Now(), false)
+	c, err := p.get(ctx, time.Now(), "", false)
 	if err != nil {
 		return err
 	}
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -132,9 +132,23 @@
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
+	if id := response.Header.Get(HeaderRequestID); id != "" && id != call.ID {
+		// The error of closing a response that is not read is that of its connection.
+		_ = response.Body.Close()
+		return nil, &UnreachableError{Cause: &ForeignResponseError{Want: call.ID, Got: id}}
+	}
 	return response, nil
 }
 
+// ForeignResponseError means that a response names another request than the one that was sent on
+// its connection: a back end has sent an earlier response once more.
+type ForeignResponseError struct{ Want, Got string }
+
+// Error implements error.
+func (e *ForeignResponseError) Error() string {
+	return "response belongs to request " + strconv.Quote(e.Got) + ", want " + strconv.Quote(e.Want)
+}
+
 // Probe requests the state of the back end.
 func (c *Client) Probe(ctx context.Context) (State, error) {
 	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
