--- a/daemon/direct/malformed_test.go
+++ b/daemon/direct/malformed_test.go
@@ -143,8 +143,14 @@
 		"max_attempts":9223372036854775807,"backends":[{"service":"s","weight":1e308},{"service":"s","weight":1e308}]}],
 		"services":[{"name":"s","max_connections":-9223372036854775808,"warmup_s":1e300,"warmup_per_s":1e300,"runtime":{"capacity":-1,"sets":4611686018427387904,"experts":4611686018427387904,
 		"step_ms":1e300,"expert_mb":1e300,"bandwidth_mbps":1e-300}}]}`,
-	"a number too big": `{"version":1e400,"capacity":1e30,"Incarnation":1e300}`,
-	"deep nesting":     string(bytesOf('[', 100000)),
+	"a number too big":   `{"version":1e400,"capacity":1e30,"Incarnation":1e300}`,
+	"deep nesting":       string(bytesOf('[', 100000)),
+	"a nested service":   `{"service":` + string(bytesOf('[', 9000)) + string(bytesOf(']', 9000)) + `,"address":"127.0.0.1:1","zone":"z","capacity":1,"state":"ready"}`,
+	"deep nesting, CBOR": string(bytesOf(0x81, 100000)),
+	"a port too high":    `{"service":"s","address":"127.0.0.1:70000","zone":"z","version":"v1","capacity":1,"state":"ready","warmup_left_ms":0,"sequence":1,"born":1}`,
+	"port 0":             `{"service":"s","address":"127.0.0.1:0","zone":"z","version":"v1","capacity":1,"state":"ready","warmup_left_ms":0,"sequence":1,"born":1}`,
+	"a peer's port":      `{"Name":"k","PeerAddress":"127.0.0.1:70000","CallerAddress":"127.0.0.1:-1"}`,
+	"a peer's port 0":    `{"Name":"k","PeerAddress":"127.0.0.1:0","CallerAddress":"127.0.0.1:0"}`,
 }
 
 // TestMalformedRowsDoNotStopAnEntry guards against rows of any table that stop an entry, or that
--- a/daemon/direct/targets_test.go
+++ b/daemon/direct/targets_test.go
@@ -35,7 +35,7 @@
 }
 
 func targetRow(id string, version uint64) platform.Row {
-	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.%d:80","zone":"z","capacity":2,"state":"ready","born":%d}`, id[0], version)
+	value := fmt.Sprintf(`{"service":"s","address":"10.0.0.%d:80","zone":"z","version":"v1","capacity":2,"state":"ready","warmup_left_ms":0,"sequence":1,"born":%d}`, id[0], version)
 	return platform.Row{Key: id, Version: version, Value: []byte(value)}
 }
 
--- a/process/presence/presence.go
+++ b/process/presence/presence.go
@@ -28,8 +28,8 @@
 // Valid reports whether the peer has a name and an address for heartbeats, without which it
 // would count among the processes that share limits but could never be heard of.
 func (p Peer) Valid() bool {
-	_, err := netip.ParseAddrPort(p.PeerAddress)
-	return p.Name != "" && err == nil
+	address, err := netip.ParseAddrPort(p.PeerAddress)
+	return p.Name != "" && err == nil && address.Port() != 0
 }
 
 // Heartbeat is what a process sends to its peers several times a second.
