Registrations of unknown services supersede no targets, and none for good

Cause: of two registrations at one address the one that started earlier was marked as gone, whatever the service of the other, and stayed so.

Change: only registrations of known services count, and the mark follows the registrations at the address.

--- a/request/dispatch/dispatcher.go
+++ b/request/dispatch/dispatcher.go
@@ -85,6 +85,8 @@
 	// mu guards the fields below and those of Targets.
 	mu    sync.Mutex
 	pools map[string]*pool
+	// byAddress holds the targets of all pools by their addresses.
+	byAddress map[string][]*Target
 	// domainsOut holds the failure domains that operators took out of service.
 	domainsOut map[string]bool
 	// processes are those that send requests to the same targets. generation increases
@@ -128,7 +130,7 @@
 	}
 	return &Dispatcher{
 		random: cfg.Random, failureDomain: cfg.FailureDomain, warmup: cfg.Warmup,
-		pools: map[string]*pool{}, domainsOut: map[string]bool{}, generation: 1,
+		pools: map[string]*pool{}, byAddress: map[string][]*Target{}, domainsOut: map[string]bool{}, generation: 1,
 		leaving: map[incarnationID]leavingNotice{}, pauses: map[incarnationID]*pause{},
 		heardDemand: map[string]time.Time{}, reportInterval: defaultReportInterval,
 		limits: map[incarnationID]*rateLimit{}, learning: cfg.LearnsLimits, peerDomains: map[string]string{},
@@ -141,9 +143,13 @@
 	defer d.mu.Unlock()
 	for name, service := range services {
 		pool := d.pool(name)
+		known := pool.service != nil
 		pool.service = service
 		for _, t := range pool.targets {
 			t.service = service
+			if !known {
+				d.updateSuperseded(t.registration.Address)
+			}
 		}
 	}
 	d.grantAll(now)
@@ -203,9 +209,8 @@
 			d.grant(pool, now)
 			return nil
 		}
-		old.gone = true
 		replaced = old
-		pool.remove(old)
+		d.remove(pool, old)
 	}
 	pool := d.pool(registration.Service)
 	added := &Target{
@@ -216,35 +221,56 @@
 	added.saidLeaving = d.leaving[added.incarnationID()].valid(now)
 	added.pause = d.pauseOf(added.incarnationID())
 	added.rateLimit = d.limits[added.incarnationID()]
-	if earlier := d.endEarlierAt(added); earlier != nil {
+	d.add(pool, added)
+	if earlier := d.updateSuperseded(added.registration.Address); earlier != nil && earlier != added {
 		replaced = earlier
 	}
-	pool.add(added)
 	d.grant(pool, now)
 	return replaced
 }
 
-// endEarlierAt compares a new target with others at its address, of which only the one that
-// started last can still exist, and marks the others as gone. It returns one that the new
-// target has replaced, or nil. After the loss of all hosts the registrations of earlier
-// incarnations remain for some seconds, and requests to them only find that the address belongs
-// to another target.
-func (d *Dispatcher) endEarlierAt(added *Target) (replaced *Target) {
-	for _, pool := range d.pools {
-		for _, t := range pool.targets {
-			if t.registration.Address != added.registration.Address {
-				continue
-			}
-			if !t.gone && t.startedBefore(added) {
-				t.gone = true
-				replaced = t
-			}
-			if added.startedBefore(t) {
-				added.gone = true
-			}
+// add adds a target to a pool.
+func (d *Dispatcher) add(pool *pool, t *Target) {
+	pool.add(t)
+	address := t.registration.Address
+	d.byAddress[address] = append(d.byAddress[address], t)
+}
+
+// remove removes a target from a pool. Others at its address may no longer be superseded.
+func (d *Dispatcher) remove(pool *pool, t *Target) {
+	t.gone = true
+	pool.remove(t)
+	address := t.registration.Address
+	d.byAddress[address] = slices.DeleteFunc(d.byAddress[address], func(other *Target) bool { return other == t })
+	if len(d.byAddress[address]) == 0 {
+		delete(d.byAddress, address)
+		return
+	}
+	d.updateSuperseded(address)
+}
+
+// updateSuperseded compares the targets at an address, of which only the one that started last can
+// still exist, and marks the others as superseded. After the loss of all hosts the registrations
+// of earlier incarnations remain for some seconds, and requests to them only find that the address
+// belongs to another target. It returns one that was not superseded before, or nil.
+//
+// Registrations of services that no configuration names are no targets, whoever wrote them.
+func (d *Dispatcher) updateSuperseded(address string) (newly *Target) {
+	targets := d.byAddress[address]
+	var last *Target
+	for _, t := range targets {
+		if t.service != nil && !t.gone && t.registration.StartedAt.UnixMilli() > 0 && (last == nil || last.startedBefore(t)) {
+			last = t
 		}
 	}
-	return replaced
+	for _, t := range targets {
+		superseded := last != nil && t.startedBefore(last)
+		if superseded && !t.superseded {
+			newly = t
+		}
+		t.superseded = superseded
+	}
+	return newly
 }
 
 // startedBefore reports whether the target started before another, as far as both say when.
@@ -260,8 +286,7 @@
 	defer d.mu.Unlock()
 	for _, pool := range d.pools {
 		if t := pool.targets[id]; t != nil {
-			t.gone = true
-			pool.remove(t)
+			d.remove(pool, t)
 			removed = t
 		}
 	}
@@ -273,7 +298,7 @@
 func (d *Dispatcher) IsRegistered(t *Target) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !t.gone
+	return !t.gone && !t.superseded
 }
 
 // TargetIDs returns the IDs of all targets.
--- a/request/dispatch/release.go
+++ b/request/dispatch/release.go
@@ -46,6 +46,7 @@
 		t.fullUntil = now.Add(fullPause)
 	case AddressReused:
 		t.gone = true
+		d.updateSuperseded(t.registration.Address)
 	}
 	pool.recordEnd(now)
 	t.recordFreed(now, d.reportInterval)
--- a/request/dispatch/target.go
+++ b/request/dispatch/target.go
@@ -55,8 +55,9 @@
 	freed       int
 	freedUntil  time.Time
 	claimOffset uint64
-	// gone is set once the target is removed or its address belongs to another.
-	gone bool
+	// gone is set once the target is removed or its address belongs to another, superseded
+	// while another one that started later is registered at its address.
+	gone, superseded bool
 	// slowdown is the time that the target takes relative to its usual time, valid
 	// until slowdownUntil.
 	slowdown      float64
@@ -115,7 +116,7 @@
 // usable reports whether the target may get new requests, now or after a pause: it is
 // registered, is not leaving, and its failure domain is not among domainsOut.
 func (t *Target) usable(domainsOut map[string]bool) bool {
-	return !t.gone && !t.registration.Leaving && !t.saidLeaving && (len(domainsOut) == 0 || !domainsOut[t.registration.FailureDomain])
+	return !t.gone && !t.superseded && !t.registration.Leaving && !t.saidLeaving && (len(domainsOut) == 0 || !domainsOut[t.registration.FailureDomain])
 }
 
 // ConnectionLimit returns how many connections one of several processes may open to
