A part in five crashes of one incident runs on trial

Cause: crashes within a second count as one incident, and a part was suspected from two on, so that ten crashes within a second left it free.

Change: a part in flight in five crashes that is not known to have run is on trial; it is not refused before trials show that it is the cause.

--- a/request/poison/part.go
+++ b/request/poison/part.go
@@ -14,8 +14,8 @@
 	// alone explains them. It is more than one, because targets also crash together for
 	// other reasons.
 	minPartIncidents = 2
-	// minDoubtfulPartIncidents, or minDoubtfulPartCrashes in minPartIncidents, is the same for
-	// a part against which the evidence is weaker.
+	// minDoubtfulPartIncidents, or minDoubtfulPartCrashes, is the same for a part against
+	// which the evidence is weaker.
 	minDoubtfulPartIncidents = 3
 	minDoubtfulPartCrashes   = 5
 	// minTrialCrashes is the number of crashes on trial after which a part is refused in any
@@ -105,6 +105,12 @@
 	incidents int
 }
 
+// inManyCrashes reports whether the part, which is not known to have run, was in flight in many
+// crashes, also if they are one incident: several requests with it may come at the same time.
+func (c *partCandidate) inManyCrashes() bool {
+	return len(c.unexplained) >= minDoubtfulPartCrashes && !c.ranBefore
+}
+
 // findCrashingParts sets the levels of the parts. The strongest candidate comes first. The
 // crashes that it explains do not count against the others.
 func (l *Ledger) findCrashingParts() {
@@ -115,7 +121,7 @@
 	for range maxRestrictedParts {
 		candidates = slices.DeleteFunc(candidates, func(c *partCandidate) bool {
 			c.incidents = countIncidents(c.unexplained, l.config.MassCrashWindow)
-			return !c.crashedOnTrial() && c.incidents < minPartIncidents
+			return !c.crashedOnTrial() && c.incidents < minPartIncidents && !c.inManyCrashes()
 		})
 		if len(candidates) == 0 {
 			return
@@ -162,15 +168,21 @@
 		return false
 	}
 	both := slices.DeleteFunc(slices.Clone(c.unexplained), func(one *Crash) bool { return !slices.Contains(best.unexplained, one) })
+	if best.incidents < minPartIncidents {
+		return len(both) >= minDoubtfulPartCrashes
+	}
 	return countIncidents(both, l.config.MassCrashWindow) >= minPartIncidents
 }
 
 // partLevel returns how restricted the part of the strongest candidate is.
 func (l *Ledger) partLevel(best *partCandidate, contested bool) Level {
-	enough := best.incidents >= minDoubtfulPartIncidents || len(best.unexplained) >= minDoubtfulPartCrashes && !best.ranBefore
+	enough := best.incidents >= minDoubtfulPartIncidents || best.inManyCrashes()
 	switch {
 	case best.crashedOnTrial():
 		return Refused
+	case best.incidents < minPartIncidents:
+		// The targets may have ended together for another reason.
+		return OnTrial
 	case contested || best.ranBefore:
 		if enough {
 			return OnTrial
--- a/request/poison/parts_test.go
+++ b/request/poison/parts_test.go
@@ -99,3 +99,50 @@
 		})
 	}
 }
+
+// crashesAtOnce returns crashes of several targets within a second, with parts in flight.
+func crashesAtOnce(count int, at time.Time, parts ...uint64) []Crash {
+	var crashes []Crash
+	for n := range count {
+		crashes = append(crashes, Crash{
+			Target: fmt.Sprint("t", n), Incarnation: "1", Parts: parts, At: at.Add(time.Duration(n) * 50 * time.Millisecond),
+		})
+	}
+	return crashes
+}
+
+// TestManyCrashesWithinASecondPutAPartOnTrial guards against requests with a part that crashes targets
+// which are let through after many crashes, because these came within a second: several requests with it
+// were sent at the same time.
+func TestManyCrashesWithinASecondPutAPartOnTrial(t *testing.T) {
+	const crashing, popular = 1, 2
+	for name, c := range map[string]struct {
+		crashes int
+		ran     bool
+		want    Level
+	}{
+		"five crashes":                       {crashes: minDoubtfulPartCrashes, want: OnTrial},
+		"four, as in a loss of power":        {crashes: minDoubtfulPartCrashes - 1, want: Clear},
+		"ten of a part that is known to run": {crashes: 10, ran: true, want: Clear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			ledger := NewLedger(Config{}, now)
+			for range minKnownRuns {
+				ledger.PartsRan([]uint64{popular}, now)
+			}
+			if c.ran {
+				ledger.PartsRan([]uint64{crashing}, now)
+			}
+			now = now.Add(time.Minute)
+			for _, crash := range crashesAtOnce(c.crashes, now, crashing, popular) {
+				ledger.Add(crash, crash.At)
+			}
+			now = now.Add(5 * time.Second)
+			assessment, _ := ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{crashing}}, now)
+			require.Equal(t, c.want, assessment.Level)
+			assessment, _ = ledger.AssessRequest(Subject{Fingerprint: 101, Parts: []uint64{popular}}, now)
+			require.Equal(t, Clear, assessment.Level, "the part that has run explains nothing")
+		})
+	}
+}
