Entries without an allowance try a suspect after the others

Cause: only the first two entries in a hashed order may begin trials, and callers use the entries of their own failure domain.

Change: an entry of a lower rank with such requests may begin one trial after 2 s for each rank below it without a trial; all entries begin three at most, as before. Counts of trials by rank are exchanged as a longer list.

--- a/request/forward/suspect.go
+++ b/request/forward/suspect.go
@@ -18,7 +18,7 @@
 	if refusal := assessment.Failure(h.clock.Now()); refusal != nil {
 		return refusal
 	}
-	if assessment.Level == poison.OnTrial && poison.TrialAllowance(h.trialRank(trial)) == 0 {
+	if assessment.Level == poison.OnTrial && !h.poison.MayTry(trial, h.trialRank(trial)) {
 		return newTrialRefusal()
 	}
 	return nil
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -71,7 +71,7 @@
 		if trials.last.Before(since) {
 			break
 		}
-		all = append(all, TrialEvidence{Fingerprint: fingerprint, Begun: trials.begun[:]})
+		all = append(all, TrialEvidence{Fingerprint: fingerprint, Begun: slices.Clone(trials.begun)})
 	}
 	return all
 }
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -141,22 +141,37 @@
 	return assessment, trial
 }
 
+// MayTry reports whether this process, which has the given rank among all processes, may run a
+// suspect on trial, now or, with a rank that has an allowance, later. Asking for it counts as a
+// request with the suspect.
+func (l *Ledger) MayTry(suspect uint64, rank int, now time.Time) bool {
+	if TrialAllowance(rank) > 0 {
+		return true
+	}
+	if !l.mayBeTried(suspect) {
+		return false
+	}
+	trials := l.trials[suspect]
+	trials.want(now)
+	l.trials[suspect] = trials
+	return now.Sub(l.started) >= trialInterval && trials.mayBegin(rank, now)
+}
+
 // BeginTrial reports whether this process, which has the given rank among all processes,
 // may run a suspect, a fingerprint or a part, on trial now, and if so, counts the trial, which should then be shared
 // with peers. A process that has just started begins none: it does not know yet which
 // trials processes of its rank began before.
 func (l *Ledger) BeginTrial(suspect uint64, rank int, now time.Time) bool {
-	trials := l.trials[suspect]
-	switch {
-	case !l.mayBeTried(suspect) || now.Sub(l.started) < trialInterval:
+	if !l.mayBeTried(suspect) || now.Sub(l.started) < trialInterval {
 		return false
-	case rank >= trialRanks || trials.begun[rank] >= TrialAllowance(rank):
-		return false
-	case now.Sub(trials.last) < trialInterval:
+	}
+	trials := l.trials[suspect]
+	if !trials.mayBegin(rank, now) {
 		return false
 	}
-	trials.begun[rank]++
-	trials.last = now
+	trials.begun = slices.Clone(trials.begun)
+	trials.raise(slotOf(rank), trials.of(rank)+1)
+	trials.began(now)
 	l.trials[suspect] = trials
 	return true
 }
--- a/request/poison/parts_test.go
+++ b/request/poison/parts_test.go
@@ -146,3 +146,48 @@
 		})
 	}
 }
+
+// TestProcessWithoutAllowanceTriesASuspectLater guards against sound requests that are refused for good:
+// they come only to processes that may begin no trial, so that nobody finds out that a suspected part is
+// sound.
+func TestProcessWithoutAllowanceTriesASuspectLater(t *testing.T) {
+	const part, rank = 1, trialRanks + 1
+	now := time.Unix(1000, 0)
+	newSuspicious := func() *Ledger {
+		ledger := NewLedger(Config{}, now)
+		for _, crash := range crashesAtOnce(minDoubtfulPartCrashes, now, part) {
+			ledger.Add(crash, crash.At)
+		}
+		return ledger
+	}
+	ledger, other := newSuspicious(), newSuspicious()
+	now = now.Add(time.Minute)
+	require.False(t, ledger.MayTry(part, rank, now), "processes of lower ranks come first")
+	require.False(t, ledger.BeginTrial(part, rank, now))
+	require.False(t, ledger.MayTry(part, rank, now.Add(lateTrialDelay(rank)-time.Millisecond)))
+
+	// A trial elsewhere makes the process wait again.
+	now = now.Add(lateTrialDelay(rank))
+	require.True(t, ledger.MayTry(part, rank, now))
+	require.True(t, other.BeginTrial(part, 0, now))
+	require.True(t, ledger.Merge(other.Evidence(now), now))
+	require.False(t, ledger.MayTry(part, rank, now))
+	now = now.Add(lateTrialDelay(rank))
+	require.True(t, ledger.BeginTrial(part, rank, now))
+	now = now.Add(10 * lateTrialDelay(rank))
+	require.False(t, ledger.BeginTrial(part, rank, now), "one trial a process")
+
+	// All processes together begin no more than maxTrials.
+	require.True(t, other.Merge(ledger.Evidence(now), now))
+	now = now.Add(trialInterval)
+	require.True(t, other.BeginTrial(part, 1, now))
+	now = now.Add(trialInterval)
+	require.False(t, other.BeginTrial(part, 0, now))
+	other.MayTry(part, rank+1, now)
+	require.False(t, other.BeginTrial(part, rank+1, now.Add(time.Hour/10)))
+
+	// A run clears the part at once.
+	require.True(t, ledger.PartsRan([]uint64{part}, now))
+	assessment, _ := ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{part}}, now)
+	require.Equal(t, Clear, assessment.Level)
+}
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -120,6 +120,14 @@
 	return t.ledger.BeginTrial(suspect, rank, now)
 }
 
+// MayTry is Ledger.MayTry.
+func (t *Tracker) MayTry(suspect uint64, rank int) bool {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.MayTry(suspect, rank, now)
+}
+
 // Evidence returns all evidence, to be sent to a peer.
 func (t *Tracker) Evidence() Evidence {
 	now := t.clock.Now()
