--- a/version/expertmap/command_engine.go
+++ b/version/expertmap/command_engine.go
@@ -13,6 +13,10 @@
 // engine is never released, since it would start the step on the old map.
 var ErrSwitchNotArmed = errors.New("engine holds for a switch that is not armed")
 
+// ErrStaleReport reports a report that is older than the one before: the engine has sent it once
+// more, in place of the present one.
+var ErrStaleReport = errors.New("engine report is older than the one before")
+
 // EngineCommands is the command interface of an engine. A command may be lost, or take
 // effect seconds after it was sent. An engine that counts its commands refuses one
 // whose count differs from its own; not all engines count. Every engine refuses to copy a
@@ -41,8 +45,9 @@
 // group is released. It is not safe for concurrent use.
 type CommandEngine struct {
 	commands EngineCommands
-	// lastReport is the latest report, updated by the commands sent since.
-	lastReport RankReport
+	// lastReport is the latest report, updated by the commands sent since; received is that
+	// report as it was received.
+	lastReport, received RankReport
 	// attemptedProposal identifies the proposal whose switch this engine was last asked
 	// to arm, armAttempts is the number of attempts to arm it.
 	attemptedProposal ProposalID
@@ -88,6 +93,10 @@
 	if err != nil {
 		return e.lastReport, err
 	}
+	if report.olderThan(e.received) {
+		return e.lastReport, ErrStaleReport
+	}
+	e.received = report
 	if report.Group != e.lastReport.Group {
 		// Commands name the incarnation, so those for an earlier one are void.
 		e.unconfirmedMap, e.unconfirmedGo = 0, 0
--- a/version/expertmap/command_engine_test.go
+++ b/version/expertmap/command_engine_test.go
@@ -146,3 +146,38 @@
 		})
 	}
 }
+
+// TestReportOfEarlierStateIsRejected guards against a promise for a switch that is not armed any more: the
+// engine sends an earlier report once more in place of the present one.
+func TestReportOfEarlierStateIsRejected(t *testing.T) {
+	g := newSimGroup(1, 2, true, simNoFault)
+	g.lossRate = 0
+	to := MapID{Epoch: 1, Version: 2}
+	require.True(t, g.ranks[0].copyMap(to.Number()))
+	engine := NewCommandEngine(&simCommands{group: g, rank: 0})
+	proposal := Proposal{ID: NewProposalID(to, 4), Group: g.id, To: to, Step: 4, GroupHeld: true, Holder: 1, Proposer: 1}
+	held, err := engine.Hold(proposal)
+	require.NoError(t, err)
+	require.True(t, held)
+	armed, err := engine.Refresh()
+	require.NoError(t, err)
+	require.Equal(t, to.Number(), armed.Armed)
+	ok, err := engine.commands.Disarm(armed.CommandCount, 1, to.Number())
+	require.NoError(t, err)
+	require.True(t, ok)
+	present, err := engine.Refresh()
+	require.NoError(t, err)
+	require.Zero(t, present.Armed)
+
+	g.ranks[0].report = armed
+	got, err := engine.Refresh()
+	require.ErrorIs(t, err, ErrStaleReport)
+	require.Zero(t, got.Armed)
+	_, err = engine.Hold(proposal)
+	require.Error(t, err)
+
+	// A restarted engine begins to count anew.
+	g.ranks[0].report = RankReport{Group: g.id, Size: 2, StartedAt: g.now.Add(1)}
+	_, err = engine.Refresh()
+	require.NoError(t, err)
+}
--- a/version/expertmap/rank_report.go
+++ b/version/expertmap/rank_report.go
@@ -31,3 +31,12 @@
 	// Active and Queued are the numbers of running and waiting requests.
 	Active, Queued int
 }
+
+// olderThan reports whether the engine must have made the report before another one. Neither steps
+// nor commands are undone while the engine and its group stay the same.
+func (r RankReport) olderThan(other RankReport) bool {
+	if r.Group != other.Group || !r.StartedAt.Equal(other.StartedAt) {
+		return false
+	}
+	return r.Step < other.Step || r.CommandCount < other.CommandCount
+}
