Promises are based on reports over connections of their own

The users' engines don't count commands, so a late copy of a report from before a switch was armed or disarmed may have the step and the count of the present one. A rank could promise a switch that is not armed, or confirm an abort while it still is.

Change: reports on which a promise or its end is based are read over new connections, the many others over kept ones.

--- a/daemon/rank/engine_commands.go
+++ b/daemon/rank/engine_commands.go
@@ -17,6 +17,11 @@
 	return c.target.Report(context.Background())
 }
 
+// FreshReport implements expertmap.EngineCommands.
+func (c engineCommands) FreshReport() (expertmap.RankReport, error) {
+	return c.target.FreshReport(context.Background())
+}
+
 // Arm implements expertmap.EngineCommands.
 func (c engineCommands) Arm(commandCount, incarnation, version, step uint64) (bool, error) {
 	return c.target.Arm(context.Background(), platform.CommandPrecondition{CommandCount: commandCount, Incarnation: incarnation}, version, step)
--- a/version/expertmap/command_engine.go
+++ b/version/expertmap/command_engine.go
@@ -23,7 +23,10 @@
 // map unless its number is higher than that of every map it was told to copy before, and
 // refuses to arm the switch to any map but the last of these.
 type EngineCommands interface {
+	// Report reads the engine's report. In its place a late copy of an earlier one may arrive;
+	// in that of FreshReport, which costs more, none can.
 	Report() (RankReport, error)
+	FreshReport() (RankReport, error)
 	// Arm arms the switch to a prepared map, given by its number, and Disarm cancels it.
 	// Hold keeps the group from starting a step and Go lets it start. They return false
 	// if the engine refuses; after an error the command may have taken effect, or may do
@@ -88,8 +91,15 @@
 func (e *CommandEngine) LastReport() RankReport { return e.lastReport }
 
 // Refresh reads the engine's report.
-func (e *CommandEngine) Refresh() (RankReport, error) {
-	report, err := e.commands.Report()
+func (e *CommandEngine) Refresh() (RankReport, error) { return e.refresh(e.commands.Report) }
+
+// refreshForPromise reads the report on which a promise, or the end of one, is to be based.
+func (e *CommandEngine) refreshForPromise() (RankReport, error) {
+	return e.refresh(e.commands.FreshReport)
+}
+
+func (e *CommandEngine) refresh(read func() (RankReport, error)) (RankReport, error) {
+	report, err := read()
 	if err != nil {
 		return e.lastReport, err
 	}
@@ -108,7 +118,7 @@
 // Attach implements Engine. It first invalidates commands of an earlier agent that have
 // not arrived yet. A hold without an armed switch is no promise and is released.
 func (e *CommandEngine) Attach(uint64) (EngineState, error) {
-	report, err := e.Refresh()
+	report, err := e.refreshForPromise()
 	if err != nil {
 		return EngineState{}, err
 	}
@@ -131,7 +141,7 @@
 			return EngineState{}, err
 		}
 	}
-	if _, err := e.Refresh(); err != nil {
+	if _, err := e.refreshForPromise(); err != nil {
 		return EngineState{}, err
 	}
 	return e.State(), nil
@@ -208,13 +218,16 @@
 	}
 	e.armAttempts++
 	r, err := e.Refresh()
+	if err == nil && (proposal.heldBy(r.Rank) || r.isArmedFor(proposal)) {
+		r, err = e.refreshForPromise()
+	}
 	if err != nil {
 		return false, err
 	}
 	if !proposal.GroupHeld || proposal.heldBy(r.Rank) && (!r.Holding || r.Held != proposal.Step) {
 		return false, e.Release(proposal.ID)
 	}
-	if r.Armed == proposal.To.Number() && r.ArmedStep == proposal.Step {
+	if r.isArmedFor(proposal) {
 		return true, nil
 	}
 	if !e.canPromise(proposal) || e.armAttempts > maxArmAttempts {
@@ -254,7 +267,7 @@
 // Release implements Engine.
 func (e *CommandEngine) Release(id ProposalID) error {
 	to, step := id.MapAndStep()
-	r, err := e.Refresh()
+	r, err := e.refreshForPromise()
 	if err != nil {
 		return err
 	}
@@ -291,7 +304,13 @@
 	if r.Group != proposal.Group || !r.Holding || r.Held != proposal.Step {
 		return nil
 	}
-	if r.Armed != proposal.To.Number() || r.ArmedStep != proposal.Step {
+	if r, err = e.refreshForPromise(); err != nil {
+		return err
+	}
+	if r.Group != proposal.Group || !r.Holding || r.Held != proposal.Step {
+		return nil
+	}
+	if !r.isArmedFor(proposal) {
 		return ErrSwitchNotArmed
 	}
 	return e.releaseHold(proposal.Step)
--- a/version/expertmap/command_engine_sim_test.go
+++ b/version/expertmap/command_engine_sim_test.go
@@ -93,6 +93,8 @@
 	rank  int
 	// claimedCopy is the number of a map whose copy is reported but was not made.
 	claimedCopy uint64
+	// lastSent is the latest report sent; nil before the first.
+	lastSent *RankReport
 }
 
 func newSimGroup(seed uint64, size int, countsCommands bool, fault simFault) *simGroup {
--- a/version/expertmap/rank_report.go
+++ b/version/expertmap/rank_report.go
@@ -40,3 +40,8 @@
 	}
 	return r.Step < other.Step || r.CommandCount < other.CommandCount
 }
+
+// isArmedFor reports whether the switch of a proposal is armed.
+func (r RankReport) isArmedFor(proposal Proposal) bool {
+	return r.Armed == proposal.To.Number() && r.ArmedStep == proposal.Step
+}
--- a/version/expertmap/sim_commands_test.go
+++ b/version/expertmap/sim_commands_test.go
@@ -28,8 +28,19 @@
 	return false, errNoReply
 }
 
-// Report implements EngineCommands.
+// Report implements EngineCommands. At times the engine sends an earlier report once more.
 func (a *simCommands) Report() (RankReport, error) {
+	present, _ := a.FreshReport()
+	earlier := a.lastSent
+	a.lastSent = &present
+	if earlier != nil && a.group.random.IntN(10) == 0 {
+		return *earlier, nil
+	}
+	return present, nil
+}
+
+// FreshReport implements EngineCommands.
+func (a *simCommands) FreshReport() (RankReport, error) {
 	report := a.group.ranks[a.rank].report
 	if a.claimedCopy != 0 && report.Prepared+1 == a.claimedCopy {
 		report.Prepared = a.claimedCopy
