--- a/version/rebalance/planner.go
+++ b/version/rebalance/planner.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"slices"
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/release"
@@ -50,32 +49,6 @@
 	switching
 )
 
-// member is the planner's view of a rank.
-type member struct {
-	status Status
-	host   netip.Addr
-	// receivedAt is when the status arrived.
-	receivedAt time.Time
-	// held lists, by layer, the experts that the map in use assigns to the rank; nil
-	// if not known.
-	held [][]int
-	// needsFullMap is set if the rank did not copy a map in time. It gets the next one in
-	// full: the map that it applies deltas to may be another one than the planner's.
-	needsFullMap bool
-}
-
-// hasPrepared reports whether the rank has copied a map with these contents. Ranks of releases
-// that do not state the contents are believed.
-func (m *member) hasPrepared(number, sum uint64) bool {
-	return m.status.Prepared == number && (m.status.PreparedSum == sum || m.status.PreparedSum == 0)
-}
-
-// contradicts reports whether the rank uses another map than the one with this number and
-// these contents.
-func (m *member) contradicts(number, sum uint64) bool {
-	return m.status.Running != number || m.status.RunningSum != sum && m.status.RunningSum != 0
-}
-
 // Planner decides on the expert maps of one incarnation of a group.
 type Planner struct {
 	policy  Policy
@@ -392,41 +365,3 @@
 	}
 	return slowdowns
 }
-
-// learnCurrent determines the contents of the map in use. It returns false while
-// they are not known, while the ranks report different maps, or while a rank is
-// armed to switch.
-func (p *Planner) learnCurrent() bool {
-	running := p.members[p.rank].status.Running
-	if !p.allRanks(func(s Status) bool { return s.Running == running && s.Armed == 0 }) {
-		return false
-	}
-	if p.current != nil && p.current.ID.Number() == running && !p.currentContradicted() {
-		return true
-	}
-	p.current = nil
-	experts := make([][][]int, p.experts.Sets)
-	for layer := range experts {
-		experts[layer] = make([][]int, p.size)
-		for rank, m := range p.members {
-			if len(m.held) != p.experts.Sets {
-				return false
-			}
-			experts[layer][rank] = slices.Clone(m.held[layer])
-		}
-	}
-	p.current = &Map{ID: expertmap.MapIDFromNumber(running), Experts: experts}
-	p.current.sort()
-	p.currentSum, p.currentMade = p.current.Sum(), false
-	return true
-}
-
-// currentContradicted reports whether a rank uses other contents than those of the map in use
-// that this planner made. Contents that the ranks reported as held are not doubted.
-func (p *Planner) currentContradicted() bool {
-	if !p.currentMade {
-		return false
-	}
-	number := p.current.ID.Number()
-	return slices.ContainsFunc(p.members, func(m *member) bool { return m.contradicts(number, p.currentSum) })
-}
