--- a/internal/measure/rebalance/replay.go
+++ b/internal/measure/rebalance/replay.go
@@ -229,6 +229,11 @@
 
 // stepPlanner runs a planner step and carries out the decision and proposal.
 func (g *group) stepPlanner(planner *rebalance.Planner, now time.Time, outcome *Outcome) error {
+	if claim := planner.Claim(0); claim != 0 {
+		// The engine of the planner's rank accepts each claim.
+		planner.ClaimSent()
+		planner.Claim(claim)
+	}
 	decision, proposal := planner.Step(g.step, now)
 	if decision != nil && decision.Kind == rebalance.Prepare {
 		g.next = planner.MapToCopy()
