Bodies of responses are read into segments, not into a growing buffer

An entry read a body of unknown length into a bytes.Buffer, which copies all that it has each time it doubles: a body without end took 67 MB of allocations for a limit of 16 MiB, and most of its time was these copies (under the race detector 58% of the samples are its checks of ranges of memory).

Change: readBody reads into segments of up to 1 MiB and joins them once the body is whole. It has a file of its own.

--- /dev/null
+++ b/request/forward/body.go
@@ -0,0 +1,91 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+	"io"
+)
+
+const (
+	// responseLimit bounds the body of a response that is not streamed, in bytes. A longer one
+	// may have no end.
+	responseLimit = 16 << 20
+	// minSegment is the size of the first segment of a body whose length is not known, in bytes.
+	minSegment = 512
+	// maxSegment bounds the segments of a body, in bytes. The length that a target states may
+	// not be true.
+	maxSegment = 1 << 20
+)
+
+// errResponseTooLong means that a body is longer than responseLimit.
+const errResponseTooLong = streamError("response exceeds the size limit")
+
+// readBody reads the whole body of a response, whose length is negative if it is not known.
+// received is called with the number of bytes of each read that is not the last.
+//
+// The body is read into segments, which are joined at its end. A single buffer would be copied
+// each time it grows, and bodies without end would take several times the limit.
+func readBody(response io.Reader, length int64, received func(n int)) ([]byte, error) {
+	limited := io.LimitReader(&countingReader{response, received}, responseLimit+1)
+	var segments [][]byte
+	total, size := 0, firstSegment(length)
+	for {
+		segment, err := readSegment(limited, size)
+		segments = append(segments, segment)
+		total += len(segment)
+		switch {
+		case total > responseLimit:
+			return nil, errResponseTooLong
+		case errors.Is(err, io.EOF):
+			return join(segments), nil
+		case err != nil:
+			return nil, err
+		}
+		size = min(2*size, maxSegment)
+	}
+}
+
+// firstSegment returns the size of the first segment of a body of the given length. It has a byte
+// to spare, so that its end is read without another one.
+func firstSegment(length int64) int {
+	if length < 0 {
+		return minSegment
+	}
+	return int(min(length+1, maxSegment))
+}
+
+// readSegment reads until a segment is full or the reader fails, with io.EOF at its end.
+func readSegment(r io.Reader, size int) ([]byte, error) {
+	segment := make([]byte, 0, size)
+	for len(segment) < size {
+		n, err := r.Read(segment[len(segment):size])
+		segment = segment[:len(segment)+n]
+		if err != nil {
+			return segment, err
+		}
+	}
+	return segment, nil
+}
+
+// join returns the segments as one slice.
+func join(segments [][]byte) []byte {
+	if len(segments) == 1 {
+		return segments[0]
+	}
+	return bytes.Join(segments, nil)
+}
+
+// countingReader calls received after each read that returns bytes and no error.
+type countingReader struct {
+	io.Reader
+	received func(n int)
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(into []byte) (int, error) {
+	n, err := r.Reader.Read(into)
+	if n > 0 && err == nil {
+		r.received(n)
+	}
+	return n, err
+}
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -15,47 +13,6 @@
 	"verbenaseam.example/verbenaseam/request/headers"
 )
 
-// responseLimit bounds the body of a response that is not streamed, in bytes. A longer one may
-// have no end.
-const responseLimit = 16 << 20
-
-// errResponseTooLong means that a body is longer than responseLimit.
-const errResponseTooLong = streamError("response exceeds the size limit")
-
-// readBody reads the whole body of a response, whose length is negative if it is not known.
-// received is called with the number of bytes of each read that is not the last.
-func readBody(response io.Reader, length int64, received func(n int)) ([]byte, error) {
-	var body bytes.Buffer
-	if length > 0 {
-		// Without it, buffers that grow and are thrown away take several times the length.
-		body.Grow(int(min(length, maxFirstBuffer)) + bytes.MinRead)
-	}
-	_, err := body.ReadFrom(io.LimitReader(&countingReader{response, received}, responseLimit+1))
-	if err == nil && body.Len() > responseLimit {
-		return nil, errResponseTooLong
-	}
-	return body.Bytes(), err
-}
-
-// maxFirstBuffer bounds the first buffer of a body whose length the target states, which may not
-// be true.
-const maxFirstBuffer = 1 << 20
-
-// countingReader calls received after each read that returns bytes and no error.
-type countingReader struct {
-	io.Reader
-	received func(n int)
-}
-
-// Read implements io.Reader.
-func (r *countingReader) Read(into []byte) (int, error) {
-	n, err := r.Reader.Read(into)
-	if n > 0 && err == nil {
-		r.received(n)
-	}
-	return n, err
-}
-
 // relayBuffered reads the whole response before it writes any of it, so that the
 // caller never receives part of a truncated one. ctx is the call's context, from which that of
 // src is derived. The results are those of attempt.
