A lease row that cannot be decoded no longer blocks the lease

What another writer left in a lease row (no CBOR, deep nesting, a holder of another type) kept the lease from all processes for good: each read failed, so that no process ever knew a row to replace. A TTL of 30 years did the same, and after the highest epoch the next one was 0, which is given out again and again.

Change: numbers out of range make a row invalid like one that cannot be decoded. An invalid row counts as one of an earlier era: its holder may be any process, so the machine waits a whole TTL without a change, and the next epoch follows from the era and the revision, which never go back. Without an era nothing but the row tells the epochs; there the lease stays blocked, as before. A fence still rejects orders until the holder has written a valid row.

--- a/process/lease/errors.go
+++ b/process/lease/errors.go
@@ -12,6 +12,9 @@
 // ErrRowCopied means that the lease row may come from an older copy of the platform.
 var ErrRowCopied = eris.New("lease row may come from an older copy of the platform")
 
+// errOutOfRange means that a lease row has a number that no process writes.
+var errOutOfRange = eris.New("number out of range")
+
 // StaleEpochError means that an order carries a lower epoch than an earlier order or
 // the lease row, so its sender no longer holds the lease.
 type StaleEpochError struct {
--- a/process/lease/lease.go
+++ b/process/lease/lease.go
@@ -115,6 +115,10 @@
 	ctx, cancel := context.WithTimeout(ctx, l.config.TTL)
 	defer cancel()
 	row, revision, err := readRow(ctx, l.config.Table, l.config.Name)
+	var malformed *RowCodecError
+	if errors.As(err, &malformed) {
+		l.log.WithError(err).Warn("the lease row is invalid; it is replaced once its holder must have stopped")
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.machine.ReadDone(l.config.Clock.Now(), row, revision, err)
--- a/process/lease/machine.go
+++ b/process/lease/machine.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -183,10 +184,17 @@
 	return StepWrite
 }
 
-// ReadDone reports the result of StepRead; the revision of an absent row is absent.
+// ReadDone reports the result of StepRead; the revision of an absent row is absent. A row that
+// cannot be decoded must not keep the lease from all processes. It counts as one of an earlier
+// era, so that its holder may be any process; an epoch above all others is known only if the
+// platform has an era.
 func (m *Machine) ReadDone(now time.Time, row Row, revision platform.Revision, err error) {
 	m.stepInFlight = false
 	m.nextRead = now.Add(scale(m.ttl, renewAfter*(0.5+m.random.Float64())))
+	var malformed *RowCodecError
+	if errors.As(err, &malformed) && m.era > 0 {
+		row, err = Row{}, nil
+	}
 	if err != nil || m.ofEarlierEra(revision) {
 		return
 	}
--- a/process/lease/row.go
+++ b/process/lease/row.go
@@ -1,6 +1,7 @@
 package lease
 
 import (
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -10,6 +11,13 @@
 
 const keyPrefix = "lease/"
 
+const (
+	// maxEpoch is the highest valid epoch, so that those after it do not overflow.
+	maxEpoch = math.MaxInt64
+	// maxTTLMillis is the longest valid TTL, in ms. A longer one would keep a lease from all processes.
+	maxTTLMillis = int64(time.Hour / time.Millisecond)
+)
+
 // Row is the stored form of a lease. It is never deleted, so that its epoch never
 // decreases.
 type Row struct {
@@ -30,19 +38,29 @@
 func Key(name string) string { return keyPrefix + name }
 
 // decodeRow finds and decodes the lease's row among rows and returns it with its
-// revision; that of an absent row is absent. It fails with RowCodecError.
+// revision; that of an absent row is absent. It fails with RowCodecError, also then with the
+// revision.
 func decodeRow(name string, rows []platform.Row) (Row, platform.Revision, error) {
-	var row Row
 	for _, found := range rows {
 		if found.Key != Key(name) {
 			continue
 		}
-		if err := cbor.Unmarshal(found.Value, &row); err != nil {
-			return Row{}, platform.Revision{}, &RowCodecError{Key: found.Key, Cause: err}
+		var row Row
+		err := cbor.Unmarshal(found.Value, &row)
+		if err == nil && !row.valid() {
+			err = errOutOfRange
+		}
+		if err != nil {
+			return Row{}, found.Revision, &RowCodecError{Key: found.Key, Cause: err}
 		}
 		return row, found.Revision, nil
 	}
-	return row, platform.Revision{}, nil
+	return Row{}, platform.Revision{}, nil
+}
+
+// valid reports whether the numbers of a row are in range.
+func (r Row) valid() bool {
+	return r.Epoch <= maxEpoch && r.TTLMillis >= 0 && r.TTLMillis <= maxTTLMillis
 }
 
 // encodeTxn builds the transaction that writes row if the stored row is at
