A malformed row of the configuration log is passed over where a table follows it

A row of one version that another writer had overwritten ended every read after the version before it, and reading the whole table began at the table in memory, so that it met the same row: processes stopped following the configuration until they were 64 versions behind. The number of parts in a row was taken as it stood: a trim built as many keys, for 5,000,000 parts 5,000,001, and for 2^62 until the process has no memory left. A delta to another version than its row's made a table of that version.

Change: an entry whose row, parts or delta cannot be read, or do not belong to its version, makes the whole table needed and is logged; reading that falls back to the checkpoint. The number of parts is bounded by what peers accept from each other (1,024). After the newest checkpoint nothing replaces the row: Load fails with CorruptLogError, and processes keep the table they have.

--- a/version/rollout/entry.go
+++ b/version/rollout/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
 
 	"verbenaseam.example/verbenaseam/version/table"
 )
@@ -59,8 +60,35 @@
 	Previous uint64 `cbor:"3,keyasint"`
 }
 
+// maxParts bounds the number of rows that hold a delta or a table.
+const maxParts = 1024
+
+// errOutOfRange means that a row of the log has a number that no process writes.
+var errOutOfRange = eris.New("number out of range")
+
+// valid reports whether the number of parts is in range.
+func (e Entry) valid() bool { return e.Parts >= 0 && e.Parts <= maxParts }
+
+// valid reports whether the number of parts is in range.
+func (c checkpointRow) valid() bool { return c.Parts >= 0 && c.Parts <= maxParts }
+
+// delta decodes the delta of an entry that was read whole. It fails with table.CodecError or
+// VersionMismatchError.
+func (e Entry) delta() (table.Delta, error) {
+	delta, err := table.DecodeDelta(e.Delta)
+	if err == nil && (delta.To != e.Version || delta.From != e.Version-1) {
+		err = &VersionMismatchError{Want: e.Version, Have: delta.To}
+	}
+	return delta, err
+}
+
+// decodeRow decodes the value of a row. It fails with CorruptLogError.
 func decodeRow(key string, value []byte, into any) error {
-	if err := cbor.Unmarshal(value, into); err != nil {
+	err := cbor.Unmarshal(value, into)
+	if row, ok := into.(interface{ valid() bool }); err == nil && ok && !row.valid() {
+		err = errOutOfRange
+	}
+	if err != nil {
 		return &CorruptLogError{Key: key, Cause: err}
 	}
 	return nil
--- a/version/rollout/errors.go
+++ b/version/rollout/errors.go
@@ -66,6 +66,16 @@
 // Unwrap returns the underlying error.
 func (e *CorruptLogError) Unwrap() error { return e.Cause }
 
+// VersionMismatchError means that a delta or a table in the log is of another version than its row.
+type VersionMismatchError struct {
+	Want, Have uint64
+}
+
+// Error implements error.
+func (e *VersionMismatchError) Error() string {
+	return fmt.Sprintf("version is %d, expected %d", e.Have, e.Want)
+}
+
 // TrimmedError means that the entries after a version were trimmed from the log.
 type TrimmedError struct {
 	// Version is the version after which entries were requested.
--- a/version/rollout/load.go
+++ b/version/rollout/load.go
@@ -16,8 +16,9 @@
 // it. It fails with the platform's errors, CorruptLogError or TrimmedError.
 func (l *Log) Load(ctx context.Context) (*table.Table, error) {
 	var lastErr error
+	base := l.latestTable()
 	for range maxLoadAttempts {
-		t, err := l.loadOnce(ctx)
+		t, err := l.loadOnce(ctx, base)
 		if err == nil {
 			l.CacheTable(t)
 			return t, nil
@@ -28,16 +29,19 @@
 			return nil, err
 		}
 		lastErr = err
+		// A checkpoint may follow the entry that is missing or cannot be decoded.
+		base = table.New()
 	}
 	return nil, lastErr
 }
 
-func (l *Log) loadOnce(ctx context.Context) (*table.Table, error) {
+// loadOnce reads the entries after the table t, or after the checkpoint if t is empty or far
+// behind.
+func (l *Log) loadOnce(ctx context.Context, t *table.Table) (*table.Table, error) {
 	head, err := l.Head(ctx)
 	if err != nil {
 		return nil, err
 	}
-	t := l.latestTable()
 	if head > t.Version+maxCatchUpEntries || t.Version == 0 {
 		t, err = l.loadCheckpoint(ctx)
 		if err != nil {
@@ -90,6 +94,9 @@
 		return nil, err
 	}
 	t, err := DecodeTable(body)
+	if err == nil && t.Version != checkpoint.Version {
+		err = &VersionMismatchError{Want: checkpoint.Version, Have: t.Version}
+	}
 	if err != nil {
 		return nil, &CorruptLogError{Key: prefix, Cause: err}
 	}
--- a/version/rollout/log.go
+++ b/version/rollout/log.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/jonboulle/clockwork"
@@ -51,9 +52,12 @@
 	// Entries follow the requested version without a gap. If they end before
 	// Head, the log must be read again.
 	Entries []Entry
-	// FullTableNeeded means that the requested version is too far behind or its
-	// successors were trimmed, so the full table must be loaded instead.
+	// FullTableNeeded means that the requested version is too far behind, or its
+	// successors were trimmed or cannot be decoded, so the full table must be loaded
+	// instead.
 	FullTableNeeded bool
+	// Corrupt is the row that cannot be decoded if that is the reason, otherwise nil.
+	Corrupt *CorruptLogError
 }
 
 // Head returns the newest accepted version, or 0 if there is none. It fails with
@@ -117,6 +121,11 @@
 			return update, nil
 		}
 		entry, err := l.decodeEntry(ctx, row)
+		if errors.As(err, &update.Corrupt) {
+			// A checkpoint after it may exist, or a peer may have the table.
+			update.FullTableNeeded = true
+			return update, nil
+		}
 		if err != nil {
 			return Update{}, err
 		}
@@ -125,19 +134,27 @@
 	return update, nil
 }
 
-// decodeEntry decodes a version row and reads the delta if it is stored in parts.
+// decodeEntry decodes a version row and reads the delta if it is stored in parts. It fails with
+// the platform's errors or CorruptLogError.
 func (l *Log) decodeEntry(ctx context.Context, row platform.Row) (Entry, error) {
 	var entry Entry
 	if err := decodeRow(row.Key, row.Value, &entry); err != nil {
 		return Entry{}, err
 	}
-	if entry.Parts == 0 {
-		return entry, nil
+	if row.Key != versionKey(entry.Version) {
+		return Entry{}, &CorruptLogError{Key: row.Key, Cause: errOutOfRange}
+	}
+	if entry.Parts > 0 {
+		delta, err := l.readParts(ctx, deltaPartPrefix+entry.ChangeID+"/", entry.Parts)
+		if err != nil {
+			return Entry{}, err
+		}
+		entry.Delta, entry.Parts = delta, 0
+	}
+	if _, err := entry.delta(); err != nil {
+		return Entry{}, &CorruptLogError{Key: row.Key, Cause: err}
 	}
-	prefix := deltaPartPrefix + entry.ChangeID + "/"
-	delta, err := l.readParts(ctx, prefix, entry.Parts)
-	entry.Delta, entry.Parts = delta, 0
-	return entry, err
+	return entry, nil
 }
 
 // readParts returns the concatenated values of the rows with the prefix. It fails
@@ -181,7 +198,7 @@
 
 func applyEntries(t *table.Table, entries []Entry) (*table.Table, error) {
 	for _, entry := range entries {
-		delta, err := table.DecodeDelta(entry.Delta)
+		delta, err := entry.delta()
 		if err != nil {
 			return nil, err
 		}
--- a/version/rollout/node_full_table.go
+++ b/version/rollout/node_full_table.go
@@ -6,8 +6,6 @@
 	// partTimeout is the time to wait for one part of a full table. It is also the
 	// mean interval between loads of the full table from the log.
 	partTimeout = 2 * time.Second
-	// maxTableParts bounds the number of parts that a peer may announce.
-	maxTableParts = 1024
 )
 
 // fullTableState is the state of a transfer of a full table from a peer or from
@@ -76,7 +74,7 @@
 	if peer != n.fullTable.peer || part.Part != len(n.fullTable.body) {
 		return
 	}
-	if n.fullTable.version != 0 && part.Version != n.fullTable.version || part.Parts < 1 || part.Parts > maxTableParts {
+	if n.fullTable.version != 0 && part.Version != n.fullTable.version || part.Parts < 1 || part.Parts > maxParts {
 		n.fullTable.peer = ""
 		return
 	}
--- a/version/rollout/service_step.go
+++ b/version/rollout/service_step.go
@@ -56,7 +56,7 @@
 // cannot be applied; the full table must be loaded then. The caller holds mu.
 func (s *Service) install(entries []Entry) bool {
 	for _, entry := range entries {
-		delta, err := table.DecodeDelta(entry.Delta)
+		delta, err := entry.delta()
 		var next *table.Snapshot
 		if err == nil {
 			next, err = s.newest.Advance(delta)
@@ -148,6 +148,9 @@
 	defer cancel()
 	update, err := s.config.Log.Since(ctx, read.After)
 	s.metrics.countRead(err)
+	if update.Corrupt != nil {
+		s.log.WithError(update.Corrupt).Error("configuration entry cannot be read; the whole configuration table is needed")
+	}
 	s.step(func(now time.Time) []Action { return s.node.HandleRead(now, update, err) })
 }
 
