--- a/connection/engine/client_test.go
+++ b/connection/engine/client_test.go
@@ -1,7 +1,7 @@
 package engine
 
 import (
-	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/standin/late"
 )
 
 // TestLateCopyOfAResponseIsNotPassedOn guards against a caller that gets the response to an earlier
@@ -18,15 +20,10 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go answerTwice(c)
-		}
-	}()
+	go late.Serve(listener, func(r *http.Request, body []byte) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+			HeaderRequestID, r.Header.Get(HeaderRequestID), len(body), body)
+	})
 	client, err := NewClient("http://"+listener.Addr().String(), KindService)
 	require.NoError(t, err)
 	t.Cleanup(client.Close)
@@ -44,22 +41,3 @@
 		require.Equal(t, id, string(body))
 	}
 }
-
-// answerTwice serves a connection. Before each response it sends the one before once more.
-func answerTwice(c net.Conn) {
-	defer c.Close()
-	in, last := bufio.NewReader(c), ""
-	for {
-		r, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			return
-		}
-		text := "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": " + r.Header.Get(HeaderRequestID) + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + string(body)
-		_, _ = io.WriteString(c, last+text)
-		last = text
-	}
-}
