--- a/version/rollout/entry.go
+++ b/version/rollout/entry.go
@@ -60,11 +60,12 @@
 	Previous uint64 `cbor:"3,keyasint"`
 }
 
-// maxParts bounds the number of rows that hold a delta or a table.
+// maxParts bounds the number of rows that hold a delta or a table, and of the parts in which
+// a peer sends a table.
 const maxParts = 1024
 
-// errOutOfRange means that a row of the log has a number that no process writes.
-var errOutOfRange = eris.New("number out of range")
+// errWrongNumber means that a row of the log has a number that no process writes there.
+var errWrongNumber = eris.New("number does not fit the row")
 
 // valid reports whether the number of parts is in range.
 func (e Entry) valid() bool { return e.Parts >= 0 && e.Parts <= maxParts }
@@ -86,7 +87,7 @@
 func decodeRow(key string, value []byte, into any) error {
 	err := cbor.Unmarshal(value, into)
 	if row, ok := into.(interface{ valid() bool }); err == nil && ok && !row.valid() {
-		err = errOutOfRange
+		err = errWrongNumber
 	}
 	if err != nil {
 		return &CorruptLogError{Key: key, Cause: err}
--- a/version/rollout/log.go
+++ b/version/rollout/log.go
@@ -142,7 +142,7 @@
 		return Entry{}, err
 	}
 	if row.Key != versionKey(entry.Version) {
-		return Entry{}, &CorruptLogError{Key: row.Key, Cause: errOutOfRange}
+		return Entry{}, &CorruptLogError{Key: row.Key, Cause: errWrongNumber}
 	}
 	if entry.Parts > 0 {
 		delta, err := l.readParts(ctx, deltaPartPrefix+entry.ChangeID+"/", entry.Parts)
--- a/version/rollout/node_full_table.go
+++ b/version/rollout/node_full_table.go
@@ -2,11 +2,9 @@
 
 import "time"
 
-const (
-	// partTimeout is the time to wait for one part of a full table. It is also the
-	// mean interval between loads of the full table from the log.
-	partTimeout = 2 * time.Second
-)
+// partTimeout is the time to wait for one part of a full table. It is also the
+// mean interval between loads of the full table from the log.
+const partTimeout = 2 * time.Second
 
 // fullTableState is the state of a transfer of a full table from a peer or from
 // the log.
