A shutdown logs each request that it cuts off, and why

Cause: a request cut at the end of a planned stop ended as outcome «cut» with the reason of a caller that left, and the shutdown logged a number of connections only. Change: request/finish keeps the attempts under way; the shutdown logs them with their route, target and age, and whether the grace period or a second signal ended it.

--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -339,7 +339,21 @@
 	ctx, cancel := context.WithTimeout(abort, max(deadline.Sub(e.clock.Now()), 0))
 	defer cancel()
 	if left := s.callerListener.drain(ctx); left > 0 {
-		e.log.WithField("connections", left).Warn("shutdown did not complete; aborting requests in flight")
+		e.logUnfinished(left, abort.Err() != nil)
+	}
+}
+
+// logUnfinished logs what a shutdown cuts off. bySignal is set if a second signal ends it, unset
+// at the end of the grace period.
+func (e *Entry) logUnfinished(connections int, bySignal bool) {
+	unfinished := e.handler.Unfinished()
+	e.log.WithFields(logrus.Fields{
+		"connections": connections, "passed_on": len(unfinished), "by_signal": bySignal,
+	}).Warn("shutdown did not complete; aborting requests in flight")
+	for _, run := range unfinished {
+		e.log.WithFields(logrus.Fields{
+			"request": run.Request, "route": run.Route, "target": run.Target, "age_ms": e.clock.Since(run.Began).Milliseconds(),
+		}).Warn("request cut off by the shutdown")
 	}
 }
 
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -14,6 +14,7 @@
 	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/request/capacity"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/finish"
 	"verbenaseam.example/verbenaseam/request/headers"
 	"verbenaseam.example/verbenaseam/request/intake"
 	"verbenaseam.example/verbenaseam/request/poison"
@@ -61,6 +62,8 @@
 	queueWait time.Duration
 	// slot is the target that the call holds a slot at while an attempt runs, or nil.
 	slot *dispatch.Target
+	// run is the current attempt, nil before the first one.
+	run *finish.Run
 	// undelivered is why the caller did not receive the whole response, nil if it did.
 	undelivered error
 	// held is what the process holds for the call.
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -15,6 +15,7 @@
 	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/finish"
 	"verbenaseam.example/verbenaseam/request/poison"
 	"verbenaseam.example/verbenaseam/request/retry"
 	"verbenaseam.example/verbenaseam/version/config"
@@ -67,6 +68,7 @@
 	pace        pace.Rate
 	memory      *memory.Account
 	attemptAges *attemptAges
+	guard       *finish.Guard
 	metrics     *metrics.Metrics
 	transfers   transfers
 	clock       clockwork.Clock
@@ -85,6 +87,7 @@
 		pace: cfg.Pace, memory: cfg.Memory, headers: cfg.Headers, version: cfg.Version, dispatcher: cfg.Dispatcher,
 		connections: cfg.Connections, budget: cfg.Budget, poison: cfg.Poison, crashes: cfg.Crashes,
 		promptParts: cfg.PromptParts, tokens: cfg.Tokens, trialRank: cfg.TrialRank, checks: newTargetChecks(), attemptAges: newAttemptAges(),
+		guard:   finish.NewGuard(cfg.Clock),
 		metrics: cfg.Metrics, clock: cfg.Clock, log: cfg.Log,
 	}
 }
@@ -126,6 +129,9 @@
 	}
 }
 
+// Unfinished returns the attempts that have not ended, the oldest first.
+func (h *Handler) Unfinished() []*finish.Run { return h.guard.Unfinished() }
+
 // endFailedAttempt ends an attempt that failed and reports whether to retry. If so,
 // the retry has been charged to the retry budget.
 func (h *Handler) endFailedAttempt(ctx context.Context, c *call, v verdict) bool {
@@ -300,6 +306,7 @@
 	c.work.Tried = append(c.work.Tried, t)
 	c.firstEvent, c.ran = time.Time{}, false
 	c.target, c.slot = t.ID(), t
+	c.run = h.guard.Begin(c.id, c.route.Name, t.ID())
 	c.held.SetTarget(c.target)
 }
 
--- a/request/forward/panic.go
+++ b/request/forward/panic.go
@@ -47,6 +47,7 @@
 // release returns the slot that a call holds at a target.
 func (h *Handler) release(c *call, t *dispatch.Target, result dispatch.Result) {
 	c.slot = nil
+	c.run.End()
 	h.dispatcher.ReleaseTokens(t, c.work.Tokens)
 	h.dispatcher.Release(t, result, h.clock.Now())
 }
