--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -34,6 +34,8 @@
 	ranks        []*standin.Target
 	plain        *standin.Target
 	entries      []*platformProcess
+	// entryBounds is the section of the entries' settings with the platform's bounds.
+	entryBounds string
 }
 
 // platformProcess is a running program with its captured output.
@@ -102,7 +104,7 @@
 
 func startPlatformSystem(t *testing.T) *platformSystem {
 	t.Helper()
-	s := &platformSystem{t: t, store: standin.NewStore()}
+	s := &platformSystem{t: t, store: standin.NewStore(), entryBounds: soak.Bounds}
 	s.storeAddress = serve(t, "127.0.0.1:0", s.store)
 	s.putConfiguration(1, "/look/")
 	_, peerPort, err := net.SplitHostPort(freeAddress(t, "127.0.0.1"))
@@ -142,7 +144,7 @@
 	}
 	settings := fmt.Sprintf("[entry]\nname = edge-%d\nfailure_domain = z1\ncaller_address = %s\nready_address = %s\ndirectory_address = %s\npeer_address = %s\n[store]\naddress = %s\n",
 		n, process.callerAddress, process.readyAddress, process.directoryAddress, freeAddress(s.t, "127.0.0.1"), s.storeAddress)
-	s.start("verbenaseam-direct", settings+soak.Bounds, process)
+	s.start("verbenaseam-direct", settings+s.entryBounds, process)
 	s.entries = append(s.entries, process)
 }
 
