Requests that a stopping entry cannot finish are refused before they are passed on

Callers saw: streams and orders sent late in the grace period of an entry ran at targets and ended with a closed connection (LOST). Cause: an entry that stops knows when it ends and what time requests take, and compared them nowhere: not for new requests, not for those in the queue, not before a retry. Change: request/finish keeps how long recent requests took, by route and by resource. From SIGTERM on a request is passed on only if its deadline ends before the process, or if such requests take less time than is left; otherwise it gets 503, not run, with Connection: close and a short Retry-After. While the directory still sends callers here, 1 in 20 repeatable requests may be longer. What is unfinished 100 ms before the end gets 502 or 504, or 503 if it has not run, in place of a closed connection; streams end after a whole event; half-read bodies are answered. The shutdown no longer sleeps beyond a short grace period.

--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -14,6 +14,7 @@
 	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/process/logs"
+	"verbenaseam.example/verbenaseam/request/finish"
 	"verbenaseam.example/verbenaseam/request/poison"
 )
 
@@ -28,6 +29,9 @@
 	shutdownMargin = 700 * time.Millisecond
 	// finishOthersTimeout limits finishOthers, which must fit into shutdownMargin too.
 	finishOthersTimeout = 100 * time.Millisecond
+	// answerTime is how long before shutdownMargin begins unfinished requests are ended, so that
+	// their callers receive a failure and not a closed connection.
+	answerTime = 100 * time.Millisecond
 )
 
 // Run implements command.Daemon.
@@ -325,35 +329,47 @@
 }
 
 // shutDown takes the entry out of the directory, keeps serving callers that still cache
-// an old response of it, and then waits for open requests until the grace period ends.
-// When abort is done, it returns without waiting.
+// an old response of it, and then waits for open requests until the grace period ends. Requests
+// that come meanwhile and cannot be finished by then are refused before they are passed on.
+// When abort is done, it ends all requests at once.
 func (e *Entry) shutDown(abort context.Context, s *servers, heartbeats *heartbeater) {
 	e.leaving.Store(true)
-	heartbeats.send()
-	e.log.Info("leaving")
-	deadline := e.clock.Now().Add(e.bounds.Load().Grace - shutdownMargin)
 	longestCaching := maxCachingFactor * directoryTTL
-	e.sleep(abort, longestCaching-directoryTTL)
-	e.closeConnections.Store(true)
-	e.sleep(abort, directoryTTL)
-	ctx, cancel := context.WithTimeout(abort, max(deadline.Sub(e.clock.Now()), 0))
+	left := max(e.bounds.Load().Grace-shutdownMargin-answerTime, 0)
+	now := e.clock.Now()
+	e.handler.EndBy(finish.Ending{By: now.Add(left), CallersGone: now.Add(longestCaching)})
+	heartbeats.send()
+	e.log.WithField("ends_in_ms", left.Milliseconds()).Info("leaving")
+	if left < longestCaching {
+		e.log.Warn("the grace period is shorter than callers keep directory answers; late ones find no one here")
+	}
+	untilEnd, cancel := context.WithTimeout(abort, left)
 	defer cancel()
-	if left := s.callerListener.drain(ctx); left > 0 {
-		e.logUnfinished(left, abort.Err() != nil)
+	e.sleep(untilEnd, longestCaching-directoryTTL)
+	e.closeConnections.Store(true)
+	e.sleep(untilEnd, directoryTTL)
+	if s.callerListener.drain(untilEnd) > 0 {
+		e.endUnfinished(s, abort.Err() != nil)
 	}
 }
 
-// logUnfinished logs what a shutdown cuts off. bySignal is set if a second signal ends it, unset
-// at the end of the grace period.
-func (e *Entry) logUnfinished(connections int, bySignal bool) {
+// endUnfinished ends the requests that are left and gives their callers time to receive that.
+// bySignal is set if a second signal ended the shutdown, unset at the end of the grace period.
+func (e *Entry) endUnfinished(s *servers, bySignal bool) {
 	unfinished := e.handler.Unfinished()
-	e.log.WithFields(logrus.Fields{
-		"connections": connections, "passed_on": len(unfinished), "by_signal": bySignal,
-	}).Warn("shutdown did not complete; aborting requests in flight")
+	if len(unfinished) > 0 {
+		e.log.WithFields(logrus.Fields{"passed_on": len(unfinished), "by_signal": bySignal}).Warn("shutdown did not complete; ending requests in flight")
+	}
 	for _, run := range unfinished {
 		e.log.WithFields(logrus.Fields{
-			"request": run.Request, "route": run.Route, "target": run.Target, "age_ms": e.clock.Since(run.Began).Milliseconds(),
-		}).Warn("request cut off by the shutdown")
+			"request": run.Request, "route": run.Work.Route, "target": run.Target, "age_ms": e.clock.Since(run.Began).Milliseconds(),
+		}).Warn("request ended by the shutdown")
+	}
+	e.handler.End()
+	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	if left := s.callerListener.drain(ctx); left > 0 {
+		e.log.WithField("connections", left).Info("closing connections of callers")
 	}
 }
 
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -41,6 +41,7 @@
 	deadline      time.Time
 	routeDeadline bool
 	work          dispatch.Request
+	finishWork    finish.Work
 	// subject is what may crash targets. Its fingerprint is the same for all requests with
 	// the same organisation, URL and body.
 	subject poison.Subject
@@ -64,6 +65,8 @@
 	slot *dispatch.Target
 	// run is the current attempt, nil before the first one.
 	run *finish.Run
+	// resuming is set while the call's stream is continued at another target.
+	resuming bool
 	// undelivered is why the caller did not receive the whole response, nil if it did.
 	undelivered error
 	// held is what the process holds for the call.
@@ -102,6 +105,7 @@
 	}
 	c.service = pickService(c.route.Direct.Split, rand.Float64())
 	c.lastEventID = r.Header.Get(h.headers.LastEvent)
+	c.finishWork = finishWork(r, c.route.Name)
 	prompt, output := h.tokens(r.Header)
 	c.work = dispatch.Request{
 		Service: c.service, Urgency: c.urgency(), Organisation: c.organisationName(), Weight: c.weight(),
@@ -170,6 +174,10 @@
 	if !c.hasBody {
 		return nil
 	}
+	control := http.NewResponseController(w)
+	// Setting the deadline fails only on a closed connection, which ends the read too.
+	stop := h.guard.OnEnd(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+	defer stop()
 	body, err := intake.ReadHeldBody(w, r, c.version.Limits.MaxBodyBytes, c.deadline, c.held)
 	c.body = body
 	if err != nil && err.Kind == failure.Overloaded {
--- a/request/forward/deadline_test.go
+++ b/request/forward/deadline_test.go
@@ -45,5 +45,5 @@
 	require.Equal(t, failure.Unknown, v.failure.Outcome)
 	require.Equal(t, dispatch.Abandoned, v.result)
 	require.False(t, h.endFailedAttempt(late, c, v))
-	require.Equal(t, http.StatusGatewayTimeout, httpStatus(h.finalFailure(c, v)))
+	require.Equal(t, http.StatusGatewayTimeout, httpStatus(h.finalFailure(t.Context(), c, v)))
 }
--- a/request/forward/failure.go
+++ b/request/forward/failure.go
@@ -47,6 +47,9 @@
 	if status == http.StatusServiceUnavailable && err.RetryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(err.RetryAfter.Seconds(), 'f', 3, 64))
 	}
+	if h.guard.Ending() {
+		w.Header().Set("Connection", "close")
+	}
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 	if c != nil {
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -111,6 +111,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	ctx, unbind := h.guard.Bind(ctx)
+	defer unbind()
 	for {
 		t, err := h.acquireTarget(ctx, c)
 		if err != nil {
@@ -129,9 +131,6 @@
 	}
 }
 
-// Unfinished returns the attempts that have not ended, the oldest first.
-func (h *Handler) Unfinished() []*finish.Run { return h.guard.Unfinished() }
-
 // endFailedAttempt ends an attempt that failed and reports whether to retry. If so,
 // the retry has been charged to the retry budget.
 func (h *Handler) endFailedAttempt(ctx context.Context, c *call, v verdict) bool {
@@ -154,6 +153,9 @@
 // acquireTarget obtains a target for a call that may run according to the crash evidence,
 // which may have changed since the call arrived.
 func (h *Handler) acquireTarget(ctx context.Context, c *call) (*dispatch.Target, *failure.Error) {
+	if refusal := h.refuseUnfinishable(c); refusal != nil {
+		return nil, refusal
+	}
 	t, err := h.awaitTarget(ctx, c)
 	for err == nil && !h.dispatcher.MayStart(t, h.clock.Now()) {
 		// The target said that it leaves or pauses since it was granted.
@@ -196,7 +198,7 @@
 			h.release(c, t, dispatch.Abandoned)
 		}
 		h.metrics.CountQueued(c.service, "caller_gone")
-		return nil, h.deadlineExceeded(c)
+		return nil, h.timeOver(ctx, c)
 	}
 	c.queueWait += h.clock.Since(now)
 	if t == nil {
@@ -239,8 +241,11 @@
 	return err.WithRetryAfter(retryAfter(down, c.deadline.Sub(now), rand.Float64()))
 }
 
-// deadlineExceeded returns the failure of a call whose deadline has passed.
-func (h *Handler) deadlineExceeded(c *call) *failure.Error {
+// timeOver returns the failure of a call whose context has ended or whose deadline has passed.
+func (h *Handler) timeOver(ctx context.Context, c *call) *failure.Error {
+	if processEnds(ctx) {
+		return unfinishable(c)
+	}
 	return h.newFailure(c, failure.DeadlineExceeded, deadlineExceededMessage)
 }
 
@@ -267,7 +272,7 @@
 			h.dispatcher.RecordResponse(t, h.clock.Since(sent), false, h.clock.Now())
 		}
 		h.release(c, t, v.result)
-		return shouldRetry, h.finalFailure(c, v)
+		return shouldRetry, h.finalFailure(ctx, c, v)
 	}
 	return h.relayBuffered(ctx, w, c, &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog, sent: sent}, v)
 }
@@ -306,7 +311,7 @@
 	c.work.Tried = append(c.work.Tried, t)
 	c.firstEvent, c.ran = time.Time{}, false
 	c.target, c.slot = t.ID(), t
-	c.run = h.guard.Begin(c.id, c.route.Name, t.ID())
+	c.run = h.guard.Begin(c.id, t.ID(), c.finishWork)
 	c.held.SetTarget(c.target)
 }
 
@@ -330,10 +335,10 @@
 
 // finalFailure returns the failure of a call whose last attempt failed with the
 // given verdict.
-func (h *Handler) finalFailure(c *call, v verdict) *failure.Error {
+func (h *Handler) finalFailure(ctx context.Context, c *call, v verdict) *failure.Error {
 	switch {
 	case v.result == dispatch.Abandoned:
-		return h.deadlineExceeded(c)
+		return h.timeOver(ctx, c)
 	case c.attempts.Outcome() == failure.NotRun:
 		return h.newFailure(c, failure.Overloaded, v.failure.Message)
 	default:
--- a/request/forward/panic.go
+++ b/request/forward/panic.go
@@ -47,7 +47,8 @@
 // release returns the slot that a call holds at a target.
 func (h *Handler) release(c *call, t *dispatch.Target, result dispatch.Result) {
 	c.slot = nil
-	c.run.End()
+	// How long the target would have taken at least is known too when the caller's time ran out.
+	c.run.End(result == dispatch.Served || result == dispatch.Abandoned)
 	h.dispatcher.ReleaseTokens(t, c.work.Tokens)
 	h.dispatcher.Release(t, result, h.clock.Now())
 }
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -10,6 +10,7 @@
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/finish"
 	"verbenaseam.example/verbenaseam/request/headers"
 )
 
@@ -33,7 +34,7 @@
 		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
 		h.release(c, src.target, truncated.result)
-		return shouldRetry, h.finalFailure(c, truncated)
+		return shouldRetry, h.finalFailure(ctx, c, truncated)
 	}
 	src.watchdog.progress()
 	if v.success() {
@@ -129,10 +130,10 @@
 		h.release(c, src.target, v.result)
 		shouldRetry := h.endFailedAttempt(ctx, c, v)
 		if !out.started() {
-			return shouldRetry, h.finalFailure(c, v)
+			return shouldRetry, h.finalFailure(ctx, c, v)
 		}
 		if !shouldRetry {
-			h.abortStream(c, out, v.reason)
+			h.abortStream(c, out, abortReason(ctx, v))
 		}
 		if out.unidentified {
 			h.abortStream(c, out, "the last event has no ID to resume after")
@@ -156,6 +157,7 @@
 func (h *Handler) resumeStream(ctx context.Context, c *call, out *streamWriter) *streamSource {
 	c.work.QueueDeadline = h.clock.Now().Add(resumeLatencies * c.route.Direct.Latency)
 	c.work.Urgency, c.work.Timing.Objective = resumeUrgency, 0
+	c.resuming = true
 	for {
 		t, err := h.acquireTarget(ctx, c)
 		if err != nil {
@@ -177,11 +179,19 @@
 		watchdog.stop()
 		h.release(c, t, v.result)
 		if !h.endFailedAttempt(ctx, c, v) {
-			h.abortStream(c, out, v.reason)
+			h.abortStream(c, out, abortReason(ctx, v))
 		}
 	}
 }
 
+// abortReason returns why a stream is aborted after an attempt with the given verdict.
+func abortReason(ctx context.Context, v verdict) string {
+	if processEnds(ctx) {
+		return finish.ErrProcessEnds.Error()
+	}
+	return v.reason
+}
+
 // abortStream closes the caller's connection in the middle of a response, so that
 // the truncated stream cannot be mistaken for a complete one. The caller receives the events
 // that have arrived before. It does not return.
--- a/request/forward/suspect.go
+++ b/request/forward/suspect.go
@@ -24,10 +24,14 @@
 	return nil
 }
 
-// refuseBeforeAttempt is refuseSuspect for a call that is about to be sent to a target.
+// refuseBeforeAttempt returns the failure of a call that must not be sent to a target now, or nil.
 // A suspect that may run is on trial from then on.
 func (h *Handler) refuseBeforeAttempt(c *call) *failure.Error {
-	refusal := h.refuseSuspect(c)
+	// The call may have waited for its target.
+	refusal := h.refuseUnfinishable(c)
+	if refusal == nil {
+		refusal = h.refuseSuspect(c)
+	}
 	if refusal == nil {
 		refusal = h.beginTrial(c)
 	}
--- a/request/forward/suspect_test.go
+++ b/request/forward/suspect_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/request/finish"
 	"verbenaseam.example/verbenaseam/request/poison"
 	"verbenaseam.example/verbenaseam/request/retry"
 	"verbenaseam.example/verbenaseam/version/table"
@@ -27,7 +28,7 @@
 	}
 	clock.Advance(poison.DefaultRefusalHold)
 	crashes := poison.NewCrashDetector(poison.DetectorConfig{Tracker: tracker, Clock: clock, Share: func() {}})
-	return &Handler{poison: tracker, crashes: crashes, clock: clock, trialRank: func(uint64) int { return rank }}
+	return &Handler{poison: tracker, crashes: crashes, clock: clock, guard: finish.NewGuard(clock), trialRank: func(uint64) int { return rank }}
 }
 
 func newSuspect() *call {
