A second termination signal no longer aborts a shutdown

Callers saw: everything under way at an entry was cut off without an answer when a second SIGTERM came within the grace period. Cause: process/drain took any second signal for the wish to abort. That is the custom of a terminal, where the same key is pressed twice; who stops a service may send SIGTERM twice. Change: only a second SIGINT aborts. All daemons share this code (direct, rank, entry, agent).

--- a/daemon/command/command.go
+++ b/daemon/command/command.go
@@ -106,8 +106,8 @@
 	return ExitSuccess, false
 }
 
-// runUntilSignal runs a daemon until SIGINT or SIGTERM. A second signal aborts the
-// graceful shutdown.
+// runUntilSignal runs a daemon until SIGINT or SIGTERM. A second SIGINT aborts the graceful
+// shutdown.
 func runUntilSignal(daemon Daemon) int {
 	ctx, abort, stop := Signals()
 	defer stop()
@@ -137,7 +137,7 @@
 }
 
 // Signals returns a context that ends on the first SIGINT or SIGTERM, which starts the
-// shutdown, and one that ends on the second, which aborts it.
+// shutdown, and one that ends on the second SIGINT, which aborts it.
 func Signals() (first, second context.Context, stop func()) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -354,7 +354,7 @@
 }
 
 // endUnfinished ends the requests that are left and gives their callers time to receive that.
-// bySignal is set if a second signal ended the shutdown, unset at the end of the grace period.
+// bySignal is set if a second interrupt ended the shutdown, unset at the end of the grace period.
 func (e *Entry) endUnfinished(s *servers, bySignal bool) {
 	unfinished := e.handler.Unfinished()
 	if len(unfinished) > 0 {
--- a/process/drain/drain.go
+++ b/process/drain/drain.go
@@ -1,5 +1,5 @@
 // Package drain shuts a process down gracefully: the steps of the shutdown run in
-// order, each to completion. Only a second signal or the time limit in the settings
+// order, each to completion. Only a second interrupt or the time limit in the settings
 // aborts them.
 package drain
 
@@ -51,17 +51,17 @@
 // Unwrap returns the underlying error.
 func (e *StepError) Unwrap() error { return e.Cause }
 
-// AbortError means that the shutdown was aborted by a second signal or its time limit.
+// AbortError means that the shutdown was aborted by a second interrupt or its time limit.
 type AbortError struct {
 	// Unfinished holds the names of the steps that were not completed, in order.
 	Unfinished []string
-	// ByLimit is set if the time limit was reached, unset after a second signal.
+	// ByLimit is set if the time limit was reached, unset after a second interrupt.
 	ByLimit bool
 }
 
 // Error implements error.
 func (e *AbortError) Error() string {
-	reason := "second signal"
+	reason := "second interrupt"
 	if e.ByLimit {
 		reason = "time limit reached"
 	}
@@ -117,19 +117,29 @@
 	return names
 }
 
-// Signals returns a channel that is closed on the first signal, which starts the
-// shutdown, and one that is closed on the second signal, which aborts it.
+// Signals returns a channel that is closed on the first signal, which starts the shutdown, and one
+// that is closed on the second interrupt, which aborts it. Termination signals do not abort: whoever
+// stops a process may send more than one, and the grace period that the first one begins holds.
 func Signals(signals <-chan os.Signal) (start, abort <-chan struct{}) {
 	first, second := make(chan struct{}), make(chan struct{})
 	go func() {
-		if _, open := <-signals; !open {
-			return
-		}
-		close(first)
-		if _, open := <-signals; !open {
-			return
+		interrupts := 0
+		for n := 0; interrupts < abortingInterrupts; n++ {
+			received, open := <-signals
+			if !open {
+				return
+			}
+			if n == 0 {
+				close(first)
+			}
+			if received == os.Interrupt {
+				interrupts++
+			}
 		}
 		close(second)
 	}()
 	return first, second
 }
+
+// abortingInterrupts is the number of interrupts that abort a shutdown, also one that they began.
+const abortingInterrupts = 2
