An attempt at a target that may be sound is not given up for a retry that may not come

Callers saw: lookups of 4.5 s at sound targets ended as 502 or 504, and streams that paused were cut off, with «target made no progress while others did» in the log; also beside a planned stop. Cause: silence of 1 to 1.5 s while others made progress was taken for a fault of the target, the attempt was ended first, and only then was asked whether a retry is allowed. Without budget the request failed, and with it each further sound target was given up too. A stream, which cannot have two sources, is given up only once the retry has been charged to the budget (Session.Prepay); otherwise it goes on. TestSlowCallerIsNoSilentTarget gave its stream no retry budget and required that it is given up nevertheless, which is the fault; it now has one retry and requires the same.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -134,16 +134,23 @@
 // endFailedAttempt ends an attempt that failed and reports whether to retry. If so,
 // the retry has been charged to the retry budget.
 func (h *Handler) endFailedAttempt(ctx context.Context, c *call, v verdict) bool {
+	shouldRetry, _ := h.decideAfterFailure(ctx, c, v)
+	return shouldRetry
+}
+
+// decideAfterFailure is endFailedAttempt for a call that may have other attempts running; wait
+// reports that one of them may still succeed.
+func (h *Handler) decideAfterFailure(ctx context.Context, c *call, v verdict) (shouldRetry, wait bool) {
 	decision := c.attempts.Failed(v.failure, h.clock.Now(), noJitter)
-	if ctx.Err() != nil {
-		return false
+	if ctx.Err() != nil || decision.Wait {
+		return false, decision.Wait
 	}
 	if decision.Retry || decision.Reason == retry.GiveUpBudget {
 		h.log.WithFields(logrus.Fields{
 			"request": c.id, "target": c.target, "reason": v.reason, "again": decision.Retry,
 		}).Info("attempt failed")
 	}
-	return decision.Retry && c.trial == 0
+	return decision.Retry && c.trial == 0, false
 }
 
 // noJitter selects the shortest backoff, which is none: a retry goes to another target
@@ -253,28 +260,40 @@
 // nothing has been written to the caller, and shouldRetry reports whether to make
 // another attempt.
 func (h *Handler) attempt(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (shouldRetry bool, failed *failure.Error) {
-	h.beginAttempt(c, t)
-	attemptCtx, watchdog := h.startWatchdog(ctx, c, t)
+	if c.route.Direct.Streams {
+		return h.attemptStream(ctx, w, c, t)
+	}
+	return h.attemptWhole(ctx, w, c, t)
+}
+
+// attemptStream is attempt for a call whose response is relayed as it arrives.
+func (h *Handler) attemptStream(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (shouldRetry bool, failed *failure.Error) {
+	h.beginStreamAttempt(c, t)
+	attemptCtx, watchdog := h.startWatchdog(ctx, c, t, nil)
 	sent := h.clock.Now()
 	response, v := h.send(ctx, attemptCtx, c, t)
-	if v.success() && c.route.Direct.Streams {
-		return h.relayStream(ctx, w, c, &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog})
+	src := &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog, sent: sent}
+	if v.success() {
+		return h.relayStream(ctx, w, c, src)
 	}
 	defer watchdog.stop()
-	if !v.success() {
-		shouldRetry = h.endFailedAttempt(ctx, c, v)
+	shouldRetry = h.endFailedAttempt(ctx, c, v)
+	if !shouldRetry && v.deliver {
+		return false, h.relayFailure(ctx, w, c, src, v)
 	}
-	if shouldRetry || !v.deliver {
-		if response != nil {
-			h.drainResponse(response)
-		}
-		if v.result == dispatch.Abandoned {
-			h.dispatcher.RecordResponse(t, h.clock.Since(sent), false, h.clock.Now())
-		}
-		h.release(c, t, v.result)
-		return shouldRetry, h.finalFailure(ctx, c, v)
+	h.discard(c, src, v)
+	h.release(c, t, v.result)
+	return shouldRetry, h.finalFailure(ctx, c, v)
+}
+
+// discard ends an attempt whose response, if there is one, does not go to the caller.
+func (h *Handler) discard(c *call, src *streamSource, v verdict) {
+	if src.response != nil {
+		h.drainResponse(src.response)
+	}
+	if v.result == dispatch.Abandoned {
+		h.dispatcher.RecordResponse(src.target, h.clock.Since(src.sent), false, h.clock.Now())
 	}
-	return h.relayBuffered(ctx, w, c, &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog, sent: sent}, v)
 }
 
 // send sends a call to a target and returns the verdict on the head of the
@@ -309,12 +328,17 @@
 	}
 	h.metrics.CountAttempt(kind)
 	c.work.Tried = append(c.work.Tried, t)
-	c.firstEvent, c.ran = time.Time{}, false
 	c.target, c.slot = t.ID(), t
 	c.run = h.guard.Begin(c.id, t.ID(), c.finishWork)
 	c.held.SetTarget(c.target)
 }
 
+// beginStreamAttempt is beginAttempt for a stream, whose events show what the target has run.
+func (h *Handler) beginStreamAttempt(c *call, t *dispatch.Target) {
+	h.beginAttempt(c, t)
+	c.firstEvent, c.ran = time.Time{}, false
+}
+
 // drainResponse reads a short response to its end and closes it, so that the
 // connection can be reused.
 func (h *Handler) drainResponse(response *direct.Response) {
--- a/request/forward/panic.go
+++ b/request/forward/panic.go
@@ -47,8 +47,18 @@
 // release returns the slot that a call holds at a target.
 func (h *Handler) release(c *call, t *dispatch.Target, result dispatch.Result) {
 	c.slot = nil
-	// How long the target would have taken at least is known too when the caller's time ran out.
-	c.run.End(result == dispatch.Served || result == dispatch.Abandoned)
+	c.run.End(isRepresentative(result))
+	h.releaseSlot(c, t, result)
+}
+
+// isRepresentative reports whether other requests may take as long as an attempt with this result. If
+// the caller's time ran out, it would have taken that time at least.
+func isRepresentative(result dispatch.Result) bool {
+	return result == dispatch.Served || result == dispatch.Abandoned
+}
+
+// releaseSlot returns a slot at a target.
+func (h *Handler) releaseSlot(c *call, t *dispatch.Target, result dispatch.Result) {
 	h.dispatcher.ReleaseTokens(t, c.work.Tokens)
 	h.dispatcher.Release(t, result, h.clock.Now())
 }
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -14,11 +14,26 @@
 	"verbenaseam.example/verbenaseam/request/headers"
 )
 
-// relayBuffered reads the whole response before it writes any of it, so that the
-// caller never receives part of a truncated one. ctx is the call's context, from which that of
-// src is derived. The results are those of attempt.
-func (h *Handler) relayBuffered(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource, v verdict) (shouldRetry bool, failed *failure.Error) {
+// relayFailure relays a response of a target that is a failure, with its whole body. ctx is the
+// call's context, from which that of src is derived.
+func (h *Handler) relayFailure(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource, v verdict) *failure.Error {
 	defer src.response.Close()
+	body, err := h.readWhole(c, src)
+	if err != nil {
+		truncated := h.truncatedVerdict(src.ctx, c)
+		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
+		h.release(c, src.target, truncated.result)
+		return h.finalFailure(ctx, c, truncated)
+	}
+	src.watchdog.progress()
+	h.release(c, src.target, v.result)
+	h.deliver(w, c, src.response, body)
+	return nil
+}
+
+// readWhole reads the whole body of a response before any of it is written, so that the caller never
+// receives part of a truncated one.
+func (h *Handler) readWhole(c *call, src *streamSource) ([]byte, error) {
 	total := int64(0)
 	body, err := readBody(src.response, src.response.Length, func(n int) {
 		src.watchdog.received(n, true)
@@ -26,35 +41,24 @@
 		c.held.Set(memory.Response, max(total, src.response.Length), h.clock.Now())
 	})
 	src.watchdog.received(0, false)
-	c.held.Set(memory.Response, int64(cap(body)), h.clock.Now())
 	if err != nil {
-		c.held.Set(memory.Response, 0, h.clock.Now())
-		truncated := h.truncatedVerdict(src.ctx, c)
-		// endFailedAttempt was already called if the response head was a failure.
-		shouldRetry = v.success() && h.endFailedAttempt(ctx, c, truncated)
-		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
-		h.release(c, src.target, truncated.result)
-		return shouldRetry, h.finalFailure(ctx, c, truncated)
-	}
-	src.watchdog.progress()
-	if v.success() {
-		h.dispatcher.RecordResponse(src.target, h.clock.Since(src.sent), true, h.clock.Now())
-	}
-	h.release(c, src.target, v.result)
-	if v.success() {
-		h.recordSuccess(c)
-		h.transfers.record(c.route.Name, len(c.body)+len(body))
+		body = nil
 	}
+	c.held.Set(memory.Response, int64(cap(body)), h.clock.Now())
+	return body, err
+}
+
+// deliver writes a response with its whole body to the caller.
+func (h *Handler) deliver(w http.ResponseWriter, c *call, response *direct.Response, body []byte) {
 	h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 	h.dropBody(c)
-	copyHeaders(w, src.response)
+	copyHeaders(w, response)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(src.response.Status)
+	w.WriteHeader(response.Status)
 	out := h.newOutput(w, c)
 	defer out.close()
 	out.allowEnd(true)
 	c.undelivered = out.write(body)
-	return false, nil
 }
 
 // dropBody frees the body of a call that will not be sent again. The caller may take long to
@@ -163,8 +167,8 @@
 		if err != nil {
 			h.abortStream(c, out, "no target available to resume the stream")
 		}
-		h.beginAttempt(c, t)
-		attemptCtx, watchdog := h.startWatchdog(ctx, c, t)
+		h.beginStreamAttempt(c, t)
+		attemptCtx, watchdog := h.startWatchdog(ctx, c, t, nil)
 		response, v := h.send(ctx, attemptCtx, c, t)
 		if v.success() && !out.continues(response) {
 			v = incomplete(dispatch.Failed, "response does not continue the stream")
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -33,6 +33,8 @@
 	// errTargetTrickles means that the target has begun an event or a body and continues it
 	// more slowly than pace.Rate, or not at all.
 	errTargetTrickles = streamError("target sends too slowly")
+	// errSuperseded means that the call has ended while an attempt of it was running.
+	errSuperseded = streamError("the call has ended")
 	// errTargetSlow means that the target is slow and others have free capacity.
 	errTargetSlow = streamError("target is slow while others have free capacity")
 	// errForeignResponse means that the head of another response stands in a stream, which a
--- a/request/forward/watchdog.go
+++ b/request/forward/watchdog.go
@@ -9,15 +9,21 @@
 	"verbenaseam.example/verbenaseam/connection/pace"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/retry"
 )
 
-// watchdog cancels an attempt whose target makes no progress while others of its
-// service do, or is slow while others have free capacity.
+// watchdog gives up an attempt whose target makes no progress while others of its service do, or is
+// slow while others have free capacity. The target may be sound and the request slow, so it gives up
+// only if a retry is sure to follow.
 type watchdog struct {
 	handler        *Handler
 	target         *dispatch.Target
 	silenceTimeout time.Duration
 	cancel         context.CancelCauseFunc
+	attempts       *retry.Session
+	// onStall replaces the end of the attempt if it is not nil: it gets the reason and reports
+	// whether it took note of it. It must not block.
+	onStall func(cause error) bool
 
 	// mu guards the fields below.
 	mu           sync.Mutex
@@ -35,9 +41,13 @@
 
 // startWatchdog returns the context of an attempt and the watchdog that cancels it.
 // The caller must call stop when the attempt ends.
-func (h *Handler) startWatchdog(ctx context.Context, c *call, t *dispatch.Target) (context.Context, *watchdog) {
+// onStall may be nil; see watchdog.
+func (h *Handler) startWatchdog(ctx context.Context, c *call, t *dispatch.Target, onStall func(cause error) bool) (context.Context, *watchdog) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{handler: h, target: t, silenceTimeout: c.silenceTimeout(), cancel: cancel, lastProgress: h.clock.Now()}
+	w := &watchdog{
+		handler: h, target: t, silenceTimeout: c.silenceTimeout(), cancel: cancel, attempts: c.attempts, onStall: onStall,
+		lastProgress: h.clock.Now(),
+	}
 	w.receiving = pace.NewMonitor(h.pace, nil, func() {
 		h.metrics.CountStalledPeer("target")
 		cancel(errTargetTrickles)
@@ -74,8 +84,8 @@
 	return min(max(silenceLatencies*c.route.Direct.Latency, minSilenceTimeout), maxSilenceTimeout)
 }
 
-// check cancels the attempt if its target is silent or slow, and otherwise
-// schedules the next check.
+// check gives up the attempt if its target is silent or slow, and otherwise schedules the next
+// check.
 func (w *watchdog) check() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -88,19 +98,39 @@
 		return
 	}
 	silence := now.Sub(w.lastProgress)
-	if silence >= w.silenceTimeout && w.handler.dispatcher.IsSilent(w.target, silence, w.silenceTimeout, now) {
-		w.cancel(errTargetSilent)
+	silent := silence >= w.silenceTimeout && w.handler.dispatcher.IsSilent(w.target, silence, w.silenceTimeout, now)
+	if silent && w.giveUp(errTargetSilent, now) {
 		return
 	}
-	if w.canRetry() && w.handler.dispatcher.TryReassign(w.target, now) {
-		w.cancel(errTargetSlow)
+	if w.canRetry() && w.handler.dispatcher.TryReassign(w.target, now) && w.giveUp(errTargetSlow, now) {
 		return
 	}
 	w.timer.Reset(w.nextCheck(silence))
 }
 
-// canRetry reports whether the retry budget allows another attempt. Without budget, a
-// stream that is taken from a slow target would be aborted.
+// giveUp ends the attempt, unless onStall is set. It returns false if it goes on, because no retry
+// would follow.
+func (w *watchdog) giveUp(cause error, now time.Time) bool {
+	if w.onStall != nil {
+		return w.onStall(cause)
+	}
+	if !w.attempts.Prepay(now) {
+		return false
+	}
+	w.cancel(cause)
+	return true
+}
+
+// resume schedules the next check after onStall took note of a stall in vain.
+func (w *watchdog) resume() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.stopped {
+		w.timer.Reset(minCheckInterval)
+	}
+}
+
+// canRetry reports whether the retry budget allows another attempt.
 func (w *watchdog) canRetry() bool {
 	return w.handler.budget(w.target.Service()).Tokens() >= 1
 }
@@ -171,9 +201,12 @@
 	w.cancel(nil)
 }
 
-// withWatchdogCause replaces the verdict on an attempt that the watchdog has
-// cancelled. ctx is the attempt's context.
+// withWatchdogCause replaces the verdict on an attempt that was cancelled, by the watchdog or because
+// it is not needed any more. ctx is the attempt's context.
 func withWatchdogCause(ctx context.Context, v verdict) verdict {
+	if errors.Is(context.Cause(ctx), errSuperseded) {
+		return v.abandoned()
+	}
 	if errors.Is(context.Cause(ctx), errTargetSilent) {
 		if v.failure.Outcome == failure.NotRun {
 			return notRun(dispatch.Silent, errTargetSilent.Error())
--- a/request/forward/watchdog_test.go
+++ b/request/forward/watchdog_test.go
@@ -49,7 +49,8 @@
 	}
 	const timeout = time.Second
 	var cancelled error
-	w := &watchdog{handler: handler, target: targets[0], silenceTimeout: timeout, cancel: func(err error) { cancelled = err }, lastProgress: clock.Now()}
+	attempts := retry.NewSession(retry.Policy{Deadline: clock.Now().Add(time.Minute), Budget: retry.NewBudget(0, 1)})
+	w := &watchdog{handler: handler, target: targets[0], silenceTimeout: timeout, attempts: attempts, cancel: func(err error) { cancelled = err }, lastProgress: clock.Now()}
 	w.timer = time.NewTimer(time.Hour)
 	defer w.timer.Stop()
 	w.pauseReading()
--- a/request/retry/session.go
+++ b/request/retry/session.go
@@ -1,13 +1,14 @@
 package retry
 
 import (
+	"sync/atomic"
 	"time"
 
 	"verbenaseam.example/verbenaseam/process/failure"
 )
 
 // Session is the state machine of one request's attempts. It uses neither a
-// clock nor randomness of its own and is not safe for concurrent use.
+// clock nor randomness of its own and is not safe for concurrent use, except for Prepay.
 type Session struct {
 	policy Policy
 	avoid  AvoidSet
@@ -16,6 +17,8 @@
 	started, running int
 	retries          int
 	hedged           bool
+	// prepaid is set once the next retry has been charged to the budget.
+	prepaid atomic.Bool
 	// mayHaveRun is set once an attempt has ended, or was abandoned, without
 	// confirmation that it did not run.
 	mayHaveRun bool
@@ -60,10 +63,34 @@
 	return true
 }
 
+// HedgeStalled reports whether another attempt may start in parallel with those that run, which make
+// no progress; if so, it consumes one retry of the budget.
+func (s *Session) HedgeStalled(now time.Time) bool {
+	return s.started < s.policy.MaxAttempts && s.remaining(now) > s.policy.MinAttemptTime && s.policy.Budget.Take()
+}
+
+// Prepay charges the retry that is to follow the running attempt to the budget. It returns false if
+// none may follow; the attempt must not be given up then. It is safe for concurrent use.
+func (s *Session) Prepay(now time.Time) bool {
+	if s.remaining(now) <= s.policy.MinAttemptTime || s.prepaid.Load() || !s.policy.Budget.Take() {
+		return false
+	}
+	s.prepaid.Store(true)
+	return true
+}
+
+// refund returns a prepaid retry that was not needed.
+func (s *Session) refund() {
+	if s.prepaid.Swap(false) {
+		s.policy.Budget.Grant(1)
+	}
+}
+
 // Succeeded ends the session with a response. It returns false past the
 // deadline, when the caller no longer waits for the response.
 func (s *Session) Succeeded(now time.Time) bool {
 	s.running--
+	s.refund()
 	if s.remaining(now) <= 0 {
 		s.mayHaveRun = true
 		return false
@@ -80,6 +107,15 @@
 	if err.Outcome != failure.NotRun {
 		s.mayHaveRun = true
 	}
+	decision := s.decide(err, now, random)
+	if !decision.Retry {
+		s.refund()
+	}
+	return decision
+}
+
+// decide returns what follows a failed attempt, and charges a retry to the budget.
+func (s *Session) decide(err *failure.Error, now time.Time, random float64) Decision {
 	if !Retriable(err.Kind) || s.policy.NonIdempotent && err.Outcome != failure.NotRun {
 		return Decision{Reason: GiveUpFinal}
 	}
@@ -93,7 +129,7 @@
 	if s.remaining(now) <= delay+s.policy.MinAttemptTime {
 		return Decision{Reason: GiveUpDeadline}
 	}
-	if !s.policy.Budget.Take() {
+	if !s.prepaid.Swap(false) && !s.policy.Budget.Take() {
 		return Decision{Reason: GiveUpBudget}
 	}
 	s.retries++
