Callers' connections are accepted and drained by a package of their own

daemon/entry needs the drain too, which http.Server.Shutdown does not replace: it resets connections in the kernel's queue and closes those whose next request is arriving. Moved from daemon/direct with its tests; nothing else changes, but that a connection may be wrapped.

--- a/daemon/direct/caller_drain.go
+++ b/connection/callers/drain.go
@@ -1,9 +1,8 @@
-package direct
+package callers
 
 import (
 	"context"
 	"io"
-	"net"
 	"syscall"
 	"time"
 )
@@ -21,7 +20,7 @@
 	drainInterval = 10 * time.Millisecond
 )
 
-// drain stops accepting connections and waits until none is left or ctx is done. It returns
+// Drain stops accepting connections and waits until none is left or ctx is done. It returns
 // how many are left. Meanwhile responses must ask callers to close their connections.
 //
 // http.Server.Shutdown is not used because requests could be lost without a response: those of
@@ -29,7 +28,7 @@
 // part, and those sent when the response before them has ended. What remains are requests that
 // cross the close of a connection idle for quietTime on the network, and connections that
 // arrive at the moment when the listener is closed. Such requests do not run.
-func (l *callerListener) drain(ctx context.Context) (left int) {
+func (l *Listener) Drain(ctx context.Context) (left int) {
 	l.stopAccepting(ctx)
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
@@ -48,7 +47,7 @@
 
 // stopAccepting closes the listener once no connection has arrived for quietTime, at the latest
 // after maxAcceptTime, and none is in the kernel's queue: the close would reset those.
-func (l *callerListener) stopAccepting(ctx context.Context) {
+func (l *Listener) stopAccepting(ctx context.Context) {
 	defer l.Listener.Close()
 	raw := rawConn(l.Listener)
 	started := time.Now()
@@ -63,7 +62,7 @@
 }
 
 // lastAccept returns when the last connection was accepted, zero if none was.
-func (l *callerListener) lastAccept() time.Time {
+func (l *Listener) lastAccept() time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.acceptedAt
@@ -71,7 +70,7 @@
 
 // closeQuiet closes the connections without a request. It returns how many are left, and
 // whether the listener accepts no more.
-func (l *callerListener) closeQuiet(now time.Time) (left int, ended bool) {
+func (l *Listener) closeQuiet(now time.Time) (left int, ended bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.open {
@@ -80,7 +79,7 @@
 	return len(l.open), l.ended
 }
 
-func (l *callerListener) remove(c *callerConn) {
+func (l *Listener) remove(c *conn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.open, c)
@@ -88,7 +87,7 @@
 
 // closeIfQuiet closes the connection if it has been idle for quietTime and no byte of a request
 // has arrived. The server then ends it.
-func (c *callerConn) closeIfQuiet(now time.Time) {
+func (c *conn) closeIfQuiet(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.idle || now.Sub(c.idleSince) < quietTime || readable(rawConn(c.Conn)) {
@@ -105,16 +104,16 @@
 // follows a response with Connection: close, the kernel would reset the connection and discard
 // what is not sent yet of the response. So the connection is closed for writing only until the
 // caller has closed it too, at most for lingerTime.
-func (c *callerConn) Close() error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+func (c *conn) Close() error {
+	tcp, ok := c.Conn.(tcpConn)
 	if !ok || c.reset.Load() || !readable(rawConn(tcp)) || tcp.CloseWrite() != nil {
 		return c.Conn.Close()
 	}
 	go func() {
 		// Errors mean that the connection has ended.
-		_ = tcp.SetReadDeadline(time.Now().Add(lingerTime))
-		_, _ = io.Copy(io.Discard, tcp)
-		_ = tcp.Close()
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close()
 	}()
 	return nil
 }
--- a/daemon/direct/caller_drain_test.go
+++ b/connection/callers/drain_test.go
@@ -1,4 +1,4 @@
-package direct
+package callers
 
 import (
 	"bufio"
@@ -21,7 +21,7 @@
 type drainServer struct {
 	t        *testing.T
 	server   *http.Server
-	listener *callerListener
+	listener *Listener
 	address  string
 	// closing is set when responses ask callers to close their connections.
 	closing  atomic.Bool
@@ -43,8 +43,8 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &drainServer{t: t, address: listener.Addr().String()}
-	s.listener = newCallerListener(&slowListener{listener.(*net.TCPListener), acceptPause}, func() callerTimeouts { return callerTimeouts{} })
-	s.server = &http.Server{ConnState: trackConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.listener = NewListener(&slowListener{listener.(*net.TCPListener), acceptPause}, func() Timeouts { return Timeouts{} })
+	s.server = &http.Server{ConnState: TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.executed.Add(1)
 		if s.closing.Load() {
 			w.Header().Set("Connection", "close")
@@ -73,7 +73,7 @@
 		defer close(done)
 		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 		defer cancel()
-		if left := s.listener.drain(ctx); left > 0 {
+		if left := s.listener.Drain(ctx); left > 0 {
 			s.t.Errorf("%d connections are left", left)
 		}
 		_ = s.server.Close()
@@ -218,13 +218,13 @@
 	const size = 8 << 20
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	server := &http.Server{ConnState: trackConnState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{ConnState: TrackState, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Connection", "close")
 		w.Header().Set("Content-Length", strconv.Itoa(size))
 		_, _ = w.Write(make([]byte, size))
 	})}
 	go func() {
-		_ = server.Serve(newCallerListener(listener, func() callerTimeouts { return callerTimeouts{} }))
+		_ = server.Serve(NewListener(listener, func() Timeouts { return Timeouts{} }))
 	}()
 	t.Cleanup(func() { _ = server.Close() })
 	c, err := net.Dial("tcp", listener.Addr().String())
--- a/daemon/direct/caller_timeouts_test.go
+++ b/connection/callers/listener_test.go
@@ -1,4 +1,4 @@
-package direct
+package callers
 
 import (
 	"io"
@@ -25,10 +25,10 @@
 	s.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(w, r.Body)
 	}))
-	s.server.Listener = newCallerListener(s.server.Listener, func() callerTimeouts {
-		return callerTimeouts{Idle: time.Duration(s.idle.Load()), Header: time.Duration(s.header.Load())}
+	s.server.Listener = NewListener(s.server.Listener, func() Timeouts {
+		return Timeouts{Idle: time.Duration(s.idle.Load()), Header: time.Duration(s.header.Load())}
 	})
-	s.server.Config.ConnState = trackConnState
+	s.server.Config.ConnState = TrackState
 	s.server.Start()
 	t.Cleanup(s.server.Close)
 	return s
--- a/daemon/direct/run.go
+++ b/daemon/direct/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"verbenaseam.example/verbenaseam/connection/callers"
 	"verbenaseam.example/verbenaseam/daemon/command"
 	"verbenaseam.example/verbenaseam/daemon/follow"
 	"verbenaseam.example/verbenaseam/platform"
@@ -229,14 +230,14 @@
 	others []*http.Server
 	// listeners are those of callers and others, in that order.
 	listeners      []net.Listener
-	callerListener *callerListener
+	callerListener *callers.Listener
 	peerSocket     *net.UDPConn
 }
 
 // listen opens all sockets.
 func (e *Entry) listen() (*servers, error) {
 	s := &servers{callers: &http.Server{
-		Handler: e.callerHandler(), MaxHeaderBytes: maxHeaderBytes, ConnState: trackConnState, ConnContext: withCallerConn,
+		Handler: e.callerHandler(), MaxHeaderBytes: maxHeaderBytes, ConnState: callers.TrackState, ConnContext: withCallerConn,
 	}}
 	s.others = []*http.Server{
 		{Handler: platform.NewReadinessHandler(e.ready), ReadHeaderTimeout: defaultHeaderTimeout},
@@ -254,7 +255,7 @@
 			return nil, &ListenError{Address: address, Cause: err}
 		}
 		if len(s.listeners) == 0 {
-			s.callerListener = newCallerListener(listener, e.callerTimeouts)
+			s.callerListener = callers.NewListener(listener, e.callerTimeouts)
 			listener = s.callerListener
 		}
 		s.listeners = append(s.listeners, listener)
@@ -348,7 +349,7 @@
 	e.sleep(untilEnd, longestCaching-directoryTTL)
 	e.closeConnections.Store(true)
 	e.sleep(untilEnd, directoryTTL)
-	if s.callerListener.drain(untilEnd) > 0 {
+	if s.callerListener.Drain(untilEnd) > 0 {
 		e.endUnfinished(s, abort.Err() != nil)
 	}
 }
@@ -368,7 +369,7 @@
 	e.handler.End()
 	ctx, cancel := context.WithTimeout(context.Background(), answerTime)
 	defer cancel()
-	if left := s.callerListener.drain(ctx); left > 0 {
+	if left := s.callerListener.Drain(ctx); left > 0 {
 		e.log.WithField("connections", left).Info("closing connections of callers")
 	}
 }
