The entry of the product's own interface refuses what it cannot finish before its end

Cause: the same as in daemon/direct: requests that came late in a shutdown were passed on whatever time they need and cut off at the time limit; http.Server.Shutdown resets connections in the kernel's queue. Change: request/gateway uses the same guard for chats, lookups and orders; what is unfinished at the limit gets a failure with its outcome; callers' connections are drained by connection/callers, and asked to close. Evidence: TestGatewayRefusesWhatItCannotFinish, TestGatewayServesQuickRequestsWhileItEnds and TestGatewayAnswersWhatIsUnfinishedAtItsEnd; they cannot run on the code before, which has no end to tell the gateway.

--- a/daemon/entry/entry.go
+++ b/daemon/entry/entry.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"verbenaseam.example/verbenaseam/connection/callers"
 	"verbenaseam.example/verbenaseam/connection/link"
 	"verbenaseam.example/verbenaseam/daemon/node"
 	"verbenaseam.example/verbenaseam/process/health"
@@ -56,6 +57,8 @@
 	callerServer   *http.Server
 	operatorServer *http.Server
 	leaving        atomic.Bool
+	// closeConnections is set when responses ask callers to close their connections.
+	closeConnections atomic.Bool
 	// startupComplete is set once every target has reported, or reportGrace has passed
 	// since the first configuration came into force.
 	startupComplete atomic.Bool
@@ -114,7 +117,8 @@
 		return err
 	}
 	limits := cfg.Settings.Limits
-	e.callerServer = newHTTPServer(e.gateway, limits)
+	e.callerServer = newHTTPServer(e.callerHandler(), limits)
+	e.callerServer.ConnState = callers.TrackState
 	e.operatorServer = newHTTPServer(e.operatorMux(operatorHandler), limits)
 	return nil
 }
@@ -142,10 +146,12 @@
 // Run serves until ctx ends, then shuts down gracefully. When abort ends, requests still
 // in flight are aborted.
 func (e *Entry) Run(ctx, abort context.Context) error {
-	callerListener, err := listen(e.settings.CallerAddress, e.settings.Limits.Connections)
+	limited, err := listen(e.settings.CallerAddress, e.settings.Limits.Connections)
 	if err != nil {
 		return err
 	}
+	// The server itself applies the timeouts, which cannot change.
+	callerListener := callers.NewListener(limited, func() callers.Timeouts { return callers.Timeouts{} })
 	operatorListener, err := listen(e.settings.OperatorAddress, e.settings.Limits.Connections)
 	if err != nil {
 		_ = callerListener.Close()
@@ -163,19 +169,31 @@
 	go func() { _ = e.operatorServer.Serve(operatorListener) }()
 	e.log.WithField("address", e.settings.CallerAddress).Info("serving")
 	<-ctx.Done()
-	e.shutDown(abort)
+	e.shutDown(abort, callerListener)
 	stop()
 	e.node.Stop()
 	e.recorder.Close()
 	return nil
 }
 
-func listen(address string, connections int) (net.Listener, error) {
+func listen(address string, connections int) (*limitListener, error) {
 	listener, err := node.Listen(address)
 	if err != nil {
 		return nil, err
 	}
-	return newLimitListener(listener, connections), nil
+	// node.Listen listens on TCP only.
+	return newLimitListener(listener.(*net.TCPListener), connections), nil
+}
+
+// callerHandler serves callers' requests. While the entry shuts down, its responses ask callers to
+// close their connections.
+func (e *Entry) callerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.closeConnections.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		e.gateway.ServeHTTP(w, r)
+	})
 }
 
 // refreshInterval is the maximum time between two refreshes, each of which reads the list
--- a/daemon/entry/listener.go
+++ b/daemon/entry/listener.go
@@ -8,14 +8,14 @@
 // limitListener limits the number of open connections of a listener. At the limit,
 // Accept blocks until a connection is closed.
 type limitListener struct {
-	net.Listener
+	*net.TCPListener
 	slots chan struct{}
 	done  chan struct{}
 	once  sync.Once
 }
 
-func newLimitListener(inner net.Listener, limit int) *limitListener {
-	return &limitListener{Listener: inner, slots: make(chan struct{}, limit), done: make(chan struct{})}
+func newLimitListener(inner *net.TCPListener, limit int) *limitListener {
+	return &limitListener{TCPListener: inner, slots: make(chan struct{}, limit), done: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -25,30 +25,30 @@
 	case <-l.done:
 		return nil, net.ErrClosed
 	}
-	accepted, err := l.Listener.Accept()
+	accepted, err := l.AcceptTCP()
 	if err != nil {
 		<-l.slots
 		return nil, err
 	}
-	return &limitConn{Conn: accepted, release: func() { <-l.slots }}, nil
+	return &limitConn{TCPConn: accepted, release: func() { <-l.slots }}, nil
 }
 
 // Close implements net.Listener.
 func (l *limitListener) Close() error {
 	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
+	return l.TCPListener.Close()
 }
 
 // limitConn releases its slot in the listener when it is closed.
 type limitConn struct {
-	net.Conn
+	*net.TCPConn
 	once    sync.Once
 	release func()
 }
 
 // Close implements net.Conn.
 func (c *limitConn) Close() error {
-	err := c.Conn.Close()
+	err := c.TCPConn.Close()
 	c.once.Do(c.release)
 	return err
 }
--- a/request/forward/call.go
+++ b/request/forward/call.go
@@ -174,10 +174,7 @@
 	if !c.hasBody {
 		return nil
 	}
-	control := http.NewResponseController(w)
-	// Setting the deadline fails only on a closed connection, which ends the read too.
-	stop := h.guard.OnEnd(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
-	defer stop()
+	defer intake.EndReads(w, h.guard)()
 	body, err := intake.ReadHeldBody(w, r, c.version.Limits.MaxBodyBytes, c.deadline, c.held)
 	c.body = body
 	if err != nil && err.Kind == failure.Overloaded {
--- a/request/gateway/gateway.go
+++ b/request/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"verbenaseam.example/verbenaseam/process/metrics"
 	"verbenaseam.example/verbenaseam/process/settings"
 	"verbenaseam.example/verbenaseam/request/admit"
+	"verbenaseam.example/verbenaseam/request/finish"
 	"verbenaseam.example/verbenaseam/request/order"
 	"verbenaseam.example/verbenaseam/request/poison"
 	"verbenaseam.example/verbenaseam/request/retry"
@@ -79,6 +80,7 @@
 
 	shareEvidence func()
 	environment   retry.Environment
+	guard         *finish.Guard
 }
 
 // New returns a Gateway.
@@ -87,7 +89,7 @@
 		tables: cfg.Tables, links: cfg.Links, targets: cfg.Targets,
 		clock: cfg.Clock, limits: cfg.Limits, metrics: cfg.Metrics, log: cfg.Log, api: cfg.API,
 		quotas: cfg.Quotas, poison: cfg.Poison, health: cfg.Health, shareEvidence: cfg.ShareEvidence,
-		environment: retry.Environment{Clock: cfg.Clock, Random: rand.Float64},
+		environment: retry.Environment{Clock: cfg.Clock, Random: rand.Float64}, guard: finish.NewGuard(cfg.Clock),
 	}
 }
 
@@ -111,6 +113,8 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	ctx, unbind := g.guard.Bind(ctx)
+	defer unbind()
 	g.serve(ctx, w, c)
 }
 
@@ -133,7 +137,7 @@
 			g.relay(ctx, w, c, response)
 			return
 		}
-		failed := c.recordOutcome(failure.From(err))
+		failed := c.recordOutcome(explainEnd(ctx, failure.From(err)))
 		if !g.mayRequeue(c, failed) || !g.waitBeforeRequeue(ctx, failed) {
 			g.fail(w, c, failed)
 			return
@@ -144,18 +148,31 @@
 // serveOnce waits for a slot in the queue and obtains a response; release
 // returns the slot.
 func (g *Gateway) serveOnce(ctx context.Context, c *call, view *poolView) (*targetResponse, func(), error) {
+	if err := g.refuseUnfinishable(c); err != nil {
+		return nil, nil, err
+	}
 	release, err := view.queue.Acquire(ctx, admit.Request{
 		Organisation: c.organisation.Name, Class: c.class, Weight: c.weight(), Cost: c.cost(),
 	})
 	if err != nil {
 		return nil, nil, err
 	}
+	// The call may have waited for the slot.
+	if err := g.refuseUnfinishable(c); err != nil {
+		release()
+		return nil, nil, err
+	}
+	run := g.guard.Begin(c.id, c.route.Pool, c.finishWork())
 	response, err := g.dispatch(ctx, c, view)
 	if err != nil {
+		run.End(failure.From(err).Kind == failure.DeadlineExceeded)
 		release()
 		return nil, nil, err
 	}
-	return response, release, nil
+	return response, func() {
+		run.End(true)
+		release()
+	}, nil
 }
 
 // maxTargetWait bounds the wait for a pool in which no target is reachable or
@@ -202,6 +219,9 @@
 		g.log.WithError(err.Cause).WithField("type", string(err.Kind)).Debug("request failed")
 	}
 	g.finish(c, err.Outcome)
+	if g.guard.Ending() {
+		w.Header().Set("Connection", "close")
+	}
 	WriteFailure(w, err)
 }
 
--- a/request/gateway/read.go
+++ b/request/gateway/read.go
@@ -43,6 +43,7 @@
 	if len(c.idempotencyKey) > maxIdempotencyKeyBytes {
 		return nil, failure.New(failure.BadRequest, failure.NotRun, "the idempotency key is too long")
 	}
+	defer intake.EndReads(w, g.guard)()
 	if c.body, refused = intake.ReadBody(w, r, g.limits.BodyBytes, time.Now().Add(g.limits.BodyTimeout)); refused != nil {
 		return nil, refused
 	}
--- a/request/intake/intake.go
+++ b/request/intake/intake.go
@@ -13,6 +13,7 @@
 
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/process/memory"
+	"verbenaseam.example/verbenaseam/request/finish"
 	"verbenaseam.example/verbenaseam/version/table"
 )
 
@@ -77,6 +78,14 @@
 	return content, nil
 }
 
+// EndReads ends reading from a caller when the process ends, so that a caller whose body has not
+// arrived by then gets a failure. The returned function takes that back.
+func EndReads(w http.ResponseWriter, guard *finish.Guard) (stop func()) {
+	control := http.NewResponseController(w)
+	// Setting the deadline fails only on a closed connection, which ends the read too.
+	return guard.OnEnd(func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
+}
+
 var (
 	errTooLarge = failure.New(failure.TooLarge, failure.NotRun, "the body is too large")
 	errNoMemory = failure.New(failure.Overloaded, failure.NotRun, "memory is nearly full")
