A stream without an event that ends with its connection is not whole

Report of another operator: a runner stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. Within the head that cannot happen here: every reader rejects a response that is cut at any byte of the head, and of a body with a length or chunks, on first and kept connections, by close or reset. Shown by TestResponseCutAtAnyByteIsNotWhole (connection/direct and connection/engine), TestForwardResponseCutAtAnyByteIsNoSuccess (orders, lookups, streams, resumed streams), TestReadersRejectResponsesCutAtAnyByte and TestReadersRejectCutResponsesOnKeptConnections (reports, counts, commands, store). Right after the head it could: a stream with neither length nor chunks and without an event was taken as whole and given to the caller as 200 with an empty chunked body. Change: such a stream has failed (retried if it may be, else 502). A framed empty stream is whole as before.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -25,6 +25,9 @@
 	Header http.Header
 	// Length is the length of the body, -1 if it is not known in advance.
 	Length int64
+	// Delimited is set if the body has a length or is chunked. Otherwise it ends with its
+	// connection, also where the target has stopped early.
+	Delimited bool
 
 	exchange *exchange
 	body     io.ReadCloser
@@ -197,7 +200,7 @@
 	e.reusable = delimited(response) && !response.Close && identified
 	e.idleTimeout = idleTimeout(response.Header)
 	return &Response{
-		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Delimited: delimited(response),
 		exchange: e, body: response.Body,
 	}
 }
--- a/request/forward/stream.go
+++ b/request/forward/stream.go
@@ -43,6 +43,9 @@
 	// errUnidentifiedEvent means that a resumed stream has an event without an ID, which may be
 	// the text of an error or one that the caller has already received.
 	errUnidentifiedEvent = streamError("event without an ID in a resumed stream")
+	// errNoEvent means that a stream that ends with its connection has no event, so the target has
+	// stopped after the head.
+	errNoEvent = streamError("stream ended before its first event")
 	// errNothingResumed means that the target that resumes a stream ends it at once, although
 	// the one before was in the middle of an event.
 	errNothingResumed = streamError("target resumed the stream without its next event")
@@ -124,6 +127,8 @@
 			return errTruncatedEvent
 		case errors.Is(err, io.EOF) && s.truncated:
 			return errNothingResumed
+		case errors.Is(err, io.EOF) && s.read == 0 && !src.response.Delimited:
+			return errNoEvent
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
