--- a/daemon/tool/soak.go
+++ b/daemon/tool/soak.go
@@ -21,6 +21,7 @@
 	Seeds    int           `long:"seeds" value-name:"N" default:"1" description:"Number of days, with successive seeds"`
 	Minutes  float64       `long:"minutes" value-name:"M" description:"Play days until this many minutes have passed, in place of --seeds"`
 	Trouble  time.Duration `long:"trouble" value-name:"TIME" default:"10s" description:"Time of a day in which faults begin"`
+	Stops    bool          `long:"stops" description:"Play days of planned stops only, with slow requests and callers that come late"`
 	Entries  int           `long:"entries" value-name:"N" default:"3" description:"Number of entries"`
 	Targets  int           `long:"targets" value-name:"N" default:"4" description:"Number of targets of the plain service"`
 	Jobs     int           `long:"jobs" value-name:"N" default:"1" description:"Number of days played at once"`
@@ -100,7 +101,7 @@
 		slots <- struct{}{}
 		running.Go(func() {
 			defer func() { <-slots }()
-			day := soak.DrawDay(c.Seed+uint64(n), c.Trouble)
+			day := c.draw(c.Seed + uint64(n))
 			result, err := soak.Run(ctx, soak.Config{
 				Day: day, Entries: c.Entries, Targets: c.Targets, Binaries: c.Binaries,
 				Directory: filepath.Join(c.Logs, fmt.Sprint(day.Seed)),
@@ -120,6 +121,14 @@
 	return run, missing
 }
 
+// draw draws the day of a seed.
+func (c *soakRun) draw(seed uint64) soak.Day {
+	if c.Stops {
+		return soak.DrawStopDay(seed, c.Trouble)
+	}
+	return soak.DrawDay(seed, c.Trouble)
+}
+
 // another reports whether another day is to be played after n.
 func (c *soakRun) another(n int, started time.Time) bool {
 	if c.Minutes > 0 {
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -44,6 +44,9 @@
 	entries    []string
 	addresses  []string
 	resolvedAt time.Time
+	// pinned is the address of the only entry that the caller uses, empty for those that directories
+	// name.
+	pinned string
 	// judging reports whether every request must be served by now.
 	judging func() bool
 }
@@ -74,6 +77,9 @@
 // for what happened.
 const Served = "served"
 
+// cutOutcome is the outcome of a request whose response broke off.
+const cutOutcome = "cut"
+
 // request sends one request, with the retries that its kind allows, and returns the outcome.
 func (c *caller) request() string {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -100,6 +106,9 @@
 
 // entry returns the address of an entry, from the directory of any.
 func (c *caller) entry() string {
+	if c.pinned != "" {
+		return c.pinned
+	}
 	if time.Since(c.resolvedAt) > directoryTTL || len(c.addresses) == 0 {
 		directory := c.directories[c.random.IntN(len(c.directories))]
 		if addresses := standin.QueryDirectory(directory, "z1"); len(addresses) > 0 {
@@ -112,12 +121,12 @@
 	return c.addresses[c.random.IntN(len(c.addresses))]
 }
 
-var paths = map[requestKind]string{lookup: "/look/x", order: "/order/x", chat: "/chat/stream", crashing: "/look/"}
+var paths = map[requestKind]string{lookup: "/look/x", order: "/order/x", chat: "/chat/stream", crashing: "/look/", slowLookup: "/look/slow", slowOrder: "/order/slow"}
 
 // send sends an attempt. It returns the outcome, the time after which the caller may try
 // again, and whether it may.
 func (c *caller) send(ctx context.Context, address string) (outcome string, wait time.Duration, again bool) {
-	sent := c.records.begin(c.kind, paths[c.kind], slices.Index(c.entries, address))
+	sent := c.records.begin(c.kind, c.path(), slices.Index(c.entries, address))
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+sent.path, strings.NewReader(requestBody))
 	if err != nil {
 		return err.Error(), 0, false
@@ -130,7 +139,10 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.addresses = nil
-		return "no response", retryPause, c.kind == lookup
+		if ctx.Err() == nil {
+			c.records.wasNotAnswered(sent)
+		}
+		return "no response", retryPause, c.kind.repeatable()
 	}
 	defer response.Body.Close()
 	if response.StatusCode == http.StatusOK {
@@ -140,7 +152,7 @@
 		c.records.refusedAsNotRun(sent, response.StatusCode)
 		return strconv.Itoa(response.StatusCode), retryAfter(response), true
 	}
-	return strconv.Itoa(response.StatusCode), retryPause, c.kind == lookup
+	return strconv.Itoa(response.StatusCode), retryPause, c.kind.repeatable()
 }
 
 // promptParts returns the parts of the prompt of an attempt.
@@ -167,11 +179,18 @@
 			response.Header.Get(platform.HeaderAttemptID), response.Header.Get(platform.HeaderSignature))
 	}
 	if c.kind == chat {
-		return c.receiveStream(sent, response.Body), 0, false
+		outcome := c.receiveStream(sent, response.Body)
+		if outcome == cutOutcome && response.Request.Context().Err() == nil {
+			c.records.wasNotAnswered(sent)
+		}
+		return outcome, 0, false
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		return "cut", retryPause, c.kind == lookup
+		if response.Request.Context().Err() == nil {
+			c.records.wasNotAnswered(sent)
+		}
+		return cutOutcome, retryPause, c.kind.repeatable()
 	}
 	if string(body) != standin.Answer {
 		c.records.broken(AnswerIsWhole, "%s got %q", sent.id, body)
@@ -193,7 +212,7 @@
 			if events == streamEvents {
 				return Served
 			}
-			return "cut"
+			return cutOutcome
 		}
 		id, isID := strings.CutPrefix(strings.TrimSpace(line), "id: ")
 		if !isID {
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -15,11 +15,13 @@
 // Kinds of faults. All but the first of a group end after Fault.For.
 const (
 	// KillEntry kills an entry and starts it again, StopEntry lets it shut down first,
-	// FreezeEntry stops its process for a time, ReloadEntry makes it read its settings.
-	KillEntry   FaultKind = "kill entry"
-	StopEntry   FaultKind = "stop entry"
-	FreezeEntry FaultKind = "freeze entry"
-	ReloadEntry FaultKind = "reload entry"
+	// StopEntryTwice tells it so again meanwhile, FreezeEntry stops its process for a time,
+	// ReloadEntry makes it read its settings.
+	KillEntry      FaultKind = "kill entry"
+	StopEntry      FaultKind = "stop entry"
+	StopEntryTwice FaultKind = "stop entry twice"
+	FreezeEntry    FaultKind = "freeze entry"
+	ReloadEntry    FaultKind = "reload entry"
 	// KillAgent and FreezeAgent are the same for an agent.
 	KillAgent   FaultKind = "kill agent"
 	FreezeAgent FaultKind = "freeze agent"
@@ -92,6 +94,9 @@
 	CrashingFrom time.Duration
 	// Entries is the number of entries of the run.
 	Entries int
+	// Stops is set if the day has planned work only, so that nothing excuses a request that is cut
+	// off. Callers then send slow requests too, and some keep to an entry until it is gone.
+	Stops bool
 }
 
 const (
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -40,6 +40,8 @@
 		s.restart(entry, syscall.SIGKILL, f.For)
 	case StopEntry:
 		s.restart(entry, syscall.SIGTERM, f.For)
+	case StopEntryTwice:
+		s.stopTwice(entry, f.For)
 	case FreezeEntry:
 		freeze(entry, f.For)
 	case ReloadEntry:
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -33,7 +33,7 @@
 // holdsUpRequests reports whether a fault stops one of a number of entries or delays requests.
 func (f Fault) holdsUpRequests(entry, entries int) bool {
 	switch f.Kind {
-	case KillEntry, StopEntry, FreezeEntry:
+	case KillEntry, StopEntry, StopEntryTwice, FreezeEntry:
 		return f.Subject%entries == entry
 	case LinkDelayed, LinkSilent:
 		return true
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -37,6 +37,8 @@
 	RestIsGranted Promise = "a target that asks for rest gets it"
 	// LimitIsKept: a target that names a limit gets no more from all entries together.
 	LimitIsKept Promise = "a target's limit is kept"
+	// StopCutsNothing: a planned stop cuts off no request that runs.
+	StopCutsNothing Promise = "a planned stop cuts off nothing that runs"
 	// StandinsWork: the stand-ins of the soak start again. It is no promise of the system, but
 	// a run without them says nothing.
 	StandinsWork Promise = "the stand-ins of the soak work"
@@ -66,8 +68,17 @@
 	chat   requestKind = "chat"
 	// crashing requests have crashingPart. They are no two alike.
 	crashing requestKind = "crashing"
+	// slowLookup and slowOrder requests take longer than most.
+	slowLookup requestKind = "slow lookup"
+	slowOrder  requestKind = "slow order"
 )
 
+// once reports whether requests of the kind may run at most once.
+func (k requestKind) once() bool { return k == order || k == slowOrder }
+
+// repeatable reports whether callers send a request of the kind again after any failure.
+func (k requestKind) repeatable() bool { return k == lookup || k == slowLookup }
+
 // attempt is one request that a caller has sent.
 type attempt struct {
 	id   string
@@ -88,8 +99,10 @@
 	started time.Time
 	// sent holds all attempts by ID, refused the status of those that were refused as not
 	// run.
-	sent       map[string]attempt
-	refused    map[string]int
+	sent    map[string]attempt
+	refused map[string]int
+	// cut holds the attempts that had no whole answer though their callers still waited.
+	cut        map[string]bool
 	violations []Violation
 	// outcomes counts requests by kind and outcome, samples are the requests themselves.
 	outcomes map[requestKind]map[string]int
@@ -106,7 +119,7 @@
 }
 
 func newRecords() *records {
-	return &records{started: time.Now(), sent: map[string]attempt{}, refused: map[string]int{}, outcomes: map[requestKind]map[string]int{}}
+	return &records{started: time.Now(), sent: map[string]attempt{}, refused: map[string]int{}, cut: map[string]bool{}, outcomes: map[requestKind]map[string]int{}}
 }
 
 // begin records an attempt and gives it an ID.
@@ -129,6 +142,19 @@
 	r.refused[sent.id] = status
 }
 
+// wasNotAnswered records that an attempt had no whole answer.
+func (r *records) wasNotAnswered(sent attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut[sent.id] = true
+}
+
+func (r *records) wasCut(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut[id]
+}
+
 // latencyObjective is that of the routes of lookups and orders, see standin.Configuration.
 const latencyObjective = 300 * time.Millisecond
 
@@ -189,10 +215,10 @@
 	}
 	for id, count := range runs {
 		sent := r.sentAttempt(id)
-		if sent.kind == order && count > 1 {
+		if sent.kind.once() && count > 1 {
 			r.broken(OrderRunsOnce, "%s ran %d times", id, count)
 		}
-		if status := r.refusalOf(id); status != 0 && sent.kind == order {
+		if status := r.refusalOf(id); status != 0 && sent.kind.once() {
 			r.broken(RefusalIsTrue, "%s was refused with %d and ran", id, status)
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -156,6 +156,9 @@
 			running.Go(func() { c.run(ctx) })
 		}
 	}
+	if day.Stops {
+		s.runStopCallers(func(c *caller) { running.Go(func() { c.run(ctx) }) }, day)
+	}
 	s.runCrashingCallers(ctx, day, started, &running)
 	for _, fault := range day.Faults {
 		running.Go(func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -24,9 +23,10 @@
 	}
 	binaries := t.TempDir()
 	require.NoError(t, Build(binaries))
-	for _, seed := range []uint64{1, 2} {
-		day := DrawDay(seed, 5*time.Second)
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+	for name, day := range map[string]Day{
+		"seed 1": DrawDay(1, 5*time.Second), "seed 2": DrawDay(2, 5*time.Second), "stops, seed 1": DrawStopDay(1, 5*time.Second),
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			t.Log(day)
 			result, err := Run(t.Context(), Config{Day: day, Entries: 3, Targets: 4, Binaries: binaries, Directory: t.TempDir()})
@@ -40,6 +40,7 @@
 }
 
 func TestDayIsDeterminedByItsSeed(t *testing.T) {
+	require.Equal(t, DrawStopDay(7, time.Minute), DrawStopDay(7, time.Minute))
 	first, again, other := DrawDay(7, time.Minute), DrawDay(7, time.Minute), DrawDay(8, time.Minute)
 	require.Equal(t, first, again)
 	require.NotEqual(t, first.Faults, other.Faults)
@@ -75,6 +76,11 @@
 			r.refusedAsNotRun(sent, http.StatusServiceUnavailable)
 			r.checkExecuted([]standin.ExecutedRequest{run(sent)})
 		}},
+		"request is cut off by a stop": {StopCutsNothing, func(r *records) {
+			sent := r.begin(slowOrder, paths[slowOrder], 0)
+			r.wasNotAnswered(sent)
+			r.checkCuts([]standin.ExecutedRequest{run(sent)}, Day{Stops: true})
+		}},
 		"unknown request runs": {RequestIsUnchanged, func(r *records) {
 			r.checkExecuted([]standin.ExecutedRequest{run(attempt{id: "nobody", path: paths[order]})})
 		}},
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -268,6 +268,7 @@
 		executed = append(executed, target.Executed()...)
 	}
 	s.records.checkExecuted(executed)
+	s.records.checkCuts(executed, day)
 	s.records.checkCrashingPart(executed, day, started)
 	for _, arrivals := range s.arrivals() {
 		s.records.checkRest(arrivals, day, started)
