A stopping entry lets calls of operators finish

An operator whose change was being applied got a closed connection: the operator's server was closed at once after the callers'. It now gets 1 s. TestShutdownAnswersOperatorsCalls fails with Close in its place.

--- a/daemon/entry/shutdown.go
+++ b/daemon/entry/shutdown.go
@@ -49,7 +49,21 @@
 		e.endUnfinished(listener)
 	}
 	_ = e.callerServer.Close()
-	_ = e.operatorServer.Close()
+	e.finishOperatorCalls()
+}
+
+// operatorTime is how long calls of operators may go on after the last caller has been served.
+const operatorTime = time.Second
+
+// finishOperatorCalls lets operators' calls under way finish, so that whoever applies a change learns
+// whether it was applied.
+func (e *Entry) finishOperatorCalls() {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTime)
+	defer cancel()
+	if err := e.operatorServer.Shutdown(ctx); err != nil {
+		e.log.WithError(err).Warn("calls of operators did not end in time; aborting them")
+		_ = e.operatorServer.Close()
+	}
 }
 
 // endUnfinished ends the requests that are left and gives their callers time to receive that.
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -19,10 +19,12 @@
 	// is a little longer, they end within a grace period that has just begun.
 	minSlowWork = 300 * time.Millisecond
 	maxSlowWork = 1800 * time.Millisecond
+	// drainTime is how long a target that is replaced says so before it exits.
+	drainTime = 2 * time.Second
 )
 
 // DrawStopDay draws a day of planned work from a seed: stops of entries in series that overlap, with
-// reloads and configurations meanwhile.
+// reloads, configurations and replaced targets meanwhile.
 func DrawStopDay(seed uint64, trouble time.Duration) Day {
 	random := rand.New(rand.NewPCG(seed, 3))
 	day := Day{Seed: seed, Trouble: trouble, Stops: true}
@@ -34,7 +36,10 @@
 		}
 		meanwhile := Fault{
 			At:   stop.At + time.Duration(random.Int64N(int64(grace))),
-			Kind: []FaultKind{ReloadEntry, NewConfiguration}[random.IntN(2)], Subject: stop.Subject,
+			Kind: []FaultKind{ReloadEntry, NewConfiguration, TargetReplaced}[random.IntN(3)], Subject: stop.Subject,
+		}
+		if meanwhile.Kind == TargetReplaced {
+			meanwhile.For = drainTime
 		}
 		day.Faults = append(day.Faults, stop, meanwhile)
 	}
