A run that takes longer than all before it shows that nothing is known of its route

After callers have learned that an entry leaves (for orders from the start), a route whose runs under way take 1.5 times as long as the slowest known one is refused like one without runs: requests that turn slow only during the stop are passed on for a moment, not until the end.

--- a/internal/systemtest/plannedstop_test.go
+++ b/internal/systemtest/plannedstop_test.go
@@ -194,7 +194,7 @@
 	if testing.Short() {
 		t.Skip("starts programs")
 	}
-	s, _ := startStopSystem(t)
+	s, targets := startStopSystem(t)
 	entry := s.entries[0]
 	const count = 12
 	results := make(chan *stopRequest, count)
@@ -205,7 +205,7 @@
 			results <- sendWork(client, entry.callerAddress, fmt.Sprintf("second-%d", n), path, 2500*time.Millisecond)
 		}()
 	}
-	time.Sleep(300 * time.Millisecond)
+	require.Eventually(t, func() bool { return len(executedIDs(targets)) == count }, 5*time.Second, 10*time.Millisecond)
 	require.NoError(t, entry.command.Process.Signal(syscall.SIGTERM))
 	time.Sleep(1500 * time.Millisecond)
 	require.NoError(t, entry.command.Process.Signal(syscall.SIGTERM))
--- a/request/finish/durations.go
+++ b/request/finish/durations.go
@@ -46,6 +46,17 @@
 	return total, longer
 }
 
+// slowest returns a time that no run of the last one to two windows has reached, 0 without runs.
+func (d *durations) slowest(now time.Time) time.Duration {
+	d.rotate(now)
+	for at := buckets - 1; at >= 0; at-- {
+		if d.current[at]+d.previous[at] > 0 {
+			return time.Duration(float64(time.Millisecond) * math.Exp2(float64(at+1)/bucketsPerDoubling))
+		}
+	}
+	return 0
+}
+
 // rotate begins a new window once the current one has ended.
 func (d *durations) rotate(now time.Time) {
 	age := now.Sub(d.rotatedAt)
--- a/request/finish/guard.go
+++ b/request/finish/guard.go
@@ -222,37 +222,52 @@
 		return true
 	}
 	directed := r.Repeatable && now.Before(g.ending.CallersGone)
-	total, longer := g.countLonger(r.Work, left-time.Duration(marginShare*float64(left)), now)
-	if total == 0 {
+	recent := g.recentRuns(r.Work, now)
+	if recent == nil {
 		return directed
 	}
-	allowed := 0
+	longest := left - time.Duration(marginShare*float64(left))
+	total, longer := recent.countLonger(longest, now)
 	if directed {
-		allowed = int(cutShare * float64(total))
+		return longer <= int(cutShare*float64(total))
 	}
-	return longer <= allowed
+	// A run under way that takes longer than all before shows that these say nothing of it.
+	longest = min(longest, time.Duration(unprecedented*float64(recent.slowest(now))))
+	return longer == 0 && !g.anyOlder(r.Work, longest, now)
 }
 
+// unprecedented is the ratio from which on a run under way takes clearly longer than the slowest one
+// before.
+const unprecedented = 1.5
+
 // minResourceRuns is the number of runs from which on a resource is judged by its own runs, and not
 // by those of its route.
 const minResourceRuns = 3
 
-// countLonger returns the number of recent and current runs of the same work, and how many of them
-// took, or have taken so far, at least the given time. The caller holds mu.
-func (g *Guard) countLonger(work Work, than time.Duration, now time.Time) (total, longer int) {
+// recentRuns returns the durations by which a request is judged: those of its resource, or of its
+// route if there are few; nil if there are none. The caller holds mu.
+func (g *Guard) recentRuns(work Work, now time.Time) *durations {
 	if own := g.resources[work]; own != nil {
-		total, longer = own.countLonger(than, now)
+		if total, _ := own.countLonger(0, now); total >= minResourceRuns {
+			return own
+		}
 	}
-	sameResource := total >= minResourceRuns
-	if route := g.routes[work.Route]; !sameResource && route != nil {
-		total, longer = route.countLonger(than, now)
+	route := g.routes[work.Route]
+	if route == nil || route.slowest(now) == 0 {
+		return nil
 	}
+	return route
+}
+
+// anyOlder reports whether a run of the same resource, or of the route if that has few runs, has been
+// under way for at least the given time. The caller holds mu.
+func (g *Guard) anyOlder(work Work, than time.Duration, now time.Time) bool {
+	sameResource := g.recentRuns(work, now) == g.resources[work]
 	for run := range g.runs {
 		same := run.Work == work || !sameResource && run.Work.Route == work.Route
 		if same && now.Sub(run.Began) >= than {
-			total++
-			longer++
+			return true
 		}
 	}
-	return total, longer
+	return false
 }
--- a/request/finish/guard_test.go
+++ b/request/finish/guard_test.go
@@ -84,10 +84,13 @@
 	g, clock := endingGuard(grace, work, 20*time.Millisecond)
 	slow := g.Begin("slow", "t", work)
 	request := Request{Work: work, Deadline: start.Add(time.Hour)}
-	clock.Advance(3 * time.Second)
+	clock.Advance(20 * time.Millisecond)
 	require.True(t, g.Allows(request))
-	clock.Advance(2 * time.Second)
-	require.False(t, g.Allows(request), "one has run for 5 s, 3 s are left")
+	clock.Advance(20 * time.Millisecond)
+	require.False(t, g.Allows(request), "one takes longer than all before, so that nothing is known")
+	repeatable := request
+	repeatable.Repeatable = true
+	require.True(t, g.Allows(repeatable), "while the directory sends callers")
 	require.Equal(t, []*Run{slow}, g.Unfinished())
 	slow.End(false)
 	slow.End(true)
