A delivered response keeps its account beside an attempt that was ended; smaller parameters

An attempt that is ended beside the winner set the held bytes of the response to 0 before it was delivered, so a slow caller's response counted for nothing. Found by reading; no test of its own.

--- a/request/finish/guard.go
+++ b/request/finish/guard.go
@@ -64,7 +64,7 @@
 // Run is a request that was passed on to a target.
 type Run struct {
 	guard *Guard
-	// Request is the request's ID, Target the target's name.
+	// Request is the request's ID, Target the name of the target or of its pool.
 	Request, Target string
 	Work            Work
 	// Began is when the request was passed on.
@@ -233,7 +233,7 @@
 	}
 	// A run under way that takes longer than all before shows that these say nothing of it.
 	longest = min(longest, time.Duration(unprecedented*float64(recent.slowest(now))))
-	return longer == 0 && !g.anyOlder(r.Work, longest, now)
+	return longer == 0 && !g.anyOlder(r.Work, recent == g.resources[r.Work], longest, now)
 }
 
 // unprecedented is the ratio from which on a run under way takes clearly longer than the slowest one
@@ -259,12 +259,11 @@
 	return route
 }
 
-// anyOlder reports whether a run of the same resource, or of the route if that has few runs, has been
-// under way for at least the given time. The caller holds mu.
-func (g *Guard) anyOlder(work Work, than time.Duration, now time.Time) bool {
-	sameResource := g.recentRuns(work, now) == g.resources[work]
+// anyOlder reports whether a run of the same route, or of the same resource only, has been under way
+// for at least the given time. The caller holds mu.
+func (g *Guard) anyOlder(work Work, resourceOnly bool, than time.Duration, now time.Time) bool {
 	for run := range g.runs {
-		same := run.Work == work || !sameResource && run.Work.Route == work.Route
+		same := run.Work == work || !resourceOnly && run.Work.Route == work.Route
 		if same && now.Sub(run.Began) >= than {
 			return true
 		}
--- a/request/forward/whole.go
+++ b/request/forward/whole.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"verbenaseam.example/verbenaseam/process/failure"
+	"verbenaseam.example/verbenaseam/process/memory"
 	"verbenaseam.example/verbenaseam/request/dispatch"
 	"verbenaseam.example/verbenaseam/request/finish"
 )
@@ -172,6 +173,8 @@
 	h.recordSuccess(c)
 	h.transfers.record(c.route.Name, len(c.body)+len(x.body))
 	r.endOthers()
+	// The others, which account for the same part, have set it to 0.
+	c.held.Set(memory.Response, int64(cap(x.body)), h.clock.Now())
 	h.deliver(w, c, x.response, x.body)
 }
 
