--- a/internal/systemtest/plannedstop_test.go
+++ b/internal/systemtest/plannedstop_test.go
@@ -29,22 +29,12 @@
 	sendInterval = 250 * time.Millisecond
 )
 
-// slowConfiguration has routes whose requests may take as long as an entry's grace period.
-const slowConfiguration = `{"version":1,"routes":[
- {"name":"look","hostname":"h.example","prefix":"/look/","route_type":"idempotent","timeout_ms":10000,"target_latency_ms":5000,
-  "priority":2,"service":"plain","max_attempts":2},
- {"name":"order","hostname":"h.example","prefix":"/order/","route_type":"non_idempotent","timeout_ms":10000,"target_latency_ms":5000,
-  "priority":2,"service":"plain","max_attempts":1}],
- "services":[{"name":"plain","max_connections":200}],
- "limits":{"max_header_bytes":16384,"max_body_bytes":100000},
- "tenants":[{"name":"org","api_keys":["key"]}]}`
-
 // startStopSystem starts one entry in front of targets that work as long as a request says.
 func startStopSystem(t *testing.T) (*platformSystem, []*standin.Target) {
 	t.Helper()
 	s := &platformSystem{t: t, store: standin.NewStore(), entryBounds: strings.Replace(soak.Bounds, "grace = 6s", "grace = 8s", 1)}
 	s.storeAddress = serve(t, "127.0.0.1:0", s.store)
-	s.store.Put(platform.TableOperator, platform.KeyConfiguration, []byte(slowConfiguration))
+	s.store.Put(platform.TableOperator, platform.KeyConfiguration, standin.SlowConfiguration())
 	targets := make([]*standin.Target, stopTargets)
 	for n := range targets {
 		targets[n] = &standin.Target{ID: fmt.Sprintf("plain-%d", n), Service: "plain", FailureDomain: "z1"}
