--- a/review/_standins-2/client.go
+++ b/review/_standins-2/client.go
@@ -35,9 +35,14 @@
 	used       bool
 }
 
-// send sends a request and reads its answer.
+// send sends a request with a new ID and reads its answer.
 func (c *client) send(method, path string, header map[string]string, body string) result {
-	got := result{id: fmt.Sprintf("%016x", rand.Uint64())}
+	return c.sendID(fmt.Sprintf("%016x", rand.Uint64()), method, path, header, body)
+}
+
+// sendID is send with a given ID.
+func (c *client) sendID(id, method, path string, header map[string]string, body string) result {
+	got := result{id: id}
 	began := time.Now()
 	if c.connection == nil {
 		connection, err := net.DialTimeout("tcp", c.address, time.Second)
