--- a/review/_standins-2/main.go
+++ b/review/_standins-2/main.go
@@ -11,6 +11,7 @@
 // cases holds the scripts by name. Each gets its folder and returns an exit status.
 var cases = map[string]func(folder string) int{
 	"endless-answer": endlessAnswer,
+	"evacuated-zone": evacuatedZone,
 	"mixed-maps":     mixedMaps,
 }
 
--- a/review/_standins-2/runner.go
+++ b/review/_standins-2/runner.go
@@ -30,6 +30,12 @@
 	// ran holds when a request began to run, answered when its whole answer was written, by ID.
 	ran, answered map[string]time.Time
 	state         string
+	// off is set once the runner is switched off; cut counts the requests that it worked on then.
+	off bool
+	cut int
+	// listener and connections are those that are open.
+	listener    net.Listener
+	connections map[net.Conn]bool
 }
 
 // startRunner starts a runner on a machine and registers it.
@@ -40,7 +46,7 @@
 	}
 	r := &runner{
 		harness: h, id: id, service: service, zone: zone, address: listener.Addr().String(), work: work, answerBytes: 800, capacity: 6,
-		ran: map[string]time.Time{}, answered: map[string]time.Time{}, state: "ready",
+		ran: map[string]time.Time{}, answered: map[string]time.Time{}, state: "ready", listener: listener, connections: map[net.Conn]bool{},
 	}
 	r.register(1)
 	go r.heartbeat()
@@ -72,12 +78,57 @@
 func (r *runner) heartbeat() {
 	for sequence := 2; ; sequence++ {
 		time.Sleep(1200 * time.Millisecond)
+		r.mu.Lock()
+		off := r.off
+		r.mu.Unlock()
+		if off {
+			return
+		}
 		r.register(sequence)
 	}
 }
 
+// switchOff ends the runner at once, with all that it works on.
+func (r *runner) switchOff() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.off, r.cut = true, len(r.ran)-len(r.answered)
+	_ = r.listener.Close()
+	for c := range r.connections {
+		_ = c.Close()
+	}
+}
+
+// cutCount returns how many requests the runner worked on when it was switched off.
+func (r *runner) cutCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut
+}
+
+// ranBetween returns how many requests began to run between two times.
+func (r *runner) ranBetween(from, until time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, at := range r.ran {
+		if at.After(from) && at.Before(until) {
+			count++
+		}
+	}
+	return count
+}
+
 func (r *runner) serve(c net.Conn) {
 	defer c.Close()
+	r.mu.Lock()
+	r.connections[c] = true
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.connections, c)
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		request, err := http.ReadRequest(reader)
