--- a/review/_standins-2/client.go
+++ b/review/_standins-2/client.go
@@ -36,13 +36,8 @@
 }
 
 // send sends a request with a new ID and reads its answer.
-func (c *client) send(method, path string, header map[string]string, body string) result {
-	return c.sendID(fmt.Sprintf("%016x", rand.Uint64()), method, path, header, body)
-}
-
-// sendID is send with a given ID.
-func (c *client) sendID(id, method, path string, header map[string]string, body string) result {
-	got := result{id: id}
+func (c *client) send(method, path, body string) result {
+	got := result{id: fmt.Sprintf("%016x", rand.Uint64())}
 	began := time.Now()
 	if c.connection == nil {
 		connection, err := net.DialTimeout("tcp", c.address, time.Second)
@@ -57,9 +52,6 @@
 	var text strings.Builder
 	fmt.Fprintf(&text, "%s %s HTTP/1.1\r\nHost: %s\r\nVerbenaseam-Attempt-Id: %s\r\nVerbenaseam-Deadline-Ms: %d\r\nAuthorization: Token %s\r\n",
 		method, path, c.host, got.id, c.deadline.Milliseconds(), c.key)
-	for name, value := range header {
-		fmt.Fprintf(&text, "%s: %s\r\n", name, value)
-	}
 	if body != "" {
 		fmt.Fprintf(&text, "Content-Length: %d\r\n", len(body))
 	}
--- a/review/_standins-2/endless.go
+++ b/review/_standins-2/endless.go
@@ -110,7 +110,7 @@
 func (c *endlessCounts) lookUp(e *entry, n int, end time.Time) {
 	caller := client{address: e.callers, host: "h.example", key: "key", deadline: 4 * time.Second}
 	for number := 0; time.Now().Before(end); number++ {
-		c.take("look", caller.send("GET", fmt.Sprintf("/look/%d/%d", n, number), nil, ""))
+		c.take("look", caller.send("GET", fmt.Sprintf("/look/%d/%d", n, number), ""))
 		time.Sleep(100 * time.Millisecond)
 	}
 }
@@ -119,7 +119,7 @@
 func (c *endlessCounts) order(e *entry, n int, end time.Time) {
 	caller := client{address: e.callers, host: "h.example", key: "key", deadline: 4 * time.Second}
 	for number := 0; time.Now().Before(end); number++ {
-		c.take("order", caller.send("POST", fmt.Sprintf("/order/%d/%d", n, number), nil, "{\"lot\":1}"))
+		c.take("order", caller.send("POST", fmt.Sprintf("/order/%d/%d", n, number), "{\"lot\":1}"))
 		time.Sleep(200 * time.Millisecond)
 	}
 }
--- a/review/_standins-2/evacuated.go
+++ b/review/_standins-2/evacuated.go
@@ -108,7 +108,7 @@
 func (o *evacuatedOrders) send(e *entry, n int, stop <-chan struct{}) {
 	caller := client{address: e.callers, host: "h.example", key: "key", deadline: 4 * time.Second}
 	for number := 0; ; number++ {
-		got := caller.send("POST", fmt.Sprintf("/order/%d/%d", n, number), nil, "{\"lot\":1}")
+		got := caller.send("POST", fmt.Sprintf("/order/%d/%d", n, number), "{\"lot\":1}")
 		o.harness.note("order %s: status %d, %d ms", got.id, got.status, got.took.Milliseconds())
 		o.mu.Lock()
 		if o.statuses == nil {
--- a/review/_standins-2/harness.go
+++ b/review/_standins-2/harness.go
@@ -113,18 +113,19 @@
 
 // entry is a process of the role direct.
 type entry struct {
-	name, zone                   string
-	callers, ready, directory    string
-	process                      *exec.Cmd
-	settings, log                string
-	memoryMB, processor, linkMbs float64
+	name string
+	// callers, ready and directory are its addresses.
+	callers, ready, directory string
+	process                   *exec.Cmd
+	// settings and log are the paths of its files.
+	settings, log string
 }
 
 // startEntry starts an entry with the command and the template of the deploy file.
 func (h *harness) startEntry(machine int, name, zone string, memoryMB float64) (*entry, error) {
 	ip := h.ip(machine)
 	e := &entry{
-		name: name, zone: zone, callers: freeAddress(ip), ready: freeAddress(ip), directory: freeAddress(ip),
+		name: name, callers: freeAddress(ip), ready: freeAddress(ip), directory: freeAddress(ip),
 		settings: filepath.Join(h.folder, name+".ini"), log: filepath.Join(h.folder, name+".log"),
 	}
 	values := map[string]string{
--- a/review/_standins-2/withdrawn.go
+++ b/review/_standins-2/withdrawn.go
@@ -112,7 +112,7 @@
 func sendWithKey(h *harness, e *entry, key string) result {
 	caller := client{address: e.callers, host: "h.example", key: key, deadline: 2 * time.Second}
 	defer caller.close()
-	got := caller.send("POST", "/order/1", nil, "{\"lot\":1}")
+	got := caller.send("POST", "/order/1", "{\"lot\":1}")
 	h.note("order %s with key %q at %s: status %d", got.id, key, e.name, got.status)
 	return got
 }
