--- a/request/forward/crash_check.go
+++ b/request/forward/crash_check.go
@@ -94,6 +94,9 @@
 // sent at the given time, or the error err in place of one, implies about a crash of the
 // target.
 func (h *Handler) updateCrashEvidence(c *call, t *dispatch.Target, sent time.Time, err error, v verdict) {
+	if c.trial != 0 && v.missedTarget(err) {
+		h.crashes.TrialUnsent(c.trial)
+	}
 	switch {
 	case v.result == dispatch.AddressReused:
 		h.crashes.TargetEnded(t.ID(), t.Incarnation(), poison.AddressTaken)
--- a/request/forward/suspect.go
+++ b/request/forward/suspect.go
@@ -18,7 +18,7 @@
 	if refusal := assessment.Failure(h.clock.Now()); refusal != nil {
 		return refusal
 	}
-	if assessment.Level == poison.OnTrial && !h.poison.MayTry(trial, h.trialRank(trial)) {
+	if assessment.Level == poison.OnTrial && !h.crashes.MayTry(trial, h.trialRank(trial)) {
 		return newTrialRefusal()
 	}
 	return nil
--- a/request/forward/suspect_test.go
+++ b/request/forward/suspect_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"verbenaseam.example/verbenaseam/process/failure"
@@ -27,7 +29,8 @@
 		tracker.Crashed(poison.Crash{Target: fmt.Sprint(n), Incarnation: "1", Fingerprints: []uint64{suspectFingerprint}}, 0)
 	}
 	clock.Advance(poison.DefaultRefusalHold)
-	crashes := poison.NewCrashDetector(poison.DetectorConfig{Tracker: tracker, Clock: clock, Share: func() {}})
+	logger, _ := logrustest.NewNullLogger()
+	crashes := poison.NewCrashDetector(poison.DetectorConfig{Tracker: tracker, Clock: clock, Share: func() {}, Log: logrus.NewEntry(logger)})
 	return &Handler{poison: tracker, crashes: crashes, clock: clock, guard: finish.NewGuard(clock), trialRank: func(uint64) int { return rank }}
 }
 
--- a/request/forward/verdict.go
+++ b/request/forward/verdict.go
@@ -49,6 +49,15 @@
 	return v.result == dispatch.Failed && v.failure != nil && v.failure.Outcome != failure.NotRun
 }
 
+// missedTarget reports whether a request did not reach the target that it was for: it was not sent, as
+// err shows, or another target has its address.
+func (v verdict) missedTarget(err error) bool {
+	if v.result == dispatch.AddressReused {
+		return true
+	}
+	return err != nil && v.failure != nil && v.failure.Outcome == failure.NotRun
+}
+
 // abandoned returns the verdict on an attempt that ended because the caller
 // disconnected or the deadline passed. It keeps the outcome of v; that of a success
 // becomes Unknown.
--- a/request/poison/config.go
+++ b/request/poison/config.go
@@ -43,6 +43,8 @@
 	// MaxCrashes, MaxFingerprints (of one crash) and MaxClearances bound the memory
 	// for evidence. The oldest crashes and clearances are dropped first.
 	MaxCrashes, MaxFingerprints, MaxClearances int
+	// Process identifies this process among all that exchange evidence. NewTracker draws it if it is 0.
+	Process uint64
 }
 
 func (c Config) withDefaults() Config {
--- a/request/poison/detector.go
+++ b/request/poison/detector.go
@@ -218,11 +218,29 @@
 func (d *CrashDetector) BeginTrial(suspect uint64, rank int) bool {
 	begun := d.config.Tracker.BeginTrial(suspect, rank)
 	if begun {
+		d.config.Log.WithFields(logrus.Fields{"suspect": FormatParts([]uint64{suspect}), "rank": rank}).Info("trial begins")
 		d.config.Share()
 	}
 	return begun
 }
 
+// MayTry is Tracker.MayTry. It tells peers that this process has requests with the suspect, and logs
+// that they wait.
+func (d *CrashDetector) MayTry(suspect uint64, rank int) bool {
+	if d.config.Tracker.Want(suspect, rank) {
+		d.config.Log.WithFields(logrus.Fields{"suspect": FormatParts([]uint64{suspect}), "rank": rank}).Info("requests wait for a trial")
+		d.config.Share()
+	}
+	return d.config.Tracker.MayTry(suspect, rank)
+}
+
+// TrialUnsent is Tracker.TrialUnsent. It shares with peers that the trial does not count.
+func (d *CrashDetector) TrialUnsent(suspect uint64) {
+	if d.config.Tracker.TrialUnsent(suspect) {
+		d.config.Share()
+	}
+}
+
 // TargetLeft records that a target has ended as it had announced, which is no crash.
 func (d *CrashDetector) TargetLeft(target, incarnation string) {
 	if d.interruptedCount.Load() == 0 {
--- a/request/poison/evidence.go
+++ b/request/poison/evidence.go
@@ -41,11 +41,47 @@
 	AgeMillis   int64  `cbor:"2,keyasint"`
 }
 
-// TrialEvidence reports the trials of a suspected fingerprint.
+// TrialEvidence reports the trials of a suspected fingerprint or part, and who wants one.
 type TrialEvidence struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
-	// Begun counts the trials that processes of each rank have begun; see TrialAllowance.
+	// Begun counts the trials that processes of each rank have begun; see TrialAllowance. It is read
+	// of builds that do not know Runs.
 	Begun []int `cbor:"2,keyasint"`
+	// Runs are the trials. Builds that do not know them count those of Begun.
+	Runs []TrialRun `cbor:"3,keyasint,omitempty"`
+	// Wants are processes that have requests with the suspect, those that come first.
+	Wants []TrialWant `cbor:"4,keyasint,omitempty"`
+}
+
+// TrialRun reports a trial that a process of the given rank has begun.
+type TrialRun struct {
+	ID        uint64 `cbor:"1,keyasint"`
+	Rank      int    `cbor:"2,keyasint"`
+	AgeMillis int64  `cbor:"3,keyasint"`
+	// Unsent is set if the request did not reach a target.
+	Unsent bool `cbor:"4,keyasint,omitempty"`
+}
+
+// TrialWant reports that a process of the given rank has requests with a suspect, the latest
+// AgeMillis ago.
+type TrialWant struct {
+	Process   uint64 `cbor:"1,keyasint"`
+	Rank      int    `cbor:"2,keyasint"`
+	AgeMillis int64  `cbor:"3,keyasint"`
+}
+
+// runs returns Runs, or those that Begun counts, with IDs that all processes give them alike.
+func (e *TrialEvidence) runs() []TrialRun {
+	if len(e.Runs) > 0 {
+		return e.Runs[:min(len(e.Runs), maxTrialRuns)]
+	}
+	var counted []TrialRun
+	for rank, count := range e.Begun[:min(len(e.Begun), maxTrialSlots)] {
+		for n := range min(count, maxTrials) {
+			counted = append(counted, TrialRun{ID: uint64(rank*maxTrials + n), Rank: rank})
+		}
+	}
+	return counted
 }
 
 // Evidence returns all evidence, to be sent to a peer.
@@ -55,23 +91,23 @@
 		evidence.Crashes = append(evidence.Crashes, crash.evidence(now))
 	}
 	evidence.Clearances = l.clearances(l.clearedNewestFirst(), now)
-	evidence.Trials = l.trialEvidence(len(l.trials), time.Time{})
+	evidence.Trials = l.trialEvidence(len(l.trials), time.Time{}, now)
 	return evidence
 }
 
-// trialEvidence returns the trials of at most limit suspects, those with the latest trials
-// first and none whose latest trial was before since.
-func (l *Ledger) trialEvidence(limit int, since time.Time) []TrialEvidence {
+// trialEvidence returns the trials of at most limit suspects, those with the latest trials or
+// requests first and none of which the latest was before since.
+func (l *Ledger) trialEvidence(limit int, since, now time.Time) []TrialEvidence {
 	newestFirst := slices.SortedFunc(maps.Keys(l.trials), func(a, b uint64) int {
-		return cmp.Or(l.trials[b].last.Compare(l.trials[a].last), cmp.Compare(a, b))
+		return cmp.Or(l.trials[b].changedAt().Compare(l.trials[a].changedAt()), cmp.Compare(a, b))
 	})
 	var all []TrialEvidence
-	for _, fingerprint := range newestFirst[:min(limit, len(newestFirst))] {
-		trials := l.trials[fingerprint]
-		if trials.last.Before(since) {
+	for _, suspect := range newestFirst[:min(limit, len(newestFirst))] {
+		trials := l.trials[suspect]
+		if trials.changedAt().Before(since) {
 			break
 		}
-		all = append(all, TrialEvidence{Fingerprint: fingerprint, Begun: slices.Clone(trials.begun)})
+		all = append(all, trials.evidence(suspect, l.config.Process, now))
 	}
 	return all
 }
@@ -111,7 +147,7 @@
 			recent.Clearances = append(recent.Clearances, clearance)
 		}
 	}
-	recent.Trials = l.trialEvidence(limit, now.Add(-span))
+	recent.Trials = l.trialEvidence(limit, now.Add(-span), now)
 	return recent
 }
 
@@ -168,7 +204,7 @@
 			evidence.Clearances = append(evidence.Clearances, l.clearances(reported.Parts, now)...)
 		}
 	}
-	evidence.Trials = l.trialEvidence(limit, time.Time{})
+	evidence.Trials = l.trialEvidence(limit, time.Time{}, now)
 	return evidence
 }
 
@@ -180,6 +216,21 @@
 	for i := range e.Clearances {
 		e.Clearances[i].AgeMillis = (parseAge(e.Clearances[i].AgeMillis) + by).Milliseconds()
 	}
+	e.Trials = slices.Clone(e.Trials)
+	for i := range e.Trials {
+		e.Trials[i].age(by)
+	}
+}
+
+// age makes the trials and requests older. It leaves copies of the evidence as they are.
+func (e *TrialEvidence) age(by time.Duration) {
+	e.Runs, e.Wants = slices.Clone(e.Runs), slices.Clone(e.Wants)
+	for i := range e.Runs {
+		e.Runs[i].AgeMillis = (parseAge(e.Runs[i].AgeMillis) + by).Milliseconds()
+	}
+	for i := range e.Wants {
+		e.Wants[i].AgeMillis = (parseAge(e.Wants[i].AgeMillis) + by).Milliseconds()
+	}
 }
 
 // restricted returns the fingerprints and parts whose requests do not run freely.
@@ -240,10 +291,8 @@
 func (l *Ledger) mergeTrials(reported []TrialEvidence, now time.Time) bool {
 	changed := false
 	for _, t := range reported {
-		trials := l.trials[t.Fingerprint]
-		if l.mayBeTried(t.Fingerprint) && trials.merge(t.Begun, now) {
-			l.trials[t.Fingerprint] = trials
-			changed = true
+		if l.mayBeTried(t.Fingerprint) {
+			changed = l.trialsOf(t.Fingerprint).merge(t, l.config.Process, now) || changed
 		}
 	}
 	return changed
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -1,8 +1,12 @@
 package poison
 
 import (
+	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Ledger stores the evidence about crashes and derives assessments from it. It is not
@@ -25,7 +29,12 @@
 	// runs is how many requests with prompt parts ran.
 	runs int
 	// trials holds the trials of suspects and parts, of this process and of others.
-	trials map[uint64]trialCounts
+	trials map[uint64]*suspectTrials
+	// begun is how many trials this process has begun.
+	begun uint64
+	// joint is since when this process has requests with several suspects, by the one that stands for
+	// all.
+	joint map[uint64]trialWant
 	// nextCrash is the position of the crash that NextCrash returned last.
 	nextCrash int
 }
@@ -37,7 +46,8 @@
 		started: started,
 		crashes: map[crashID]*Crash{},
 		cleared: map[uint64]time.Time{},
-		trials:  map[uint64]trialCounts{},
+		trials:  map[uint64]*suspectTrials{},
+		joint:   map[uint64]trialWant{},
 		ran:     newLatestTimes(config.withDefaults().MaxClearances),
 	}
 }
@@ -128,8 +138,8 @@
 	parts, part := l.assessParts(subject.Parts, now)
 	switch {
 	case whole.Level == OnTrial && parts.Level == OnTrial:
-		// A crash would not show which of them is the cause.
-		return Assessment{Level: Held, Until: now.Add(trialInterval)}, 0
+		// A crash would not show which of them is the cause, unless all such requests are copies.
+		assessment, trial = l.assessJoint(subject.Fingerprint, whole, now), subject.Fingerprint
 	case parts.Level > whole.Level:
 		assessment, trial = parts, part
 	default:
@@ -141,39 +151,62 @@
 	return assessment, trial
 }
 
+// Want records that this process, which has the given rank among all processes, has a request with a
+// suspect. It reports whether others should hear of it.
+func (l *Ledger) Want(suspect uint64, rank int, now time.Time) bool {
+	return l.mayBeTried(suspect) && l.trialsOf(suspect).want(rank, now)
+}
+
 // MayTry reports whether this process, which has the given rank among all processes, may run a
 // suspect on trial, now or, with a rank that has an allowance, later. Asking for it counts as a
 // request with the suspect.
 func (l *Ledger) MayTry(suspect uint64, rank int, now time.Time) bool {
-	if TrialAllowance(rank) > 0 {
-		return true
-	}
-	if !l.mayBeTried(suspect) {
+	l.Want(suspect, rank, now)
+	return TrialAllowance(rank) > 0 || l.mayBegin(suspect, rank, now)
+}
+
+// mayBegin reports whether a trial of a suspect may begin now. A process that has just started begins
+// none: it does not know yet which trials processes of its rank began before.
+func (l *Ledger) mayBegin(suspect uint64, rank int, now time.Time) bool {
+	if !l.mayBeTried(suspect) || now.Sub(l.started) < trialInterval {
 		return false
 	}
-	trials := l.trials[suspect]
-	trials.want(now)
-	l.trials[suspect] = trials
-	return now.Sub(l.started) >= trialInterval && trials.mayBegin(rank, now)
+	return l.trialsOf(suspect).mayBegin(rank, l.parts[suspect] != nil, now)
 }
 
 // BeginTrial reports whether this process, which has the given rank among all processes,
-// may run a suspect, a fingerprint or a part, on trial now, and if so, counts the trial, which should then be shared
-// with peers. A process that has just started begins none: it does not know yet which
-// trials processes of its rank began before.
+// may run a suspect, a fingerprint or a part, on trial now, and if so, counts the trial, which should
+// then be shared with peers.
 func (l *Ledger) BeginTrial(suspect uint64, rank int, now time.Time) bool {
-	if !l.mayBeTried(suspect) || now.Sub(l.started) < trialInterval {
+	if !l.mayBegin(suspect, rank, now) {
 		return false
 	}
-	trials := l.trials[suspect]
-	if !trials.mayBegin(rank, now) {
+	l.begun++
+	l.trialsOf(suspect).add(trialRun{id: l.runID(l.begun), rank: rank, at: now})
+	return true
+}
+
+// runID returns the ID of the trial of the given number of this process.
+func (l *Ledger) runID(number uint64) uint64 {
+	text := binary.LittleEndian.AppendUint64(nil, l.config.Process)
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(text, number))
+}
+
+// TrialUnsent records that the request of the latest trial of a suspect at this process did not reach
+// a target, so that the trial does not count. It reports whether that is new.
+func (l *Ledger) TrialUnsent(suspect uint64) bool {
+	if l.trials[suspect] == nil {
 		return false
 	}
-	trials.begun = slices.Clone(trials.begun)
-	trials.raise(slotOf(rank), trials.of(rank)+1)
-	trials.began(now)
-	l.trials[suspect] = trials
-	return true
+	return l.trials[suspect].markUnsent(l.runID(l.begun))
+}
+
+// trialsOf returns the trials of a suspect, to be changed.
+func (l *Ledger) trialsOf(suspect uint64) *suspectTrials {
+	if l.trials[suspect] == nil {
+		l.trials[suspect] = &suspectTrials{}
+	}
+	return l.trials[suspect]
 }
 
 // mayBeTried reports whether trials of a fingerprint or a part are counted.
@@ -207,6 +240,7 @@
 			delete(l.trials, suspect)
 		}
 	}
+	maps.DeleteFunc(l.joint, func(_ uint64, want trialWant) bool { return now.Sub(want.latest) >= wantTTL })
 }
 
 // deriveSuspects sets suspects from crashes and cleared.
--- a/request/poison/part.go
+++ b/request/poison/part.go
@@ -37,16 +37,21 @@
 	// sorted by time. The latest was at lastAt.
 	crashes []*Crash
 	lastAt  time.Time
-	// trialCrashes counts the crashes on trial that show that this part is their cause.
-	trialCrashes int
+	// trialCrashes counts the crashes on trial that show that this part is their cause, triedCrashes all
+	// in which it was on trial.
+	trialCrashes, triedCrashes int
 	// ranBefore is set if a request with the part is known to have run at any time.
 	ranBefore bool
 	// level is Clear, OnTrial or Refused.
 	level Level
+	// rivals are the parts, this one included, any of which may be the cause of the same crashes.
+	rivals []uint64
 }
 
 // crashedOnTrial reports whether trials have shown that the part crashes targets.
-func (s *partState) crashedOnTrial() bool { return s.trialCrashes >= minTrialCrashes }
+func (s *partState) crashedOnTrial() bool {
+	return s.trialCrashes >= minTrialCrashes || s.triedCrashes >= maxTrials
+}
 
 // blamesOnly reports whether a crash on trial shows that a part is its cause: no other part was
 // in flight that may be. ranBefore reports whether requests with a part have run.
@@ -87,6 +92,9 @@
 			}
 			state.crashes = append(state.crashes, crash)
 			state.lastAt = crash.At
+			if slices.Equal(crash.OnTrial, []uint64{part}) {
+				state.triedCrashes++
+			}
 			if crash.blamesOnly(part, ranBefore) {
 				state.trialCrashes++
 			}
@@ -128,8 +136,12 @@
 		}
 		best := slices.MinFunc(candidates, compareCandidates)
 		possible := slices.DeleteFunc(slices.Clone(candidates), func(c *partCandidate) bool { return !l.contests(c, best) })
+		var rivals []uint64
 		for _, c := range possible {
-			c.level = l.partLevel(best, len(possible) > 1)
+			rivals = append(rivals, c.part)
+		}
+		for _, c := range possible {
+			c.level, c.rivals = l.partLevel(best, len(possible) > 1), rivals
 		}
 		candidates = slices.DeleteFunc(candidates, func(c *partCandidate) bool { return slices.Contains(possible, c) })
 		for _, c := range candidates {
@@ -196,35 +208,88 @@
 }
 
 // assessParts returns the assessment of a request with some prompt parts, and the part that is
-// on trial with it. A request with two parts on trial must not run: its crash would not show
-// which of them is the cause.
+// on trial with it. Of several parts on trial it is the one that stands for all.
 func (l *Ledger) assessParts(parts []uint64, now time.Time) (Assessment, uint64) {
 	var result Assessment
-	var onTrial uint64
+	var onTrial []*partState
 	for _, part := range parts {
 		state := l.parts[part]
-		if state == nil || state.level == Clear {
+		if state == nil || state.level == Clear || slices.Contains(onTrial, state) {
 			continue
 		}
 		end := state.lastAt.Add(l.config.RefuseFor)
 		if !now.Before(end) {
 			continue
 		}
-		level := state.level
-		if level == OnTrial && onTrial != 0 && onTrial != part {
-			level = Refused
-		}
-		if level == OnTrial {
-			onTrial = part
+		if state.level == OnTrial {
+			onTrial = append(onTrial, state)
 		}
-		if level > result.Level {
-			result = Assessment{Level: level}
+		if state.level > result.Level {
+			result = Assessment{Level: state.level}
 		}
 		if result.Level == Refused && end.After(result.Until) {
 			result.Until = end
 		}
 	}
-	return result, onTrial
+	switch {
+	case len(onTrial) == 0:
+		return result, 0
+	case len(onTrial) == 1 || result.Level == Refused:
+		return result, onTrial[0].part
+	}
+	slices.SortFunc(onTrial, func(a, b *partState) int { return cmp.Compare(a.part, b.part) })
+	return l.assessPartsTogether(onTrial, result, now), onTrial[0].part
+}
+
+// assessPartsTogether returns the assessment of a request with several parts on trial, given that of
+// each. If the request crashes its target, that does not show which of them is the cause.
+//
+// Parts that came together in all crashes run on trial together as long as another part may be the cause:
+// if they run, it is. Otherwise such a request may be the very one that crashes targets. It waits for
+// requests with one of the parts, and runs if none has come.
+func (l *Ledger) assessPartsTogether(states []*partState, each Assessment, now time.Time) Assessment {
+	first := states[0]
+	if slices.ContainsFunc(first.crashes, func(crash *Crash) bool { return crash.triedTogether(states) }) {
+		return Assessment{Level: Refused, Until: first.lastAt.Add(l.config.RefuseFor)}
+	}
+	together := !slices.ContainsFunc(states, func(s *partState) bool { return !slices.Equal(s.crashes, first.crashes) })
+	if together && len(states) < len(first.rivals) {
+		return each
+	}
+	return l.assessJoint(first.part, each, now)
+}
+
+// triedTogether reports whether a crash came on trial of several parts, all of which were in flight and
+// none of their other rivals.
+func (c *Crash) triedTogether(states []*partState) bool {
+	first := states[0]
+	inFlight := 0
+	for _, rival := range first.rivals {
+		if slices.Contains(c.Parts, rival) {
+			inFlight++
+		}
+	}
+	return slices.Equal(c.OnTrial, []uint64{first.part}) && inFlight == len(states) &&
+		!slices.ContainsFunc(states, func(s *partState) bool { return !slices.Contains(c.Parts, s.part) })
+}
+
+// jointTrialDelay is how long a request with several suspects waits for requests with one of them, the
+// trial of which shows more.
+const jointTrialDelay = 5 * time.Second
+
+// assessJoint returns the assessment of a request with several suspects, given that of each: held at
+// first, as long as there are such requests. suspect stands for all of them.
+func (l *Ledger) assessJoint(suspect uint64, each Assessment, now time.Time) Assessment {
+	want, wanted := l.joint[suspect]
+	if !wanted || now.Sub(want.latest) >= wantTTL {
+		want.since = now
+	}
+	want.latest = now
+	l.joint[suspect] = want
+	if now.Sub(want.since) < jointTrialDelay {
+		return Assessment{Level: Held, Until: now.Add(trialInterval)}
+	}
+	return each
 }
 
 // PartsRan records that a request with some prompt parts ran: it received events for some time,
--- a/request/poison/parts_sim_test.go
+++ b/request/poison/parts_sim_test.go
@@ -34,6 +34,23 @@
 	otherCrashes, entryRestarts time.Duration
 	lossShare                   float64
 	fault                       partsFault
+	partsCallers
+}
+
+// partsCallers describes who sends sound requests with the parts of those that crash targets. Zero
+// values mean that they come at all entries, all the time.
+type partsCallers struct {
+	// newFirst lets sound requests have the first part of requests with the crashing part, which is
+	// new, only from soundDelay after the third crash on, and only at the last soundEntries entries in
+	// the order of ranks. sharedParts is how many parts they share besides.
+	newFirst                  bool
+	soundDelay                time.Duration
+	soundEntries, sharedParts int
+	// inconclusive is the share of trials whose callers leave before they show anything, missed that of
+	// trials that do not reach their target.
+	inconclusive, missed float64
+	// evidenceDelay is the longest time that evidence takes to another entry.
+	evidenceDelay time.Duration
 }
 
 // partsFault is a way in which the simulated entries are broken.
@@ -56,6 +73,8 @@
 	// simFirstEvent is the time from there until its entry has its first event.
 	simFirstEvent = 50 * time.Millisecond
 	simForming    = 600 * time.Millisecond
+	// thirdCrash is the number of crashes from which a part may be on trial.
+	thirdCrash = 3
 	// fifthCrash is the number of crashes after which the crashing part is counted.
 	fifthCrash = 5
 	// simSettle is the time after the fifth crash, or the last, from which sound requests
@@ -103,8 +122,18 @@
 	number   uint64
 
 	crashes, laterSends int
+	thirdAt             time.Time
 	fifthAt, lastAt     time.Time
 	sound               []partsOutcome
+	// late is the evidence on its way to an entry.
+	late []lateEvidence
+}
+
+// lateEvidence is evidence that reaches an entry at a time.
+type lateEvidence struct {
+	to       *partsEntry
+	evidence Evidence
+	at       time.Time
 }
 
 func newPartsSim(scenario partsScenario, seed uint64) *partsSim {
@@ -139,12 +168,45 @@
 	evidence.Append(from.tracker.NextCrash())
 	evidence.Append(from.tracker.Restricted(simRestrictedCrashes))
 	for _, to := range s.entries {
-		if to != from && s.random.Float64() >= s.scenario.lossShare {
+		if to == from || s.random.Float64() < s.scenario.lossShare {
+			continue
+		}
+		if s.scenario.evidenceDelay == 0 {
 			to.tracker.Merge(evidence)
+			continue
 		}
+		delay := time.Duration(s.random.Int64N(int64(s.scenario.evidenceDelay)))
+		s.late = append(s.late, lateEvidence{to, evidence, s.clock.Now().Add(delay)})
 	}
 }
 
+// deliver lets the evidence arrive that is due.
+func (s *partsSim) deliver() {
+	now := s.clock.Now()
+	var due []lateEvidence
+	s.late = slices.DeleteFunc(s.late, func(l lateEvidence) bool {
+		if now.Before(l.at) {
+			return false
+		}
+		due = append(due, l)
+		return true
+	})
+	for _, l := range due {
+		l.to.tracker.Merge(l.evidence)
+	}
+}
+
+// manyEntries is the number of entries from which heartbeats are sent less often.
+const manyEntries = 8
+
+// heartbeat is the time between two heartbeats of an entry.
+func (s *partsSim) heartbeat() time.Duration {
+	if s.scenario.entries > manyEntries {
+		return 5 * simHeartbeat
+	}
+	return simHeartbeat
+}
+
 func (s *partsSim) happens(perSecond float64) bool {
 	return s.random.Float64() < perSecond*simTick.Seconds()
 }
@@ -168,7 +230,8 @@
 			s.arrive(false)
 		}
 		s.advance()
-		if s.clock.Since(s.started)%simHeartbeat == 0 {
+		s.deliver()
+		if s.clock.Since(s.started)%s.heartbeat() == 0 {
 			for _, e := range s.entries {
 				s.share(e)
 			}
@@ -187,39 +250,70 @@
 	return int(float64(s.scenario.firstParts) * s.random.Float64() * s.random.Float64())
 }
 
-// arrive lets a request arrive at an entry.
-func (s *partsSim) arrive(crashing bool) {
+// newParts returns the parts of a request with the first part that is new.
+func (s *partsSim) newParts() []uint64 {
+	parts := []uint64{newFirstPart}
+	for n := range s.scenario.sharedParts {
+		parts = append(parts, newFirstPart+uint64(n)+1)
+	}
+	return parts
+}
+
+// newFirstPart is the first part of requests with the crashing part that is new.
+const newFirstPart = 1 << 33
+
+// draw returns a request that arrives, and the number of its first part.
+func (s *partsSim) draw(crashing bool) (*partsRequest, int) {
 	s.number++
 	first := s.drawFirst()
-	subject := Subject{Fingerprint: 1<<40 + s.number}
-	if crashing {
-		if s.scenario.sameFirst {
-			first = 0
-		}
-		subject.Parts = []uint64{uint64(first + 1), crashingPart}
-	} else {
-		subject.Parts = []uint64{uint64(first + 1)}
-	}
 	r := &partsRequest{
-		entry: s.entries[s.random.IntN(len(s.entries))], subject: subject, crashing: crashing, attemptsLeft: s.scenario.attempts,
+		entry: s.entries[s.random.IntN(len(s.entries))], subject: Subject{Fingerprint: 1<<40 + s.number},
+		crashing: crashing, attemptsLeft: s.scenario.attempts,
+	}
+	switch {
+	case s.scenario.newFirst && crashing:
+		first = 0
+		r.subject.Parts = s.newParts()
+	case s.scenario.newFirst && !s.thirdAt.IsZero() && s.clock.Since(s.thirdAt) >= s.scenario.soundDelay && s.random.IntN(2) == 0:
+		first = 0
+		r.subject.Parts = s.newParts()
+		last := s.entries[max(len(s.entries)-s.scenario.soundEntries, 0):]
+		r.entry = last[s.random.IntN(len(last))]
+	case s.scenario.newFirst:
+		first = 1 + first%(s.scenario.firstParts-1)
+		r.subject.Parts = []uint64{uint64(first + 1)}
+	case crashing && s.scenario.sameFirst:
+		first = 0
+		r.subject.Parts = []uint64{uint64(first + 1)}
+	default:
+		r.subject.Parts = []uint64{uint64(first + 1)}
+	}
+	if crashing {
+		r.subject.Parts = append(r.subject.Parts, crashingPart)
 	}
+	return r, first
+}
+
+// arrive lets a request arrive at an entry.
+func (s *partsSim) arrive(crashing bool) {
+	r, first := s.draw(crashing)
 	refused := s.refuses(r)
+	if !refused {
+		refused = !s.send(r) && s.scenario.newFirst
+	}
 	if !crashing && s.mustBeServed() {
 		s.sound[first].sent++
 		if refused {
 			s.sound[first].refused++
 		}
 	}
-	if !refused {
-		s.send(r)
-	}
 }
 
 // refuses reports whether an entry refuses a request as it arrives.
 func (s *partsSim) refuses(r *partsRequest) bool {
 	assessment, trial := r.entry.tracker.AssessRequest(r.subject)
 	return s.scenario.fault != partsIgnored &&
-		(assessment.Failure(s.clock.Now()) != nil || trial != 0 && TrialAllowance(slices.Index(s.entries, r.entry)) == 0)
+		(assessment.Failure(s.clock.Now()) != nil || trial != 0 && !r.entry.detector.MayTry(trial, slices.Index(s.entries, r.entry)))
 }
 
 // mustBeServed reports whether sound requests must be served by now.
@@ -247,20 +341,32 @@
 	return trial == 0 || r.entry.detector.BeginTrial(trial, slices.Index(s.entries, r.entry))
 }
 
-// send sends a request to a target that is up, if the group is open.
-func (s *partsSim) send(r *partsRequest) {
+// send sends a request to a target that is up, if the group is open. It returns false if the request may
+// not run, or does not reach its target.
+func (s *partsSim) send(r *partsRequest) bool {
 	now := s.clock.Now()
 	up := slices.DeleteFunc(s.random.Perm(len(s.targets)), func(n int) bool { return now.Before(s.targets[n].downUntil) })
-	if len(up) == 0 || s.scenario.lockStep && now.Before(s.closed) || !s.mayRun(r) {
-		return
+	if len(up) == 0 || s.scenario.lockStep && now.Before(s.closed) {
+		return true
+	}
+	if !s.mayRun(r) {
+		return false
+	}
+	if r.trial != 0 && s.random.Float64() < s.scenario.missed {
+		r.entry.detector.TrialUnsent(r.trial)
+		return false
 	}
 	if r.crashing && s.crashes >= fifthCrash && now.Sub(s.fifthAt) > simSpread && now.Sub(r.entry.startedAt) > simSpread {
 		s.laterSends++
 	}
+	if r.trial != 0 && s.random.Float64() < s.scenario.inconclusive {
+		return true
+	}
 	r.attemptsLeft--
 	r.target = up[0]
 	r.beginAt = now.Add(time.Duration(s.random.Int64N(int64(simBegin))))
 	s.inFlight = append(s.inFlight, r)
+	return true
 }
 
 // advance lets the requests in flight begin, run and complete.
@@ -272,7 +378,11 @@
 		}
 		if r.crashing {
 			s.crash(r.target)
-			if s.crashes++; s.crashes == fifthCrash {
+			s.crashes++
+			switch s.crashes {
+			case thirdCrash:
+				s.thirdAt = now
+			case fifthCrash:
 				s.fifthAt = now
 			}
 			s.lastAt = now
--- a/request/poison/parts_test.go
+++ b/request/poison/parts_test.go
@@ -61,6 +61,46 @@
 	})
 }
 
+// TestSoundPartsAreServedWhicheverEntriesHaveThem guards against sound requests that stay refused while targets
+// are idle, because a new part of theirs was in flight in crashes: whichever entries they come to, however many
+// entries there are, in whatever order evidence arrives, and though trials show nothing or reach no target.
+func TestSoundPartsAreServedWhicheverEntriesHaveThem(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		scenario := partsScenario{
+			entries: rapid.SampledFrom([]int{2, 3, 4, 6}).Draw(t, "entries"), targets: 12,
+			crashingPerSecond: rapid.Float64Range(0.2, 3).Draw(t, "crashing"), soundPerSecond: rapid.Float64Range(20, 40).Draw(t, "sound"),
+			crashingFrom: 5 * time.Second, attempts: rapid.IntRange(1, 3).Draw(t, "attempts"), firstParts: 10,
+			restart: drawDuration(t, "restart", time.Second, 5*time.Second), lossShare: rapid.Float64Range(0, 0.1).Draw(t, "loss"),
+			partsCallers: partsCallers{
+				newFirst: true, soundDelay: drawDuration(t, "sound delay", 0, 4*time.Second),
+				soundEntries: rapid.SampledFrom([]int{1, 2, 5, 70}).Draw(t, "sound entries"), sharedParts: rapid.IntRange(0, 2).Draw(t, "shared"),
+				inconclusive: rapid.SampledFrom([]float64{0, 0, 0.3}).Draw(t, "inconclusive"), missed: rapid.SampledFrom([]float64{0, 0, 0.5}).Draw(t, "missed"),
+				evidenceDelay: drawDuration(t, "delay", time.Millisecond, time.Second),
+			},
+		}
+		if rapid.Bool().Draw(t, "entries restart") {
+			scenario.entryRestarts = drawDuration(t, "entry restarts", 10*time.Second, time.Minute)
+		}
+		sim := newPartsSim(scenario, rapid.Uint64().Draw(t, "seed"))
+		sim.run()
+		require.LessOrEqual(t, sim.laterSends, maxLaterPartSends, "%d crashes", sim.crashes)
+		require.Empty(t, sim.lost(), "%d crashes", sim.crashes)
+	})
+}
+
+// TestSoundPartsAreServedAmongManyEntries guards against a wait for a trial that grows with the number of
+// entries.
+func TestSoundPartsAreServedAmongManyEntries(t *testing.T) {
+	sim := newPartsSim(partsScenario{
+		entries: 70, targets: 12, crashingPerSecond: 0.3, soundPerSecond: 20, crashingFrom: 5 * time.Second, attempts: 3, firstParts: 10,
+		restart: time.Second, lossShare: 0.02, partsCallers: partsCallers{newFirst: true, soundDelay: time.Second, soundEntries: 2, evidenceDelay: 100 * time.Millisecond},
+	}, 1)
+	sim.run()
+	require.LessOrEqual(t, sim.laterSends, maxLaterPartSends, "%d crashes", sim.crashes)
+	require.Empty(t, sim.lost(), "%d crashes", sim.crashes)
+	require.GreaterOrEqual(t, sim.sound[0].sent, minCounted)
+}
+
 // groupScenario is a lock-step group of the users' record.
 var groupScenario = partsScenario{
 	entries: 4, targets: 12, lockStep: true, crashingPerSecond: 3, soundPerSecond: 50, crashingFrom: 8 * time.Second,
@@ -147,51 +187,139 @@
 	}
 }
 
+// keepAsking lets requests with a suspect come every half second, and returns after how long the
+// process may try it, limit if not before.
+func keepAsking(ledger *Ledger, suspect uint64, rank int, now time.Time, limit time.Duration) time.Duration {
+	for waited := time.Duration(0); waited < limit; waited += 500 * time.Millisecond {
+		if ledger.MayTry(suspect, rank, now.Add(waited)) && ledger.BeginTrial(suspect, rank, now.Add(waited)) {
+			return waited
+		}
+	}
+	return limit
+}
+
+// suspiciousLedger returns a ledger of a process that started at the given time, with a part that is on
+// trial since then.
+func suspiciousLedger(process uint64, now time.Time, parts ...uint64) *Ledger {
+	ledger := NewLedger(Config{Process: process}, now)
+	for _, crash := range crashesAtOnce(minDoubtfulPartCrashes, now, parts...) {
+		ledger.Add(crash, crash.At)
+	}
+	return ledger
+}
+
 // TestProcessWithoutAllowanceTriesASuspectLater guards against sound requests that are refused for good:
 // they come only to processes that may begin no trial, so that nobody finds out that a suspected part is
-// sound.
+// sound, or the trials that all processes may begin are used up without a result.
 func TestProcessWithoutAllowanceTriesASuspectLater(t *testing.T) {
-	const part, rank = 1, trialRanks + 1
+	const part, rank = 1, 50
 	now := time.Unix(1000, 0)
-	newSuspicious := func() *Ledger {
-		ledger := NewLedger(Config{}, now)
-		for _, crash := range crashesAtOnce(minDoubtfulPartCrashes, now, part) {
-			ledger.Add(crash, crash.At)
-		}
-		return ledger
-	}
-	ledger, other := newSuspicious(), newSuspicious()
+	ledger, other := suspiciousLedger(1, now, part), suspiciousLedger(2, now, part)
 	now = now.Add(time.Minute)
-	require.False(t, ledger.MayTry(part, rank, now), "processes of lower ranks come first")
-	require.False(t, ledger.BeginTrial(part, rank, now))
-	require.False(t, ledger.MayTry(part, rank, now.Add(lateTrialDelay(rank)-time.Millisecond)))
+	require.Equal(t, lateTrialDelay(0), keepAsking(ledger, part, rank, now, time.Hour/10), "whatever its rank")
 
 	// A trial elsewhere makes the process wait again.
-	now = now.Add(lateTrialDelay(rank))
-	require.True(t, ledger.MayTry(part, rank, now))
+	now = now.Add(lateTrialDelay(0) + trialInterval)
 	require.True(t, other.BeginTrial(part, 0, now))
 	require.True(t, ledger.Merge(other.Evidence(now), now))
-	require.False(t, ledger.MayTry(part, rank, now))
-	now = now.Add(lateTrialDelay(rank))
-	require.True(t, ledger.BeginTrial(part, rank, now))
-	require.False(t, ledger.BeginTrial(part, rank, now.Add(lateTrialDelay(rank)-time.Millisecond)))
-
-	// Its trial may end without a result, with a target that another request crashed.
-	now = now.Add(lateTrialDelay(rank))
-	require.True(t, ledger.BeginTrial(part, rank, now))
-
-	// All processes together begin no more than maxTrials.
-	now = now.Add(10 * lateTrialDelay(rank))
-	require.False(t, ledger.BeginTrial(part, rank, now))
 	require.True(t, other.Merge(ledger.Evidence(now), now))
-	now = now.Add(trialInterval)
-	require.False(t, other.BeginTrial(part, 0, now))
-	require.False(t, other.BeginTrial(part, 1, now))
-	other.MayTry(part, rank+1, now)
-	require.False(t, other.BeginTrial(part, rank+1, now.Add(time.Hour/10)))
+	require.Equal(t, lateTrialDelay(0), keepAsking(ledger, part, rank, now, time.Hour/10), "its first trial may have had no result")
+
+	// All processes together begin no more than maxTrials, until it is clear that these had no result.
+	now = now.Add(lateTrialDelay(0))
+	require.True(t, other.Merge(ledger.Evidence(now), now))
+	for _, next := range []struct {
+		ledger *Ledger
+		rank   int
+	}{{ledger, rank}, {other, 0}, {other, 1}, {other, rank + 1}} {
+		copied := suspiciousLedger(3, now.Add(-time.Minute), part)
+		copied.Merge(next.ledger.Evidence(now), now)
+		require.Equal(t, lateTrialInterval, keepAsking(copied, part, next.rank, now, time.Hour/10), "rank %d", next.rank)
+	}
+	require.Equal(t, lateTrialInterval, keepAsking(ledger, part, rank, now, time.Hour/10))
+	now = now.Add(lateTrialInterval)
+	require.Equal(t, lateTrialInterval, keepAsking(ledger, part, rank, now, time.Hour/10), "one at a time")
 
 	// A run clears the part at once.
 	require.True(t, ledger.PartsRan([]uint64{part}, now))
 	assessment, _ := ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{part}}, now)
 	require.Equal(t, Clear, assessment.Level)
 }
+
+// TestProcessesThatWantATrialTakeTurns guards against trials that all processes with requests begin at the
+// same time, and against waits that grow with the number of processes.
+func TestProcessesThatWantATrialTakeTurns(t *testing.T) {
+	const part, processes = 1, 70
+	now := time.Unix(1000, 0)
+	var ledgers []*Ledger
+	for n := range uint64(processes) {
+		ledgers = append(ledgers, suspiciousLedger(n+1, now, part))
+	}
+	now = now.Add(time.Minute)
+	type trial struct {
+		rank int
+		at   time.Duration
+	}
+	var begun []trial
+	for waited := time.Duration(0); waited < 2*lateTrialDelay(0)+trialTurn; waited += 100 * time.Millisecond {
+		at := now.Add(waited)
+		for n, ledger := range ledgers[trialRanks:] {
+			if ledger.MayTry(part, n+trialRanks, at) && ledger.BeginTrial(part, n+trialRanks, at) {
+				begun = append(begun, trial{n + trialRanks, waited})
+			}
+		}
+		for _, to := range ledgers {
+			for _, from := range ledgers {
+				to.Merge(Evidence{Trials: from.trialEvidence(1, time.Time{}, at)}, at)
+			}
+		}
+	}
+	require.Equal(t, []trial{{trialRanks, lateTrialDelay(0)}, {trialRanks, 2 * lateTrialDelay(0)}}, begun, "the first of them, without a result again")
+}
+
+// TestTrialThatReachesNoTargetDoesNotCount guards against trials that are used up by targets that are
+// down, or are back at their address as another one.
+func TestTrialThatReachesNoTargetDoesNotCount(t *testing.T) {
+	const part = 1
+	now := time.Unix(1000, 0)
+	ledger, other := suspiciousLedger(1, now, part), suspiciousLedger(2, now, part)
+	now = now.Add(time.Minute)
+	for range 2 * maxTrials {
+		require.True(t, ledger.BeginTrial(part, 0, now))
+		require.True(t, other.Merge(ledger.Evidence(now), now))
+		require.False(t, other.BeginTrial(part, 1, now))
+		require.True(t, ledger.TrialUnsent(part))
+		require.False(t, ledger.TrialUnsent(part), "once")
+		require.True(t, other.Merge(ledger.Evidence(now), now))
+		now = now.Add(100 * time.Millisecond)
+	}
+	require.True(t, other.BeginTrial(part, 1, now))
+}
+
+// TestPartsThatSuspectEachOtherAreTried guards against sound requests that are refused for good because two
+// of their parts came with the one that crashes targets, or with each other only.
+func TestPartsThatSuspectEachOtherAreTried(t *testing.T) {
+	const first, second, crashing = 1, 2, 3
+	now := time.Unix(1000, 0)
+	ledger := suspiciousLedger(1, now, first, second, crashing)
+	now = now.Add(time.Minute)
+	level := func(parts ...uint64) Level {
+		assessment, _ := ledger.AssessRequest(Subject{Fingerprint: 100, Parts: parts}, now)
+		return assessment.Level
+	}
+	require.Equal(t, OnTrial, level(first, second), "if it runs, the other part is the cause")
+	require.Equal(t, Held, level(first, second, crashing), "this would show nothing")
+	for range 2 * jointTrialDelay / time.Second {
+		now = now.Add(time.Second)
+		level(first, second, crashing)
+	}
+	require.Equal(t, OnTrial, level(first, second, crashing), "no others have come")
+	require.True(t, ledger.BeginTrial(first, 0, now))
+	ledger.Add(Crash{Target: "tried", Incarnation: "1", Parts: []uint64{first, second, crashing}, OnTrial: []uint64{first}, At: now}, now)
+	now = now.Add(trialInterval)
+	require.Equal(t, Refused, level(first, second, crashing), "once")
+	require.Equal(t, OnTrial, level(first, second))
+	ledger.PartsRan([]uint64{first, second}, now)
+	require.Equal(t, Clear, level(first, second))
+	require.Equal(t, Refused, level(first, second, crashing))
+}
--- a/request/poison/tracker.go
+++ b/request/poison/tracker.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,9 @@
 
 // NewTracker returns a tracker without evidence.
 func NewTracker(config Config, clock clockwork.Clock) *Tracker {
+	if config.Process == 0 {
+		config.Process = rand.Uint64()
+	}
 	return &Tracker{clock: clock, ledger: NewLedger(config, clock.Now())}
 }
 
@@ -120,6 +124,21 @@
 	return t.ledger.BeginTrial(suspect, rank, now)
 }
 
+// Want is Ledger.Want.
+func (t *Tracker) Want(suspect uint64, rank int) bool {
+	now := t.clock.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.Want(suspect, rank, now)
+}
+
+// TrialUnsent is Ledger.TrialUnsent.
+func (t *Tracker) TrialUnsent(suspect uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ledger.TrialUnsent(suspect)
+}
+
 // MayTry is Ledger.MayTry.
 func (t *Tracker) MayTry(suspect uint64, rank int) bool {
 	now := t.clock.Now()
--- a/request/poison/trial.go
+++ b/request/poison/trial.go
@@ -1,7 +1,9 @@
 package poison
 
 import (
+	"cmp"
 	"encoding/binary"
+	"maps"
 	"slices"
 	"time"
 
@@ -41,103 +43,235 @@
 const trialInterval = 2 * time.Second
 
 const (
-	// trialRanks is the number of ranks whose processes may begin trials at any time.
+	// trialRanks is the number of ranks whose processes may begin trials at once.
 	trialRanks = 2
-	// maxTrials is the number of trials of a suspect that all processes begin together.
+	// maxTrials is the number of trials of a suspect that all processes begin together before
+	// they wait for lateTrialInterval.
 	maxTrials = 3
-	// maxTrialSlots is the number of ranks whose trials are counted apart.
+	// lateTrialInterval is the time from the latest trial of a prompt part to a further one when
+	// maxTrials have shown neither that the part runs nor that it crashes targets.
+	lateTrialInterval = 10 * time.Second
+	// trialTurn is how much longer a process waits for each other one that has requests with a
+	// suspect too and comes first. By then it has heard of a trial that the other one began.
+	trialTurn = time.Second
+	// maxTrialTurns bounds the number of processes that are waited for.
+	maxTrialTurns = 4
+	// wantTTL is how long after its latest request with a suspect a process counts as having some.
+	wantTTL = trialInterval
+	// maxTrialRuns is the number of trials of a suspect that are kept, the newest.
+	maxTrialRuns = 16
+	// maxTrialSlots is the number of ranks that TrialEvidence.Begun counts. Ranks from there on share
+	// the last place.
 	maxTrialSlots = 64
 )
 
-// trialCounts counts the trials of one suspect that all processes have begun.
-type trialCounts struct {
-	// begun counts them by the rank of the process. A process counts on from what earlier
-	// processes of its rank began. Ranks from maxTrialSlots on share the last place.
-	begun []int
-	// last is when this process began, or heard of, the latest trial.
-	last time.Time
-	// wantedSince is since when this process has had requests that it may not run on trial.
-	wantedSince time.Time
+// trialRun is a trial that a process has begun.
+type trialRun struct {
+	id   uint64
+	rank int
+	at   time.Time
+	// unsent is set if the request did not reach a target, so that the trial doesn't count.
+	unsent bool
 }
 
-// TrialAllowance returns how many trials of a suspect processes may begin that have the
+// trialWant is that a process has requests with a suspect that it may not run.
+type trialWant struct {
+	rank int
+	// latest is when it had the latest request, since when the first one after a pause of wantTTL.
+	latest, since time.Time
+}
+
+// suspectTrials is what is known of the trials of one suspect at all processes.
+type suspectTrials struct {
+	// runs are sorted by time.
+	runs []trialRun
+	// own is what this process wants, others what those want that come before others, by process.
+	own    trialWant
+	others map[uint64]trialWant
+}
+
+// TrialAllowance returns how many trials of a suspect processes may begin at once that have the
 // given rank, from 0, among all processes, without regard to the others. The allowances add up
 // to maxTrials, so that a request that crashes every target is not tried without end by processes
 // that see different evidence; that of the second rank is for the time when the first one is down.
 func TrialAllowance(rank int) int { return max(trialRanks-rank, 0) }
 
 // lateTrialDelay returns how long a process without an allowance, which has requests with a suspect,
-// waits for the processes of lower ranks, to which no such request may come: callers use some of
-// the entries only. By then it has heard of a trial that another one began.
-func lateTrialDelay(rank int) time.Duration { return time.Duration(rank-trialRanks+1) * trialInterval }
+// waits for those that have one, and for others that have such requests, the given number of which
+// come before it. It does not depend on how many processes there are: callers use some of them only.
+func lateTrialDelay(before int) time.Duration {
+	return trialInterval + time.Duration(min(before, maxTrialTurns))*trialTurn
+}
 
-// slotOf returns the place of a rank in trialCounts.begun.
+// slotOf returns the place of a rank in TrialEvidence.Begun.
 func slotOf(rank int) int { return min(rank, maxTrialSlots-1) }
 
-// of returns how many trials processes of a rank have begun.
-func (c *trialCounts) of(rank int) int {
-	if slotOf(rank) >= len(c.begun) {
-		return 0
+// count returns how many trials count that match.
+func (t *suspectTrials) count(match func(trialRun) bool) int {
+	count := 0
+	for _, run := range t.runs {
+		if !run.unsent && match(run) {
+			count++
+		}
 	}
-	return c.begun[slotOf(rank)]
+	return count
 }
 
-// total returns how many trials all processes have begun.
-func (c *trialCounts) total() int {
-	total := 0
-	for _, count := range c.begun {
-		total += min(count, maxTrials)
+func anyRun(trialRun) bool { return true }
+
+// last returns when the latest trial that counts began, zero if there is none.
+func (t *suspectTrials) last() time.Time {
+	for _, run := range slices.Backward(t.runs) {
+		if !run.unsent {
+			return run.at
+		}
 	}
-	return total
+	return time.Time{}
 }
 
-// raise sets the count of a slot, if that is higher.
-func (c *trialCounts) raise(slot, count int) bool {
-	for len(c.begun) <= slot {
-		c.begun = append(c.begun, 0)
+// changedAt returns when the latest trial began, or a process last wanted one.
+func (t *suspectTrials) changedAt() time.Time {
+	latest := t.own.latest
+	for _, run := range t.runs {
+		latest = later(latest, run.at)
+	}
+	return latest
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// before returns how many other processes want a trial and come before one of the given rank.
+func (t *suspectTrials) before(rank int, now time.Time) int {
+	count := 0
+	for _, want := range t.others {
+		if want.rank < rank && now.Sub(want.latest) < wantTTL {
+			count++
+		}
+	}
+	return count
+}
+
+// mayBegin reports whether a process of the given rank may begin a trial now. again is set if there
+// may be more than maxTrials, at long intervals.
+func (t *suspectTrials) mayBegin(rank int, again bool, now time.Time) bool {
+	last := t.last()
+	if now.Sub(last) < trialInterval {
+		return false
 	}
-	if count <= c.begun[slot] {
+	if t.count(anyRun) >= maxTrials && (!again || now.Sub(last) < lateTrialInterval) {
 		return false
 	}
-	c.begun[slot] = min(count, maxTrials)
+	if t.count(func(run trialRun) bool { return run.rank == rank }) < TrialAllowance(rank) {
+		return true
+	}
+	// The results of trials may be lost, and processes of lower ranks have no request with it.
+	return !t.own.latest.IsZero() && now.Sub(later(t.own.since, last)) >= lateTrialDelay(t.before(rank, now))
+}
+
+// want records that this process has a request with the suspect. It reports whether other
+// processes should hear of it.
+func (t *suspectTrials) want(rank int, now time.Time) bool {
+	begins := t.own.latest.IsZero() || now.Sub(t.own.latest) >= wantTTL
+	if begins {
+		t.own.since = now
+	}
+	t.own.rank, t.own.latest = rank, now
+	return begins
+}
+
+// add adds a trial, or what has become known of it, and reports whether that changed anything.
+func (t *suspectTrials) add(added trialRun) bool {
+	if slices.ContainsFunc(t.runs, func(run trialRun) bool { return run.id == added.id }) {
+		return added.unsent && t.markUnsent(added.id)
+	}
+	t.runs = append(t.runs, added)
+	slices.SortFunc(t.runs, func(a, b trialRun) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
+	t.runs = t.runs[max(len(t.runs)-maxTrialRuns, 0):]
 	return true
 }
 
-// mayBegin reports whether a process of the given rank may begin a trial now.
-func (c *trialCounts) mayBegin(rank int, now time.Time) bool {
-	if now.Sub(c.last) < trialInterval || c.total() >= maxTrials {
+// markUnsent records that the request of a trial did not reach a target.
+func (t *suspectTrials) markUnsent(id uint64) bool {
+	n := slices.IndexFunc(t.runs, func(run trialRun) bool { return run.id == id })
+	if n < 0 || t.runs[n].unsent {
 		return false
 	}
-	if rank < trialRanks {
-		return c.of(rank) < TrialAllowance(rank)
+	t.runs[n].unsent = true
+	return true
+}
+
+// addWant adds what another process wants. Only those that come first are kept.
+func (t *suspectTrials) addWant(process uint64, want trialWant) {
+	if t.others == nil {
+		t.others = map[uint64]trialWant{}
+	}
+	if want.latest.After(t.others[process].latest) {
+		t.others[process] = want
+	}
+	for len(t.others) > maxTrialTurns {
+		delete(t.others, t.lastWanting())
 	}
-	// A trial may end without a result, so that one of this process is not enough.
-	return !c.wantedSince.IsZero() && now.Sub(c.wantedSince) >= lateTrialDelay(rank)
 }
 
-// want records that this process has a request with the suspect.
-func (c *trialCounts) want(now time.Time) {
-	if c.wantedSince.IsZero() {
-		c.wantedSince = now
+// lastWanting returns the process of others to drop: one whose want has expired longest, or of the highest rank.
+func (t *suspectTrials) lastWanting() uint64 {
+	newest := time.Time{}
+	for _, want := range t.others {
+		newest = later(newest, want.latest)
 	}
+	processes := slices.Collect(maps.Keys(t.others))
+	return slices.MaxFunc(processes, func(a, b uint64) int {
+		left, right := t.others[a], t.others[b]
+		return cmp.Or(
+			compareBool(newest.Sub(left.latest) >= wantTTL, newest.Sub(right.latest) >= wantTTL),
+			cmp.Compare(left.rank, right.rank), cmp.Compare(a, b),
+		)
+	})
 }
 
-// began records a trial, after which others wait again.
-func (c *trialCounts) began(now time.Time) {
-	c.last = now
-	if !c.wantedSince.IsZero() {
-		c.wantedSince = now
+// evidence returns what other processes are told of the trials.
+func (t *suspectTrials) evidence(suspect, process uint64, now time.Time) TrialEvidence {
+	e := TrialEvidence{Fingerprint: suspect}
+	for _, run := range t.runs {
+		e.Runs = append(e.Runs, TrialRun{ID: run.id, Rank: run.rank, AgeMillis: now.Sub(run.at).Milliseconds(), Unsent: run.unsent})
+		for len(e.Begun) <= slotOf(run.rank) {
+			e.Begun = append(e.Begun, 0)
+		}
+		if !run.unsent {
+			e.Begun[slotOf(run.rank)]++
+		}
+	}
+	wants := maps.Clone(t.others)
+	if wants == nil {
+		wants = map[uint64]trialWant{}
 	}
+	if !t.own.latest.IsZero() {
+		wants[process] = t.own
+	}
+	for _, id := range slices.Sorted(maps.Keys(wants)) {
+		if age := now.Sub(wants[id].latest); age < wantTTL {
+			e.Wants = append(e.Wants, TrialWant{Process: id, Rank: wants[id].rank, AgeMillis: age.Milliseconds()})
+		}
+	}
+	return e
 }
 
-// merge takes over the counts that a peer reports, and reports whether any was higher.
-func (c *trialCounts) merge(begun []int, now time.Time) bool {
+// merge takes over what a peer reports, and reports whether it knew of further trials.
+func (t *suspectTrials) merge(reported TrialEvidence, process uint64, now time.Time) bool {
 	changed := false
-	for slot, count := range begun[:min(len(begun), maxTrialSlots)] {
-		changed = count > 0 && c.raise(slot, count) || changed
+	for _, run := range reported.runs() {
+		at := now.Add(-parseAge(run.AgeMillis))
+		changed = t.add(trialRun{id: run.ID, rank: max(run.Rank, 0), at: at, unsent: run.Unsent}) || changed
 	}
-	if changed {
-		c.began(now)
+	for _, want := range reported.Wants[:min(len(reported.Wants), maxTrialTurns+1)] {
+		if want.Process != process {
+			t.addWant(want.Process, trialWant{rank: max(want.Rank, 0), latest: now.Add(-parseAge(want.AgeMillis))})
+		}
 	}
 	return changed
 }
