The soak learns bytes without end and new shared parts; a trial is taken back by its own ID

From when requests with a crashing part come, all prompts begin with the same two new parts.

A trial that reached no target was looked up by the latest trial of the process, which may be that of another suspect: it stayed counted. Each suspect now keeps the ID of its own latest one (TestTrialThatReachesNoTargetDoesNotCount covers two suspects). At most 8 trials of a suspect are kept, those that count first.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -49,6 +49,8 @@
 	pinned string
 	// judging reports whether every request must be served by now.
 	judging func() bool
+	// changed reports whether prompts begin with newParts by now; nil if they never do.
+	changed func() bool
 }
 
 func newCaller(kind requestKind, r *records, seed uint64, directories, entries []string, judging func() bool) *caller {
@@ -135,7 +137,7 @@
 	request.Header.Set(platform.HeaderAttemptID, sent.id)
 	request.Header.Set(platform.HeaderDeadline, strconv.FormatInt(patience.Milliseconds(), 10))
 	request.Header.Set(platform.HeaderAuthorization, platform.KeyScheme+standin.APIKey)
-	request.Header.Set(platform.HeaderPromptParts, promptParts(sent))
+	request.Header.Set(platform.HeaderPromptParts, promptParts(sent, c.changed != nil && c.changed()))
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.addresses = nil
@@ -155,12 +157,17 @@
 	return strconv.Itoa(response.StatusCode), retryPause, c.kind.repeatable()
 }
 
-// promptParts returns the parts of the prompt of an attempt.
-func promptParts(sent attempt) string {
+// promptParts returns the parts of the prompt of an attempt. changed is set once requests with
+// crashingPart come.
+func promptParts(sent attempt, changed bool) string {
+	shared := sharedPart
+	if changed {
+		shared = newParts
+	}
 	if sent.kind == crashing {
-		return sharedPart + "," + crashingPart + ":410," + sent.id + ":250"
+		return newParts + "," + crashingPart + ":410," + sent.id + ":250"
 	}
-	return sharedPart + "," + sent.id + ":250"
+	return shared + "," + sent.id + ":250"
 }
 
 // retryAfter returns the time that a refusal asks to wait.
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -10,8 +10,10 @@
 
 const (
 	// sharedPart is the first part of the prompts of all lookups, crashingPart one that
-	// crashes every target of the plain service that gets a request with it.
+	// crashes every target of the plain service that gets a request with it. From when requests with
+	// it come, all prompts begin with newParts in place of sharedPart.
 	sharedPart, crashingPart = "5c1e07a2:40", "bad0bad0"
+	newParts                 = "5c1e07a3:40,5c1e07a4:60"
 	// crashingCallers is the number of callers whose requests have crashingPart.
 	crashingCallers = 2
 	// crashRestart is how long a crashed target is down at least.
--- a/internal/soak/day.go
+++ b/internal/soak/day.go
@@ -56,6 +56,8 @@
 	// requests a second.
 	TargetRests  FaultKind = "target rests"
 	TargetLimits FaultKind = "target limits its requests"
+	// TargetEndless makes a target send bytes without end in place of some responses.
+	TargetEndless FaultKind = "target sends bytes without end"
 	// NewConfiguration gives out a later version of the configuration.
 	NewConfiguration FaultKind = "new configuration"
 )
@@ -122,6 +124,9 @@
 	noticeDays   = 2
 	noticeFaults = 4
 	noticeTime   = 4 * time.Second
+	// endlessDays is the number of days of which one has endlessFaults faults of TargetEndless.
+	endlessDays   = 2
+	endlessFaults = 4
 )
 
 // DrawDay draws a day from a seed, with faults that begin within the given time.
@@ -143,11 +148,29 @@
 	}
 	if random.IntN(noticeDays) == 0 {
 		day.Faults = append(day.Faults, drawNotices(random, trouble)...)
-		slices.SortFunc(day.Faults, byTime)
 	}
+	day.Faults = append(day.Faults, drawEndless(random, trouble)...)
+	slices.SortFunc(day.Faults, byTime)
 	return day
 }
 
+// drawEndless draws faults of TargetEndless, on some days.
+func drawEndless(random *rand.Rand, trouble time.Duration) []Fault {
+	if random.IntN(endlessDays) != 0 {
+		return nil
+	}
+	var faults []Fault
+	for range endlessFaults {
+		faults = append(faults, Fault{
+			At:      warmup + time.Duration(random.Int64N(int64(trouble))),
+			For:     time.Second + time.Duration(random.Int64N(int64(maxFaultTime))),
+			Kind:    TargetEndless,
+			Subject: random.IntN(maxSubjects),
+		})
+	}
+	return faults
+}
+
 func byTime(a, b Fault) int { return cmp.Compare(a.At, b.At) }
 
 // drawNotices draws faults of noticeKinds.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -26,6 +26,8 @@
 	// restSeconds is the pause that a target asks for which rests, limitPerSecond the limit that
 	// one names.
 	restSeconds, limitPerSecond = "3", "2"
+	// endlessEach is how many requests a target gets for one that it answers with bytes without end.
+	endlessEach = 5
 	// breakAfter is the number of events after which a target cuts off a stream.
 	breakAfter = 5
 	// staleRegistration is how long the registration of a crashed target stays.
@@ -118,7 +120,8 @@
 	faults := map[FaultKind]standin.TargetFaults{
 		TargetPauses: {Refuse: true, RetryAfter: pauseSeconds}, TargetHangs: {Hang: true},
 		TargetBreaks: {BreakAfter: breakAfter}, TargetFails: {Status: http.StatusInternalServerError},
-		TargetRests: {Refuse: true, RetryAfter: restSeconds}, TargetLimits: {Limit: limitPerSecond},
+		TargetEndless: {EndlessEach: endlessEach},
+		TargetRests:   {Refuse: true, RetryAfter: restSeconds}, TargetLimits: {Limit: limitPerSecond},
 	}
 	switch f.Kind {
 	case TargetCrashes:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -148,11 +148,13 @@
 	defer cancel()
 	started := time.Now()
 	judging := func() bool { return time.Since(started) > day.LastFaultEnds()+recovery }
+	changed := func() bool { return day.CrashingFrom > 0 && time.Since(started) >= day.CrashingFrom }
 	var running sync.WaitGroup
 	running.Go(func() { s.runGroup(ctx) })
 	for n, kind := range []requestKind{lookup, order, chat} {
 		for i := range callersPerKind {
 			c := newCaller(kind, s.records, day.Seed+uint64(n*callersPerKind+i), s.directories, s.callerAddresses, judging)
+			c.changed = changed
 			running.Go(func() { c.run(ctx) })
 		}
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -53,7 +53,7 @@
 			kinds[fault.Kind] = true
 		}
 	}
-	require.Len(t, kinds, len(faultKinds)+len(noticeKinds), "every kind occurs in long days")
+	require.Len(t, kinds, len(faultKinds)+len(noticeKinds)+1, "every kind occurs in long days")
 }
 
 // TestBrokenPromisesAreFound guards against checks that cannot fail.
@@ -108,7 +108,7 @@
 			for n := range countedCrashes + maxLaterSends + 1 {
 				sent := r.begin(crashing, paths[crashing], 0)
 				executed = append(executed, standin.ExecutedRequest{
-					AttemptID: sent.id, PromptParts: promptParts(sent), At: started.Add(time.Duration(n) * 2 * contact),
+					AttemptID: sent.id, PromptParts: promptParts(sent, false), At: started.Add(time.Duration(n) * 2 * contact),
 				})
 			}
 			r.checkCrashingPart(executed, Day{Entries: 1}, started)
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -24,7 +24,7 @@
 )
 
 // DrawStopDay draws a day of planned work from a seed: stops of entries in series that overlap, with
-// reloads, configurations and replaced targets meanwhile.
+// reloads, configurations and replaced targets meanwhile, and on some days targets that send bytes without end.
 func DrawStopDay(seed uint64, trouble time.Duration) Day {
 	random := rand.New(rand.NewPCG(seed, 3))
 	day := Day{Seed: seed, Trouble: trouble, Stops: true}
@@ -43,6 +43,7 @@
 		}
 		day.Faults = append(day.Faults, stop, meanwhile)
 	}
+	day.Faults = append(day.Faults, drawEndless(random, trouble)...)
 	slices.SortFunc(day.Faults, byTime)
 	return day
 }
--- a/internal/soak/system.go
+++ b/internal/soak/system.go
@@ -149,6 +149,9 @@
 	return link.address(), nil
 }
 
+// entryMemory is the memory of an entry's host in MB, the smallest of the users' sheets.
+const entryMemory = 112
+
 func (s *system) addEntry(n int) error {
 	var addresses [4]string
 	for i := range addresses {
@@ -162,8 +165,8 @@
 	if err != nil {
 		return err
 	}
-	settings := fmt.Sprintf("[entry]\nname = edge-%d\nfailure_domain = %s\ncaller_address = %s\nready_address = %s\ndirectory_address = %s\npeer_address = %s\n[store]\naddress = %s\n",
-		n, failureDomain, addresses[0], addresses[1], addresses[2], addresses[3], store)
+	settings := fmt.Sprintf("[entry]\nname = edge-%d\nfailure_domain = %s\ncaller_address = %s\nready_address = %s\ndirectory_address = %s\npeer_address = %s\nmemory = %d\n[store]\naddress = %s\n",
+		n, failureDomain, addresses[0], addresses[1], addresses[2], addresses[3], entryMemory, store)
 	entry, err := newProcess(s.directory, s.binaries, entryProgram, fmt.Sprintf("edge-%d", n), settings+Bounds, s.exited)
 	if err != nil {
 		return err
--- a/request/poison/evidence_test.go
+++ b/request/poison/evidence_test.go
@@ -25,3 +25,19 @@
 	recent := ledger.Recent(limit, time.Second, now)
 	require.Equal(t, []Clearance{{39, 0}, {38, 1}, {37, 2}}, recent.Clearances)
 }
+
+// TestTrialsThatEarlierReleasesCountAreCounted guards against a suspect that is tried more often while processes of
+// two releases run, of which the earlier one counts trials by rank only.
+func TestTrialsThatEarlierReleasesCountAreCounted(t *testing.T) {
+	const part = 1
+	now := time.Unix(1000, 0)
+	ledger := suspiciousLedger(1, now, part)
+	now = now.Add(time.Minute)
+	require.True(t, ledger.BeginTrial(part, 0, now))
+	earlier := Evidence{Trials: []TrialEvidence{{Fingerprint: part, Begun: []int{0, 1, 0, 1}}}}
+	require.True(t, ledger.Merge(earlier, now))
+	require.False(t, ledger.Merge(earlier, now), "once")
+	now = now.Add(trialInterval)
+	require.False(t, ledger.BeginTrial(part, 0, now))
+	require.Equal(t, []int{1, 1, 0, 1}, ledger.Evidence(now).Trials[0].Begun, "as earlier releases read it")
+}
--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -182,7 +182,7 @@
 		return false
 	}
 	l.begun++
-	l.trialsOf(suspect).add(trialRun{id: l.runID(l.begun), rank: rank, at: now})
+	l.trialsOf(suspect).begin(l.runID(l.begun), rank, now)
 	return true
 }
 
@@ -195,10 +195,8 @@
 // TrialUnsent records that the request of the latest trial of a suspect at this process did not reach
 // a target, so that the trial does not count. It reports whether that is new.
 func (l *Ledger) TrialUnsent(suspect uint64) bool {
-	if l.trials[suspect] == nil {
-		return false
-	}
-	return l.trials[suspect].markUnsent(l.runID(l.begun))
+	trials := l.trials[suspect]
+	return trials != nil && trials.markUnsent(trials.latestOwn)
 }
 
 // trialsOf returns the trials of a suspect, to be changed.
--- a/request/poison/parts_test.go
+++ b/request/poison/parts_test.go
@@ -280,16 +280,18 @@
 // TestTrialThatReachesNoTargetDoesNotCount guards against trials that are used up by targets that are
 // down, or are back at their address as another one.
 func TestTrialThatReachesNoTargetDoesNotCount(t *testing.T) {
-	const part = 1
+	const part, another = 1, 2
 	now := time.Unix(1000, 0)
-	ledger, other := suspiciousLedger(1, now, part), suspiciousLedger(2, now, part)
+	ledger, other := suspiciousLedger(1, now, part, another), suspiciousLedger(2, now, part, another)
 	now = now.Add(time.Minute)
-	for range 2 * maxTrials {
+	for range 4 * maxTrials {
 		require.True(t, ledger.BeginTrial(part, 0, now))
 		require.True(t, other.Merge(ledger.Evidence(now), now))
 		require.False(t, other.BeginTrial(part, 1, now))
+		require.True(t, ledger.BeginTrial(another, 0, now), "a trial of another part goes on")
 		require.True(t, ledger.TrialUnsent(part))
 		require.False(t, ledger.TrialUnsent(part), "once")
+		require.True(t, ledger.TrialUnsent(another))
 		require.True(t, other.Merge(ledger.Evidence(now), now))
 		now = now.Add(100 * time.Millisecond)
 	}
--- a/request/poison/trial.go
+++ b/request/poison/trial.go
@@ -58,8 +58,8 @@
 	maxTrialTurns = 4
 	// wantTTL is how long after its latest request with a suspect a process counts as having some.
 	wantTTL = trialInterval
-	// maxTrialRuns is the number of trials of a suspect that are kept, the newest.
-	maxTrialRuns = 16
+	// maxTrialRuns is the number of trials of a suspect that are kept, those that count first.
+	maxTrialRuns = 8
 	// maxTrialSlots is the number of ranks that TrialEvidence.Begun counts. Ranks from there on share
 	// the last place.
 	maxTrialSlots = 64
@@ -83,8 +83,9 @@
 
 // suspectTrials is what is known of the trials of one suspect at all processes.
 type suspectTrials struct {
-	// runs are sorted by time.
-	runs []trialRun
+	// runs are sorted by time. latestOwn is the ID of the latest that this process has begun.
+	runs      []trialRun
+	latestOwn uint64
 	// own is what this process wants, others what those want that come before others, by process.
 	own    trialWant
 	others map[uint64]trialWant
@@ -191,10 +192,19 @@
 	}
 	t.runs = append(t.runs, added)
 	slices.SortFunc(t.runs, func(a, b trialRun) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.id, b.id)) })
-	t.runs = t.runs[max(len(t.runs)-maxTrialRuns, 0):]
+	for len(t.runs) > maxTrialRuns {
+		dropped := max(slices.IndexFunc(t.runs, func(run trialRun) bool { return run.unsent }), 0)
+		t.runs = slices.Delete(t.runs, dropped, dropped+1)
+	}
 	return true
 }
 
+// begin records a trial that this process begins.
+func (t *suspectTrials) begin(id uint64, rank int, now time.Time) {
+	t.latestOwn = id
+	t.add(trialRun{id: id, rank: rank, at: now})
+}
+
 // markUnsent records that the request of a trial did not reach a target.
 func (t *suspectTrials) markUnsent(id uint64) bool {
 	n := slices.IndexFunc(t.runs, func(run trialRun) bool { return run.id == id })
