--- a/daemon/direct/entry.go
+++ b/daemon/direct/entry.go
@@ -168,6 +168,14 @@
 	return e
 }
 
+// storeEra returns how often the store is known to have been restored.
+func (e *Entry) storeEra() uint64 {
+	if e.store == nil {
+		return 0
+	}
+	return e.store.Era()
+}
+
 // ready reports whether callers may be directed to this entry.
 func (e *Entry) ready() bool {
 	return !e.leaving.Load() && e.version.Load() != nil && e.targetsLoaded.Load() && e.peersLoaded.Load() &&
--- a/daemon/direct/operator.go
+++ b/daemon/direct/operator.go
@@ -21,27 +21,37 @@
 	mu sync.Mutex
 	// domainsOut holds the failure domains that are taken out of service.
 	domainsOut map[string]bool
-	// missingSince holds, for those of domainsOut that the last snapshot lacked, when it
-	// arrived.
-	missingSince map[string]time.Time
+	// missingUntil holds, for those of domainsOut that the last snapshot lacked, when they are back in
+	// service.
+	missingUntil map[string]time.Time
+	// era is the store's era at the last snapshot or change.
+	era uint64
 }
 
+// restoredGrace is how long a failure domain that was taken out of service stays so although a store
+// that was restored from an older copy lacks it. Operators write it again within that time; if they put
+// it back into service meanwhile, they may find no row to delete.
+const restoredGrace = 30 * time.Second
+
 func newOperatorObserver(e *Entry) *operatorObserver {
 	return &operatorObserver{
 		entry: e, log: logs.Component(e.logger, "operator"),
-		domainsOut: map[string]bool{}, missingSince: map[string]time.Time{},
+		domainsOut: map[string]bool{}, missingUntil: map[string]time.Time{}, era: e.storeEra(),
 	}
 }
 
 // OnSnapshot implements follow.Observer. Domains that the snapshot lacks stay out of service
-// for removalGrace: a store that was restored from an older copy may not know of them yet.
+// for removalGrace, or restoredGrace if the store has been restored: its copy may be older than they.
 func (o *operatorObserver) OnSnapshot(rows []platform.Row) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	now := o.entry.clock.Now()
+	grace := removalGrace
+	if era := o.entry.storeEra(); era != o.era {
+		o.era, grace = era, restoredGrace
+	}
 	for domain := range o.domainsOut {
-		if _, missing := o.missingSince[domain]; !missing {
-			o.missingSince[domain] = now
+		if _, missing := o.missingUntil[domain]; !missing {
+			o.missingUntil[domain] = o.entry.clock.Now().Add(grace)
 		}
 	}
 	for _, row := range rows {
@@ -51,16 +61,16 @@
 }
 
 // tick puts domains back into service that no snapshot or change has named for
-// removalGrace.
+// their time of grace.
 func (o *operatorObserver) tick() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.entry.clock.Now()
-	for domain, since := range o.missingSince {
-		if now.Sub(since) < removalGrace {
+	for domain, until := range o.missingUntil {
+		if now.Before(until) {
 			continue
 		}
-		delete(o.missingSince, domain)
+		delete(o.missingUntil, domain)
 		delete(o.domainsOut, domain)
 		o.log.WithField("failure_domain", domain).Info("failure domain no longer listed; back in service")
 		o.publishDomainsOut()
@@ -80,7 +90,7 @@
 func (o *operatorObserver) apply(row platform.Row) {
 	if domain, ok := platform.EvacuatedDomain(row.Key); ok {
 		delete(o.domainsOut, domain)
-		delete(o.missingSince, domain)
+		delete(o.missingUntil, domain)
 		if !row.Deleted {
 			o.domainsOut[domain] = true
 		}
--- a/daemon/direct/restore_test.go
+++ b/daemon/direct/restore_test.go
@@ -115,3 +115,34 @@
 	require.ElementsMatch(t, []string{"old", "lost", "new"}, known())
 	require.Eventually(t, func() bool { return store.Has(platform.TableEntries, "a") }, 2*time.Second, 10*time.Millisecond)
 }
+
+// TestDomainsStayOutOfServiceUntilOperatorsWriteThemAgain guards against requests to a failure domain that
+// was taken out of service, because a store that came back from an older copy lacks it and its operators take
+// some seconds to write it again.
+func TestDomainsStayOutOfServiceUntilOperatorsWriteThemAgain(t *testing.T) {
+	store, client := startStandinStore(t)
+	clock := clockwork.NewFakeClock()
+	e := New(Config{Settings: settings.Direct{Name: "a"}, Store: client, Clock: clock, Logger: logs.Discard()})
+	read := func() []platform.Row {
+		rows, _, err := client.Read(t.Context(), platform.TableOperator)
+		require.NoError(t, err)
+		return rows
+	}
+	read()
+	o := newOperatorObserver(e)
+	store.Copy()
+	o.OnChanges([]platform.Row{{Key: "evacuate/z1"}, {Key: "evacuate/z2"}})
+	store.Restore()
+	o.OnSnapshot(read())
+	clock.Advance(restoredGrace - time.Second)
+	o.tick()
+	require.Equal(t, map[string]bool{"z1": true, "z2": true}, o.domainsOut)
+	o.OnChanges([]platform.Row{{Key: "evacuate/z1"}})
+	clock.Advance(time.Second)
+	o.tick()
+	require.Equal(t, map[string]bool{"z1": true}, o.domainsOut, "one that nobody names again is back in service at last")
+	o.OnSnapshot(read())
+	clock.Advance(removalGrace)
+	o.tick()
+	require.Empty(t, o.domainsOut, "the store was not restored again")
+}
