--- a/version/expertmap/command_engine.go
+++ b/version/expertmap/command_engine.go
@@ -107,7 +107,7 @@
 		return e.lastReport, ErrStaleReport
 	}
 	e.received = report
-	if report.Group != e.lastReport.Group {
+	if report.Group.supersedes(e.lastReport.Group) {
 		// Commands name the incarnation, so those for an earlier one are void.
 		e.unconfirmedMap, e.unconfirmedGo = 0, 0
 	}
--- a/version/expertmap/command_engine_test.go
+++ b/version/expertmap/command_engine_test.go
@@ -181,3 +181,35 @@
 	_, err = engine.Refresh()
 	require.NoError(t, err)
 }
+
+// TestOnlyALaterGroupVoidsCommands guards against a rank that switches its map alone: a command that may still be
+// carried out is taken for void, because of a report without a group or of an earlier incarnation.
+func TestOnlyALaterGroupVoidsCommands(t *testing.T) {
+	const unconfirmed = 7
+	for name, c := range map[string]struct {
+		group GroupID
+		want  uint64
+	}{
+		"no group":              {GroupID{}, unconfirmed},
+		"earlier incarnation":   {GroupID{Name: "g", Incarnation: 2}, unconfirmed},
+		"the same incarnation":  {GroupID{Name: "g", Incarnation: 3}, unconfirmed},
+		"later incarnation":     {GroupID{Name: "g", Incarnation: 4}, 0},
+		"another group":         {GroupID{Name: "h", Incarnation: 1}, 0},
+		"only an incarnation":   {GroupID{Incarnation: 4}, 0},
+		"no group, incarnation": {GroupID{Incarnation: 0}, unconfirmed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newSimGroup(1, 2, true, simNoFault)
+			engine := NewCommandEngine(&simCommands{group: g, rank: 0})
+			g.ranks[0].report.Group = GroupID{Name: "g", Incarnation: 3}
+			_, err := engine.refreshForPromise()
+			require.NoError(t, err)
+			engine.unconfirmedMap, engine.unconfirmedGo = unconfirmed, unconfirmed
+			g.ranks[0].report.Group = c.group
+			_, err = engine.refreshForPromise()
+			require.NoError(t, err)
+			require.Equal(t, c.want, engine.unconfirmedMap)
+			require.Equal(t, c.want, engine.unconfirmedGo)
+		})
+	}
+}
--- a/version/expertmap/group_id.go
+++ b/version/expertmap/group_id.go
@@ -17,6 +17,12 @@
 	Incarnation uint64
 }
 
+// supersedes reports whether a group has been formed after another one, whose commands are void then.
+// An engine without a group, or an earlier incarnation, may be that of a late report.
+func (g GroupID) supersedes(other GroupID) bool {
+	return g != GroupID{} && (g.Name != other.Name || g.Incarnation > other.Incarnation)
+}
+
 // String returns the name and the incarnation for logs.
 func (g GroupID) String() string { return fmt.Sprintf("%s/%d", g.Name, g.Incarnation) }
 
