--- a/daemon/direct/operator.go
+++ b/daemon/direct/operator.go
@@ -24,7 +24,7 @@
 	// missingUntil holds, for those of domainsOut that the last snapshot lacked, when they are back in
 	// service.
 	missingUntil map[string]time.Time
-	// era is the store's era at the last snapshot or change.
+	// era is the era of the store at the last snapshot.
 	era uint64
 }
 
