A response of a route without any yet counts as usual up to the share of all

Sound responses got 502 when memory was short: on a route whose usual size was not known, more than 64 KB counted as excess.

--- a/process/memory/reading.go
+++ b/process/memory/reading.go
@@ -45,12 +45,15 @@
 }
 
 // BeginReading adds a response of which nothing has been read yet. usual is the size up to which such
-// responses are usual, in bytes, 0 if it is not known. end ends the response to free its bytes; it is
+// responses are usual, in bytes; 0 if it is not known, which counts as the share of all of them. end ends the response to free its bytes; it is
 // called at most once and must not block. The caller must call Close.
 func (a *Account) BeginReading(usual int64, end func()) *Reading {
 	if a == nil {
 		return nil
 	}
+	if usual == 0 {
+		usual = a.readingShare()
+	}
 	r := &Reading{account: a, usual: max(usual, usualReading), end: end}
 	a.mu.Lock()
 	defer a.mu.Unlock()
