--- a/connection/direct/direct_test.go
+++ b/connection/direct/direct_test.go
@@ -105,6 +105,38 @@
 	require.Equal(t, 1, pool.IdleCount())
 }
 
+// TestExpiredConnectionsAreClosed guards against connections that stay open for good, because each request is
+// sent over a new one and none is taken from the pool.
+func TestExpiredConnectionsAreClosed(t *testing.T) {
+	s := startTarget(t, func(c net.Conn, in *bufio.Reader, _ int) {
+		r, _, err := readRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, responseTo(r.Header.Get("X-Id"), "ok"))
+		_, _ = io.Copy(io.Discard, in)
+	})
+	pool := s.pool(0)
+	send := func(id string) {
+		response, err := pool.Do(t.Context(), request(id), true)
+		require.NoError(t, err)
+		require.Equal(t, "ok", readAll(t, response))
+	}
+	for id := range 5 {
+		send(strconv.Itoa(id))
+	}
+	require.Equal(t, 5, pool.IdleCount())
+	for _, c := range pool.idle[:4] {
+		c.expires = time.Now()
+	}
+	expired := pool.idle[0]
+	send("6")
+	require.Equal(t, 2, pool.IdleCount())
+	require.Equal(t, 2, pool.open)
+	_, err := expired.Write([]byte("x"))
+	require.ErrorIs(t, err, net.ErrClosed)
+}
+
 func TestTruncatedResponseFails(t *testing.T) {
 	for name, truncated := range map[string]string{
 		"in the body":    "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 9\r\n\r\nhalf",
--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -213,7 +213,8 @@
 }
 
 // putIdle returns a connection to the pool, to be used until it expires. It closes the
-// connection if the pool is closed.
+// connection if the pool is closed, and those that have expired: get takes the latest one, if any, and
+// never comes to the others.
 func (p *Pool) putIdle(c *conn, expires time.Time) {
 	c.reused = true
 	c.expires = expires
@@ -224,9 +225,21 @@
 		_ = c.Close()
 		return
 	}
+	p.closeExpired(time.Now())
 	p.idle = append(p.idle, c)
 }
 
+// closeExpired closes the oldest idle connections that have expired. The caller holds mu.
+func (p *Pool) closeExpired(now time.Time) {
+	count := 0
+	for count < len(p.idle) && !now.Before(p.idle[count].expires) {
+		_ = p.idle[count].Close()
+		count++
+	}
+	p.open -= count
+	p.idle = slices.Delete(p.idle, 0, count)
+}
+
 // discard closes a connection and removes it from the count of open ones.
 func (p *Pool) discard(c *conn) {
 	_ = c.Close()
