--- a/request/poison/ledger.go
+++ b/request/poison/ledger.go
@@ -238,7 +238,7 @@
 			delete(l.trials, suspect)
 		}
 	}
-	maps.DeleteFunc(l.joint, func(_ uint64, want trialWant) bool { return now.Sub(want.latest) >= wantTTL })
+	maps.DeleteFunc(l.joint, func(_ uint64, want trialWant) bool { return now.Sub(want.latest) >= wantMemory })
 }
 
 // deriveSuspects sets suspects from crashes and cleared.
--- a/request/poison/part.go
+++ b/request/poison/part.go
@@ -21,6 +21,9 @@
 	// minTrialCrashes is the number of crashes on trial after which a part is refused in any
 	// case. One may have had another cause.
 	minTrialCrashes = 2
+	// unprovenRefusal is how long after its latest crash a part is refused on evidence that no trial has
+	// confirmed. From then on it may run on trial: a sound part may be in flight in crashes with other causes.
+	unprovenRefusal = 10 * time.Second
 	// minKnownRuns is the number of requests that must have run before a process knows which
 	// parts are in use.
 	minKnownRuns = 50
@@ -44,6 +47,8 @@
 	ranBefore bool
 	// level is Clear, OnTrial or Refused.
 	level Level
+	// proven is set if a part is refused and a trial has shown that it crashes targets.
+	proven bool
 	// rivals are the parts, this one included, any of which may be the cause of the same crashes.
 	rivals []uint64
 }
@@ -53,6 +58,29 @@
 	return s.trialCrashes >= minTrialCrashes || s.triedCrashes >= maxTrials
 }
 
+// levelAt returns how restricted a part is at the given time. One that is refused on evidence alone goes on
+// trial later, unless all trials have been used up: most requests with it are those that crash targets.
+func (l *Ledger) levelAt(s *partState, now time.Time) Level {
+	if s.level == Refused && !s.proven && now.Sub(s.lastAt) >= unprovenRefusal && !l.triesUsedUp(s.part, now) {
+		return OnTrial
+	}
+	return s.level
+}
+
+// triesUsedUp reports whether maxTrials of a suspect have shown nothing.
+func (l *Ledger) triesUsedUp(suspect uint64, now time.Time) bool {
+	trials := l.trials[suspect]
+	return trials != nil && trials.count(anyRun) >= maxTrials && now.Sub(trials.last()) >= trialInterval
+}
+
+// refusedUntil returns when a part that is refused may next run.
+func (l *Ledger) refusedUntil(s *partState, now time.Time) time.Time {
+	if s.proven || l.triesUsedUp(s.part, now) {
+		return s.lastAt.Add(l.config.RefuseFor)
+	}
+	return s.lastAt.Add(unprovenRefusal)
+}
+
 // blamesOnly reports whether a crash on trial shows that a part is its cause: no other part was
 // in flight that may be. ranBefore reports whether requests with a part have run.
 func (c *Crash) blamesOnly(part uint64, ranBefore func(uint64) bool) bool {
@@ -142,6 +170,7 @@
 		}
 		for _, c := range possible {
 			c.level, c.rivals = l.partLevel(best, len(possible) > 1), rivals
+			c.proven = c.level == Refused && (c.crashedOnTrial() || c.triedCrashes > 0)
 		}
 		candidates = slices.DeleteFunc(candidates, func(c *partCandidate) bool { return slices.Contains(possible, c) })
 		for _, c := range candidates {
@@ -217,28 +246,35 @@
 		if state == nil || state.level == Clear || slices.Contains(onTrial, state) {
 			continue
 		}
-		end := state.lastAt.Add(l.config.RefuseFor)
-		if !now.Before(end) {
+		if now.Sub(state.lastAt) >= l.config.RefuseFor {
 			continue
 		}
-		if state.level == OnTrial {
+		level := l.levelAt(state, now)
+		if level == OnTrial {
 			onTrial = append(onTrial, state)
 		}
-		if state.level > result.Level {
-			result = Assessment{Level: state.level}
+		if level > result.Level {
+			result = Assessment{Level: level}
 		}
-		if result.Level == Refused && end.After(result.Until) {
-			result.Until = end
+		if level == Refused {
+			result.Until = later(result.Until, l.refusedUntil(state, now))
 		}
 	}
-	switch {
-	case len(onTrial) == 0:
+	if len(onTrial) == 0 {
 		return result, 0
-	case len(onTrial) == 1 || result.Level == Refused:
-		return result, onTrial[0].part
 	}
 	slices.SortFunc(onTrial, func(a, b *partState) int { return cmp.Compare(a.part, b.part) })
-	return l.assessPartsTogether(onTrial, result, now), onTrial[0].part
+	first := onTrial[0]
+	switch {
+	case result.Level == Refused:
+		return result, first.part
+	case len(onTrial) >= len(first.rivals) && l.triesUsedUp(first.part, now):
+		// Requests that crash targets carry all that may be the cause.
+		return Assessment{Level: Refused, Until: first.lastAt.Add(l.config.RefuseFor)}, first.part
+	case len(onTrial) == 1:
+		return result, first.part
+	}
+	return l.assessPartsTogether(onTrial, result, now), first.part
 }
 
 // assessPartsTogether returns the assessment of a request with several parts on trial, given that of
@@ -281,7 +317,7 @@
 // first, as long as there are such requests. suspect stands for all of them.
 func (l *Ledger) assessJoint(suspect uint64, each Assessment, now time.Time) Assessment {
 	want, wanted := l.joint[suspect]
-	if !wanted || now.Sub(want.latest) >= wantTTL {
+	if !wanted || now.Sub(want.latest) >= wantMemory {
 		want.since = now
 	}
 	want.latest = now
--- a/request/poison/parts_test.go
+++ b/request/poison/parts_test.go
@@ -66,28 +66,51 @@
 // entries there are, in whatever order evidence arrives, and though trials show nothing or reach no target.
 func TestSoundPartsAreServedWhicheverEntriesHaveThem(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		scenario := partsScenario{
-			entries: rapid.SampledFrom([]int{2, 3, 4, 6}).Draw(t, "entries"), targets: 12,
-			crashingPerSecond: rapid.Float64Range(0.2, 3).Draw(t, "crashing"), soundPerSecond: rapid.Float64Range(20, 40).Draw(t, "sound"),
-			crashingFrom: 5 * time.Second, attempts: rapid.IntRange(1, 3).Draw(t, "attempts"), firstParts: 10,
-			restart: drawDuration(t, "restart", time.Second, 5*time.Second), lossShare: rapid.Float64Range(0, 0.1).Draw(t, "loss"),
-			partsCallers: partsCallers{
-				newFirst: true, soundDelay: drawDuration(t, "sound delay", 0, 4*time.Second),
-				soundEntries: rapid.SampledFrom([]int{1, 2, 5, 70}).Draw(t, "sound entries"), sharedParts: rapid.IntRange(0, 2).Draw(t, "shared"),
-				inconclusive: rapid.SampledFrom([]float64{0, 0, 0.3}).Draw(t, "inconclusive"), missed: rapid.SampledFrom([]float64{0, 0, 0.5}).Draw(t, "missed"),
-				evidenceDelay: drawDuration(t, "delay", time.Millisecond, time.Second),
-			},
-		}
-		if rapid.Bool().Draw(t, "entries restart") {
-			scenario.entryRestarts = drawDuration(t, "entry restarts", 10*time.Second, time.Minute)
-		}
-		sim := newPartsSim(scenario, rapid.Uint64().Draw(t, "seed"))
-		sim.run()
-		require.LessOrEqual(t, sim.laterSends, maxLaterPartSends, "%d crashes", sim.crashes)
-		require.Empty(t, sim.lost(), "%d crashes", sim.crashes)
+		scenario := drawNewFirstScenario(t)
+		scenario.soundPerSecond = rapid.Float64Range(20, 40).Draw(t, "sound")
+		scenario.inconclusive = rapid.SampledFrom([]float64{0, 0, 0.3}).Draw(t, "inconclusive")
+		scenario.missed = rapid.SampledFrom([]float64{0, 0, 0.5}).Draw(t, "missed")
+		requireServed(t, scenario)
+	})
+}
+
+// TestRareSoundRequestsAreServed guards against the same where such requests are rare, so that each entry has
+// its next one long after it told the others of the one before.
+func TestRareSoundRequestsAreServed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		scenario := drawNewFirstScenario(t)
+		scenario.soundPerSecond = rapid.Float64Range(1, 20).Draw(t, "sound")
+		requireServed(t, scenario)
 	})
 }
 
+// drawNewFirstScenario draws a scenario in which sound requests have a new first part.
+func drawNewFirstScenario(t *rapid.T) partsScenario {
+	scenario := partsScenario{
+		entries: rapid.SampledFrom([]int{2, 3, 4, 6}).Draw(t, "entries"), targets: 12,
+		crashingPerSecond: rapid.Float64Range(0.2, 3).Draw(t, "crashing"),
+		crashingFrom:      5 * time.Second, attempts: rapid.IntRange(1, 3).Draw(t, "attempts"), firstParts: 10,
+		restart: drawDuration(t, "restart", time.Second, 5*time.Second), lossShare: rapid.Float64Range(0, 0.1).Draw(t, "loss"),
+		partsCallers: partsCallers{
+			newFirst: true, soundDelay: drawDuration(t, "sound delay", 0, 4*time.Second),
+			soundEntries: rapid.SampledFrom([]int{1, 2, 5, 70}).Draw(t, "sound entries"), sharedParts: rapid.IntRange(0, 2).Draw(t, "shared"),
+			evidenceDelay: drawDuration(t, "delay", time.Millisecond, time.Second),
+		},
+	}
+	if rapid.Bool().Draw(t, "entries restart") {
+		scenario.entryRestarts = drawDuration(t, "entry restarts", 10*time.Second, time.Minute)
+	}
+	return scenario
+}
+
+// requireServed requires that sound requests are served, and that few others reach targets after the fifth crash.
+func requireServed(t *rapid.T, scenario partsScenario) {
+	sim := newPartsSim(scenario, rapid.Uint64().Draw(t, "seed"))
+	sim.run()
+	require.LessOrEqual(t, sim.laterSends, maxLaterPartSends, "%d crashes", sim.crashes)
+	require.Empty(t, sim.lost(), "%d crashes", sim.crashes)
+}
+
 // TestSoundPartsAreServedAmongManyEntries guards against a wait for a trial that grows with the number of
 // entries.
 func TestSoundPartsAreServedAmongManyEntries(t *testing.T) {
@@ -193,12 +216,7 @@
 // keepAsking lets requests with a suspect come every half second, and returns after how long the
 // process may try it, limit if not before.
 func keepAsking(ledger *Ledger, suspect uint64, rank int, now time.Time, limit time.Duration) time.Duration {
-	for waited := time.Duration(0); waited < limit; waited += 500 * time.Millisecond {
-		if ledger.MayTry(suspect, rank, now.Add(waited)) && ledger.BeginTrial(suspect, rank, now.Add(waited)) {
-			return waited
-		}
-	}
-	return limit
+	return askEvery(500*time.Millisecond, ledger, suspect, rank, now, limit)
 }
 
 // suspiciousLedger returns a ledger of a process that started at the given time, with a part that is on
@@ -215,9 +233,9 @@
 // they come only to processes that may begin no trial, so that nobody finds out that a suspected part is
 // sound, or the trials that all processes may begin are used up without a result.
 func TestProcessWithoutAllowanceTriesASuspectLater(t *testing.T) {
-	const part, rank = 1, 50
+	const part, rival, rank = 1, 2, 50
 	now := time.Unix(1000, 0)
-	ledger, other := suspiciousLedger(1, now, part), suspiciousLedger(2, now, part)
+	ledger, other := suspiciousLedger(1, now, part, rival), suspiciousLedger(2, now, part, rival)
 	now = now.Add(time.Minute)
 	require.Equal(t, lateTrialDelay(0), keepAsking(ledger, part, rank, now, time.Hour/10), "whatever its rank")
 
@@ -235,20 +253,129 @@
 		ledger *Ledger
 		rank   int
 	}{{ledger, rank}, {other, 0}, {other, 1}, {other, rank + 1}} {
-		copied := suspiciousLedger(3, now.Add(-time.Minute), part)
+		copied := suspiciousLedger(3, now.Add(-time.Minute), part, rival)
 		copied.Merge(next.ledger.Evidence(now), now)
 		require.Equal(t, lateTrialInterval, keepAsking(copied, part, next.rank, now, time.Hour/10), "rank %d", next.rank)
 	}
 	require.Equal(t, lateTrialInterval, keepAsking(ledger, part, rank, now, time.Hour/10))
 	now = now.Add(lateTrialInterval)
 	require.Equal(t, lateTrialInterval, keepAsking(ledger, part, rank, now, time.Hour/10), "one at a time")
+	now = now.Add(lateTrialInterval + trialInterval)
+
+	// Those that crash targets have all parts that may be the cause, and are not tried so often.
+	assessment, _ := ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{part}}, now)
+	require.Equal(t, OnTrial, assessment.Level)
+	assessment, _ = ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{part, rival}}, now)
+	require.Equal(t, Refused, assessment.Level)
+	require.True(t, ledger.PartsRan([]uint64{rival}, now))
+	assessment, _ = ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{part}}, now)
+	require.Equal(t, Refused, assessment.Level, "no other part is left")
 
 	// A run clears the part at once.
 	require.True(t, ledger.PartsRan([]uint64{part}, now))
-	assessment, _ := ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{part}}, now)
+	assessment, _ = ledger.AssessRequest(Subject{Fingerprint: 100, Parts: []uint64{part}}, now)
 	require.Equal(t, Clear, assessment.Level)
 }
 
+// askEvery lets requests with a suspect come at intervals, and returns after how long the process may try it,
+// limit if not before.
+func askEvery(interval time.Duration, ledger *Ledger, suspect uint64, rank int, now time.Time, limit time.Duration) time.Duration {
+	for waited := time.Duration(0); waited < limit; waited += interval {
+		if ledger.MayTry(suspect, rank, now.Add(waited)) && ledger.BeginTrial(suspect, rank, now.Add(waited)) {
+			return waited
+		}
+	}
+	return limit
+}
+
+// TestRareRequestsReachATrial guards against sound requests that are refused for good because each comes
+// longer after the one before than a process waits for its turn.
+func TestRareRequestsReachATrial(t *testing.T) {
+	const part, another, rank = 1, 2, 50
+	for _, interval := range []time.Duration{wantTTL, 3 * time.Second, 6 * time.Second, 30 * time.Second} {
+		now := time.Unix(1000, 0)
+		ledger := suspiciousLedger(1, now, part)
+		now = now.Add(time.Minute)
+		require.Equal(t, interval, askEvery(interval, ledger, part, rank, now, 5*time.Minute), "the second one, every %v", interval)
+
+		both := suspiciousLedger(1, now, part, another)
+		now = now.Add(time.Minute)
+		request := Subject{Fingerprint: 100, Parts: []uint64{part, another}}
+		waited := time.Duration(0)
+		for assessment, _ := both.AssessRequest(request, now); assessment.Level == Held; assessment, _ = both.AssessRequest(request, now.Add(waited)) {
+			waited += interval
+			require.Less(t, waited, time.Minute, "every %v", interval)
+		}
+		require.Less(t, waited, jointTrialDelay+interval, "several suspects, every %v", interval)
+	}
+}
+
+// TestRequestsAfterAPauseAreTriedInTurn guards against trials that many processes begin at the same time,
+// because requests come at all of them at once, long after their first ones.
+func TestRequestsAfterAPauseAreTriedInTurn(t *testing.T) {
+	const part, processes = 1, 70
+	now := time.Unix(1000, 0)
+	var ledgers []*Ledger
+	for n := range uint64(processes) {
+		ledgers = append(ledgers, suspiciousLedger(n+1, now, part))
+	}
+	now = now.Add(time.Minute)
+	ask := func(at time.Time) int {
+		begun := 0
+		for n, ledger := range ledgers[trialRanks:] {
+			if ledger.MayTry(part, n+trialRanks, at) && ledger.BeginTrial(part, n+trialRanks, at) {
+				begun++
+			}
+		}
+		for _, to := range ledgers {
+			for _, from := range ledgers {
+				to.Merge(Evidence{Trials: from.trialEvidence(1, time.Time{}, at)}, at)
+			}
+		}
+		return begun
+	}
+	require.Zero(t, ask(now))
+	require.Equal(t, 1, ask(now.Add(wantMemory/2)))
+	require.Zero(t, ask(now.Add(3*wantMemory)), "a pause so long that others may have come first")
+}
+
+// TestPartRefusedOnEvidenceIsTried guards against sound requests that are refused for ten minutes because a
+// part of theirs, which nobody had asked for before, was in flight in two crashes with other causes.
+func TestPartRefusedOnEvidenceIsTried(t *testing.T) {
+	const part, popular = 1, 2
+	start := time.Unix(1000, 0)
+	request := Subject{Fingerprint: 100, Parts: []uint64{popular, part}}
+	refused := func() (*Ledger, time.Time) {
+		ledger, now := NewLedger(Config{}, start), start
+		for range minKnownRuns {
+			ledger.PartsRan([]uint64{popular}, now)
+		}
+		for n := range minPartIncidents {
+			now = now.Add(5 * time.Second)
+			ledger.Add(Crash{Target: fmt.Sprint("t", n), Incarnation: "1", Parts: []uint64{part, popular}, At: now}, now)
+		}
+		return ledger, now
+	}
+	ledger, last := refused()
+	assessment, _ := ledger.AssessRequest(request, last.Add(time.Second))
+	require.Equal(t, Assessment{Level: Refused, Until: last.Add(unprovenRefusal)}, assessment)
+	now := last.Add(unprovenRefusal)
+	assessment, trial := ledger.AssessRequest(request, now)
+	require.Equal(t, OnTrial, assessment.Level)
+	require.Equal(t, uint64(part), trial)
+	require.True(t, ledger.BeginTrial(part, 0, now))
+	require.True(t, ledger.PartsRan(request.Parts, now))
+	assessment, _ = ledger.AssessRequest(request, now)
+	require.Equal(t, Clear, assessment.Level, "it ran")
+
+	ledger, last = refused()
+	now = last.Add(unprovenRefusal)
+	require.True(t, ledger.BeginTrial(part, 0, now))
+	ledger.Add(Crash{Target: "tried", Incarnation: "1", Parts: request.Parts, OnTrial: []uint64{part}, At: now}, now)
+	assessment, _ = ledger.AssessRequest(request, now.Add(DefaultRefuseFor-time.Second))
+	require.Equal(t, Assessment{Level: Refused, Until: now.Add(DefaultRefuseFor)}, assessment, "one crash on trial is enough")
+}
+
 // TestProcessesThatWantATrialTakeTurns guards against trials that all processes with requests begin at the
 // same time, and against waits that grow with the number of processes.
 func TestProcessesThatWantATrialTakeTurns(t *testing.T) {
--- a/request/poison/trial.go
+++ b/request/poison/trial.go
@@ -58,6 +58,9 @@
 	maxTrialTurns = 4
 	// wantTTL is how long after its latest request with a suspect a process counts as having some.
 	wantTTL = trialInterval
+	// wantMemory is how long after its latest request with a suspect a process keeps its place among those
+	// that have such requests. Requests may come at longer intervals than wantTTL.
+	wantMemory = time.Minute
 	// maxTrialRuns is the number of trials of a suspect that are kept, those that count first.
 	maxTrialRuns = 8
 	// maxTrialSlots is the number of ranks that TrialEvidence.Begun counts. Ranks from there on share
@@ -77,8 +80,9 @@
 // trialWant is that a process has requests with a suspect that it may not run.
 type trialWant struct {
 	rank int
-	// latest is when it had the latest request, since when the first one after a pause of wantTTL.
-	latest, since time.Time
+	// latest is when it had the latest request, since when the first one after a pause of wantTTL, known
+	// when the first one after a pause of wantMemory.
+	latest, since, known time.Time
 }
 
 // suspectTrials is what is known of the trials of one suspect at all processes.
@@ -146,11 +150,12 @@
 	return b
 }
 
-// before returns how many other processes want a trial and come before one of the given rank.
-func (t *suspectTrials) before(rank int, now time.Time) int {
+// before returns how many other processes come before one of the given rank and have had requests with
+// the suspect within the given time.
+func (t *suspectTrials) before(rank int, within time.Duration, now time.Time) int {
 	count := 0
 	for _, want := range t.others {
-		if want.rank < rank && now.Sub(want.latest) < wantTTL {
+		if want.rank < rank && now.Sub(want.latest) < within {
 			count++
 		}
 	}
@@ -171,7 +176,21 @@
 		return true
 	}
 	// The results of trials may be lost, and processes of lower ranks have no request with it.
-	return !t.own.latest.IsZero() && now.Sub(later(t.own.since, last)) >= lateTrialDelay(t.before(rank, now))
+	return t.isItsTurn(rank, last, now)
+}
+
+// isItsTurn reports whether a process without an allowance has waited long enough, for its requests since
+// the latest trial, to begin one: as all that come first among those with frequent requests would have done
+// by now, or as the very first of all. Only the first one may have waited since a request long ago: after a
+// pause, requests may come at many processes at once, which have not heard of each other's yet.
+func (t *suspectTrials) isItsTurn(rank int, last, now time.Time) bool {
+	if t.own.latest.IsZero() {
+		return false
+	}
+	if now.Sub(later(t.own.since, last)) >= lateTrialDelay(t.before(rank, wantTTL, now)) {
+		return true
+	}
+	return t.before(rank, wantMemory, now) == 0 && now.Sub(later(t.own.known, last)) >= lateTrialDelay(0)
 }
 
 // want records that this process has a request with the suspect. It reports whether other
@@ -181,6 +200,9 @@
 	if begins {
 		t.own.since = now
 	}
+	if t.own.latest.IsZero() || now.Sub(t.own.latest) >= wantMemory {
+		t.own.known = now
+	}
 	t.own.rank, t.own.latest = rank, now
 	return begins
 }
@@ -228,7 +250,7 @@
 	}
 }
 
-// lastWanting returns the process of others to drop: one whose want has expired longest, or of the highest rank.
+// lastWanting returns the process of others to drop: one without a recent request, or of the highest rank.
 func (t *suspectTrials) lastWanting() uint64 {
 	newest := time.Time{}
 	for _, want := range t.others {
@@ -264,7 +286,7 @@
 		wants[process] = t.own
 	}
 	for _, id := range slices.Sorted(maps.Keys(wants)) {
-		if age := now.Sub(wants[id].latest); age < wantTTL {
+		if age := now.Sub(wants[id].latest); age < wantMemory {
 			e.Wants = append(e.Wants, TrialWant{Process: id, Rank: wants[id].rank, AgeMillis: age.Milliseconds()})
 		}
 	}
