A retry no longer waits for a short body that a failed attempt states and withholds

What callers see: a target answers 503 with a stated length of 100 bytes and sends none of them. The lookup gets 504 after its 2 s, the stream after 4 s, though a sound target stands beside it.

Cause: the body of a failed attempt, up to 4 KB, is read to its end before the next attempt, so that the connection can be used again, without a limit of time.

Change: for 50 ms at most; then the connection is closed.

Result: TestForwardRetryDoesNotWaitForABody fails before (504 twice), passes 5 times under the race detector.

--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -340,12 +340,15 @@
 }
 
 // drainResponse reads a short response to its end and closes it, so that the
-// connection can be reused.
+// connection can be reused. It gives up after drainTimeout: the call waits meanwhile, and the target
+// may never send what it has stated.
 func (h *Handler) drainResponse(response *direct.Response) {
 	defer response.Close()
 	if response.Length < 0 || response.Length > drainLimit {
 		return
 	}
+	timer := time.AfterFunc(drainTimeout, response.Close)
+	defer timer.Stop()
 	buffer := make([]byte, drainLimit+1)
 	for {
 		if _, err := response.Read(buffer); err != nil {
@@ -357,6 +360,9 @@
 // drainLimit is the longest body, in bytes, that is read only to reuse the connection.
 const drainLimit = 4 << 10
 
+// drainTimeout limits the time for that. A short body comes with its head or soon after.
+const drainTimeout = 50 * time.Millisecond
+
 // finalFailure returns the failure of a call whose last attempt failed with the
 // given verdict.
 func (h *Handler) finalFailure(ctx context.Context, c *call, v verdict) *failure.Error {
