--- a/daemon/direct/corpus_test.go
+++ b/daemon/direct/corpus_test.go
@@ -62,6 +62,12 @@
 		if received.Changes != nil {
 			w.offer(*received.Changes)
 		}
+		exchange := exchangeOf(0)
+		exchange.heard(received.Store, now)
+		exchange.heard(received.Store, now.Add(behindDelay))
+		if received.ConfigurationPart != nil {
+			_, _ = exchange.take(*received.ConfigurationPart)
+		}
 		dispatch.New(dispatch.Config{}).SetPeerTokens("peer", received.Tokens, now)
 		if received.Evidence != nil {
 			tracker := poison.NewTracker(poison.Config{}, clock)
