Control responses of engines have a bound (bytes without end)

What operators see: an engine of the product's own interface that answers its agent without end uses up the memory of the host.

Cause: the generated client of the control API reads bodies whole, without a bound.

Change: the client of the control API fails at bodies over 8 MiB.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -37,6 +37,8 @@
 	probeDrainBytes = 64 << 10
 	// maxResponseHeadBytes is the maximum size of the head of a response.
 	maxResponseHeadBytes = 64 << 10
+	// maxControlBytes is the maximum size of the body of a control response, for instance of an expert map.
+	maxControlBytes = 8 << 20
 )
 
 // Client calls one back end over HTTP.
@@ -90,13 +92,27 @@
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: returnRedirects}
-	api, err := engineapi.NewClient(base, engineapi.WithClient(client))
+	api, err := engineapi.NewClient(base, engineapi.WithClient(controlClient{client}))
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
 	}
 	return &Client{base: base, kind: kind, http: client, api: api}, nil
 }
 
+// controlClient sends the calls of the control API, whose generated client reads bodies whole, and fails at
+// those over maxControlBytes.
+type controlClient struct{ http *http.Client }
+
+// Do sends a call.
+func (c controlClient) Do(request *http.Request) (*http.Response, error) {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maxControlBytes)
+	return response, nil
+}
+
 // returnRedirects makes the HTTP client return redirects to the caller: following
 // one would send the request a second time.
 func returnRedirects(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
