A reset during an upload is no end of a response

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection. The part came as a complete answer.

Cause: while a response is read, a goroutine writes the rest of the request. The kernel reports a reset once, to the write or to the read that comes first. After the write has received it, the read returns 0 bytes, which is the end of a body without a length. net/http's transport has the same race.

Change: connection/integrity has the connection that all clients of a peer use (connection/direct, connection/engine, the store's and the ranks' clients). At the end of the peer's bytes its Read asks whether the peer has acknowledged the whole request. If a write has failed, or the connection is closed in both directions with a part unacknowledged, it returns a ResetError. If neither is known yet, it waits, 300 ms at most: a peer that has closed its connection answers the next part with a reset within a round trip. A peer that ends its side alone stays in reach, and its response is delivered. So the order in which reader and writer run decides nothing. The log line of an attempt without an answer names the reason.

Whole responses without a length are delivered in all cases, also when the target ends its side before it reads the upload, or never reads it.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -80,6 +80,7 @@
 	e.detach = context.AfterFunc(ctx, e.abort)
 	e.first, c.carried = !c.carried, true
 	c.recordID(request.ID)
+	c.BeginRequest(int64(len(request.Body)))
 	if n, err := c.Write(request.encode()); err != nil {
 		e.end(false)
 		return nil, &ExchangeError{Sent: n > 0, Cause: errors.Join(ctx.Err(), err)}
@@ -117,7 +118,7 @@
 func (e *exchange) sendBody(request *Request) {
 	e.bodySent = make(chan struct{})
 	var written atomic.Bool
-	if progress := pace.Progress(e.conn.Conn); progress != nil {
+	if progress := pace.Progress(e.conn.NetConn()); progress != nil {
 		e.reading = pace.NewMonitor(request.Pace, func() (int64, bool) {
 			moved, queued := progress()
 			return moved, queued || !written.Load()
--- a/connection/direct/pool.go
+++ b/connection/direct/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"verbenaseam.example/verbenaseam/connection/integrity"
 )
 
 const (
@@ -59,7 +61,7 @@
 
 // conn is a connection that carries one exchange at a time.
 type conn struct {
-	net.Conn
+	*integrity.Conn
 	reader *bufio.Reader
 	// limits is what reader reads from.
 	limits *limitedReader
@@ -168,8 +170,9 @@
 	if p.onDial != nil {
 		p.onDial(took)
 	}
-	limits := &limitedReader{Reader: raw}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(limits, readBufferBytes), limits: limits}, nil
+	checked := integrity.NewConn(raw)
+	limits := &limitedReader{Reader: checked}
+	return &conn{Conn: checked, reader: bufio.NewReaderSize(limits, readBufferBytes), limits: limits}, nil
 }
 
 // Check reports whether the target accepts connections: it returns nil if an idle
@@ -269,7 +272,7 @@
 // resetOnClose makes Close send a TCP reset, so that bytes of the request which are
 // still in transit are not delivered.
 func (c *conn) resetOnClose() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.NetConn().(*net.TCPConn); ok {
 		// SetLinger fails only on a connection that is already closed.
 		_ = tcp.SetLinger(0)
 	}
@@ -277,7 +280,7 @@
 
 // setUserTimeout sets TCP_USER_TIMEOUT of the connection.
 func (c *conn) setUserTimeout(timeout time.Duration) {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	tcp, ok := c.NetConn().(*net.TCPConn)
 	if !ok {
 		return
 	}
@@ -294,7 +297,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(syscall.Conn)
+	tcp, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"verbenaseam.example/verbenaseam/api/gen/engineapi"
+	"verbenaseam.example/verbenaseam/connection/integrity"
 )
 
 // Header fields that an agent and its back end exchange.
@@ -91,7 +92,7 @@
 
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
-	client := &http.Client{Transport: transport, CheckRedirect: returnRedirects}
+	client := &http.Client{Transport: integrity.NewTransport(transport), CheckRedirect: returnRedirects}
 	api, err := engineapi.NewClient(base, engineapi.WithClient(controlClient{client}))
 	if err != nil {
 		return nil, &UnreachableError{Cause: err}
--- a/connection/pace/unacked.go
+++ b/connection/pace/unacked.go
@@ -4,7 +4,7 @@
 	"net"
 	"syscall"
 
-	"golang.org/x/sys/unix"
+	"verbenaseam.example/verbenaseam/connection/socket"
 )
 
 // Progress returns a function that returns by how many bytes the send queue of a connection
@@ -36,12 +36,7 @@
 // queueLength returns the number of bytes that were written to a connection and are not yet
 // acknowledged; 0 if the connection is closed.
 func queueLength(raw syscall.RawConn) int {
-	length := 0
-	err := raw.Control(func(fd uintptr) {
-		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
-			length = n
-		}
-	})
+	length, err := socket.Unacknowledged(raw)
 	if err != nil {
 		return 0
 	}
--- /dev/null
+++ b/internal/systemtest/brokenanswers_test.go
@@ -0,0 +1,153 @@
+package systemtest
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/soak"
+	"verbenaseam.example/verbenaseam/platform"
+	"verbenaseam.example/verbenaseam/platform/standin"
+)
+
+const (
+	// uploadBytes is more than the socket buffers of both ends take.
+	uploadBytes = 3 << 20
+	// brokenRequests is the number of requests sent for each form of a broken response.
+	brokenRequests = 20
+	// partOfAnswer is the body of a broken response.
+	partOfAnswer = "part of an answer"
+	// wholeAnswer is the body of all others.
+	wholeAnswer = "whole answer"
+	// brokenShare is one in how many responses is broken.
+	brokenShare = 4
+	// registrationTime is the time in which an entry learns of a target.
+	registrationTime = 500 * time.Millisecond
+)
+
+// brokenAnswer is a form of a broken response. send writes it to a connection of which the head of a request
+// has been read; head is that of a sound one up to its framing.
+type brokenAnswer struct {
+	name string
+	send func(c *net.TCPConn, status, head string)
+}
+
+// brokenAnswers are the forms that callers have reported.
+var brokenAnswers = []brokenAnswer{
+	{"reset during the upload", func(c *net.TCPConn, status, head string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+head+"\r\n"+partOfAnswer)
+		_ = c.SetLinger(0)
+	}},
+	{"closed during the upload", func(c *net.TCPConn, status, head string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+head+"\r\n"+partOfAnswer)
+	}},
+}
+
+// startBroken starts a server that serves one request a connection. respond gets its connection and head.
+func startBroken(t *testing.T, address string, respond func(c *net.TCPConn, r *http.Request)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					respond(c.(*net.TCPConn), r)
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// TestBrokenAnswersOfTargetsReachNoCaller runs an entry as a process in front of two targets, of which one sends
+// a part of its responses broken. It guards against a caller that gets a part of a response, or one that was
+// never sent, as a whole one, against orders that are sent twice and against lookups that fail for that.
+func TestBrokenAnswersOfTargetsReachNoCaller(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts programs")
+	}
+	for _, form := range brokenAnswers {
+		for _, status := range []string{"200 OK", "500 Internal Server Error"} {
+			t.Run(form.name+"/"+status, func(t *testing.T) {
+				t.Parallel()
+				s := startEntryFor(t)
+				var received, broken atomic.Int64
+				s.registerPlain("broken", startBroken(t, "127.0.0.1:0", func(c *net.TCPConn, r *http.Request) {
+					head := platform.HeaderAttemptID + ": " + r.Header.Get(platform.HeaderAttemptID) + "\r\n" + platform.HeaderSignature + ": seal\r\n"
+					if received.Add(1)%brokenShare == 0 {
+						broken.Add(1)
+						form.send(c, status, head)
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+wholeAnswer)
+				}))
+				s.requireWholeAnswers("/order/x", http.StatusBadGateway)
+				require.Equal(t, int64(brokenRequests), received.Load(), "each order is sent once")
+				s.registerPlain("sound", startBroken(t, "127.0.0.1:0", func(c *net.TCPConn, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platform.HeaderAttemptID+": "+r.Header.Get(platform.HeaderAttemptID)+
+						"\r\n"+platform.HeaderSignature+": seal\r\n\r\n"+wholeAnswer)
+				}))
+				time.Sleep(registrationTime)
+				s.requireWholeAnswers("/look/x", http.StatusOK)
+				require.Positive(t, broken.Load())
+			})
+		}
+	}
+}
+
+// startEntryFor starts a store and one entry whose configuration allows large bodies.
+func startEntryFor(t *testing.T) *platformSystem {
+	t.Helper()
+	s := &platformSystem{t: t, store: standin.NewStore(), entryBounds: soak.Bounds}
+	s.storeAddress = serve(t, "127.0.0.1:0", s.store)
+	limit := fmt.Appendf(nil, `"max_body_bytes":%d`, 2*uploadBytes)
+	s.store.Put(platform.TableOperator, platform.KeyConfiguration,
+		bytes.Replace(standin.Configuration(1, "/look/"), []byte(`"max_body_bytes":100000`), limit, 1))
+	s.addEntry(0)
+	return s
+}
+
+// registerPlain registers a target of the service for lookups and orders.
+func (s *platformSystem) registerPlain(id, address string) {
+	registration := &standin.Target{ID: id, Service: "plain", FailureDomain: "z1"}
+	s.store.Put(platform.TableTargets, id, registration.RegistrationValue(address, "ready"))
+}
+
+// requireWholeAnswers sends requests with large bodies one after the other. Each must be answered with the
+// whole body, or with the status that is allowed besides.
+func (s *platformSystem) requireWholeAnswers(path string, allowed int) {
+	s.t.Helper()
+	upload := strings.Repeat("a", uploadBytes)
+	require.Eventually(s.t, func() bool {
+		status, _, err := s.sendBody(s.entries[0], "/nowhere/", "")
+		return err == nil && status == http.StatusNotFound
+	}, 10*time.Second, 10*time.Millisecond)
+	time.Sleep(registrationTime)
+	for n := range brokenRequests {
+		status, body, err := s.sendBody(s.entries[0], path, upload)
+		require.NoError(s.t, err)
+		if status == http.StatusOK {
+			require.Equal(s.t, wholeAnswer, body, "request %d", n)
+			continue
+		}
+		require.Equal(s.t, allowed, status, "request %d: %q", n, body)
+	}
+}
--- a/internal/systemtest/platform_test.go
+++ b/internal/systemtest/platform_test.go
@@ -160,13 +160,18 @@
 
 // send sends a caller's request, with a new attempt ID, to an entry.
 func (s *platformSystem) send(entry *platformProcess, path string) (status int, body string, err error) {
+	return s.sendBody(entry, path, "body")
+}
+
+// sendBody is send with the body of the request.
+func (s *platformSystem) sendBody(entry *platformProcess, path, requestBody string) (status int, body string, err error) {
 	attemptIDs.Lock()
 	attemptIDs.count++
 	id := fmt.Sprintf("attempt-%d", attemptIDs.count)
 	attemptIDs.Unlock()
 	ctx, cancel := context.WithTimeout(s.t.Context(), 10*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.callerAddress+path, strings.NewReader("body"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry.callerAddress+path, strings.NewReader(requestBody))
 	if err != nil {
 		return 0, "", err
 	}
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -145,7 +145,7 @@
 	if ctx.Err() != nil || decision.Wait {
 		return false, decision.Wait
 	}
-	if decision.Retry || decision.Reason == retry.GiveUpBudget {
+	if decision.Retry || decision.Reason == retry.GiveUpBudget || v.noAnswer() {
 		h.log.WithFields(logrus.Fields{
 			"request": c.id, "target": c.target, "reason": v.reason, "again": decision.Retry,
 		}).Info("attempt failed")
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -22,7 +22,7 @@
 	defer src.response.Close()
 	body, err := h.readWhole(c, src)
 	if err != nil {
-		truncated := h.truncatedVerdict(src.ctx, c)
+		truncated := h.truncatedVerdict(src.ctx, c, err)
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
 		h.release(c, src.target, truncated.result)
 		return h.finalFailure(ctx, c, truncated)
@@ -103,10 +103,10 @@
 	c.held.Set(memory.Body, 0, h.clock.Now())
 }
 
-// truncatedVerdict returns the verdict on a response whose body was cut short. ctx
+// truncatedVerdict returns the verdict on a response whose body was cut short by the error. ctx
 // is the attempt's context.
-func (h *Handler) truncatedVerdict(ctx context.Context, c *call) verdict {
-	v := incomplete(dispatch.Failed, "response truncated")
+func (h *Handler) truncatedVerdict(ctx context.Context, c *call, err error) verdict {
+	v := incomplete(dispatch.Failed, "response truncated: "+err.Error())
 	if h.ended(ctx, c) {
 		v = v.abandoned()
 	}
@@ -161,7 +161,7 @@
 			}
 			return false, nil
 		}
-		v := h.truncatedVerdict(src.ctx, c)
+		v := h.truncatedVerdict(src.ctx, c, err)
 		if callerErr := out.failure(); callerErr != nil {
 			v = v.abandoned()
 			v.reason = callerErr.Error()
--- a/request/forward/verdict.go
+++ b/request/forward/verdict.go
@@ -49,6 +49,9 @@
 	return v.result == dispatch.Failed && v.failure != nil && v.failure.Outcome != failure.NotRun
 }
 
+// noAnswer reports whether the target failed without an answer that may be delivered.
+func (v verdict) noAnswer() bool { return v.result == dispatch.Failed && !v.deliver }
+
 // missedTarget reports whether a request did not reach the target that it was for: it was not sent, as
 // err shows, or another target has its address.
 func (v verdict) missedTarget(err error) bool {
@@ -78,7 +81,7 @@
 // classifyError returns the verdict on an attempt that failed without a response.
 // callDone is set if the caller has disconnected or its deadline has passed.
 func classifyError(err error, callDone bool) verdict {
-	v := incomplete(dispatch.Failed, "no response")
+	v := incomplete(dispatch.Failed, err.Error())
 	var exchange *direct.ExchangeError
 	var connectionLimit *direct.ConnectionLimitError
 	var mismatch *direct.ResponseMismatchError
--- a/request/forward/whole.go
+++ b/request/forward/whole.go
@@ -117,7 +117,7 @@
 	}
 	body, err := h.readWhole(c, x.streamSource)
 	if err != nil {
-		x.verdict = h.truncatedVerdict(x.ctx, c)
+		x.verdict = h.truncatedVerdict(x.ctx, c, err)
 		h.updateCrashEvidence(c, x.target, h.clock.Now(), err, x.verdict)
 		return
 	}
