A status that HTTP does not define is no response, nor the start of one

What callers saw: a target sent a response with status 000, a blank line and then a signed response; callers got that as 200. The same with 099. On the product's own interface statuses 0, 99 and 600 were passed on as responses.

Cause: connection/direct skipped every status below 200 as an interim one, and net/http's transport takes statuses below 100 for final ones. Nothing checked that a status is one.

Change: integrity.CheckHead is called for each head that a peer sends, final, late or interim, by connection/direct and by integrity.Transport. A status outside 100 to 599, or 101, which nobody asked for, ends the exchange as one that may have run; the head is not looked at, and the connection is closed. net/http offers the connection of a response without a body to the next request before the response is checked, so a request on a kept connection now waits for the end of the exchange before.

A signed 000 alone was a 502 before; that case was there already and stays.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"verbenaseam.example/verbenaseam/connection/integrity"
 	"verbenaseam.example/verbenaseam/connection/pace"
 )
 
@@ -157,6 +158,9 @@
 			return nil, err
 		}
 		e.conn.limits.unlimit()
+		if err := integrity.CheckHead(response.StatusCode); err != nil {
+			return nil, err
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- /dev/null
+++ b/connection/direct/malformed_test.go
@@ -0,0 +1,81 @@
+package direct
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// malformedStatuses are responses to the request "own" of which one has a status that no response may have. The
+// last one would be delivered without it.
+var malformedStatuses = map[string]string{
+	"000":                 statusText("000 X") + "X-Id: own\r\nContent-Length: 3\r\n\r\nown",
+	"000 without a head":  statusText("000 X") + "\r\n" + responseTo("own", "own"),
+	"000 of an ID":        statusText("000 X") + "X-Id: own\r\n\r\n" + responseTo("own", "own"),
+	"099 before a 200":    statusText("099 X") + "\r\n" + responseTo("own", "own"),
+	"001 before a 200":    statusText("001 X") + "\r\n" + responseTo("own", "own"),
+	"+20 before a 200":    statusText("+20 X") + "\r\n" + responseTo("own", "own"),
+	"000 after a 100":     statusText("100 Continue") + "\r\n" + statusText("000 X") + "\r\n" + responseTo("own", "own"),
+	"000 before a 100":    statusText("000 X") + "\r\n" + statusText("100 Continue") + "\r\n" + responseTo("own", "own"),
+	"101 nobody asked":    statusText("101 Switching Protocols") + "Upgrade: x\r\n\r\n" + responseTo("own", "own"),
+	"600":                 statusText("600 X") + "X-Id: own\r\nContent-Length: 3\r\n\r\nown",
+	"999":                 statusText("999 X") + "X-Id: own\r\nContent-Length: 3\r\n\r\nown",
+	"000 as a late one":   statusText("000 X") + "X-Id: before\r\nContent-Length: 4\r\n\r\nlate" + responseTo("own", "own"),
+	"600 as a late one":   statusText("600 X") + "X-Id: before\r\nContent-Length: 4\r\n\r\nlate" + responseTo("own", "own"),
+	"000 ending its body": statusText("000 X") + "X-Id: own\r\n\r\nown",
+}
+
+func statusText(status string) string { return "HTTP/1.1 " + status + "\r\n" }
+
+// TestMalformedStatusIsNoAnswer guards against a response that is believed though its status is none, or
+// that is skipped as an interim one, so that what follows it is believed.
+func TestMalformedStatusIsNoAnswer(t *testing.T) {
+	for name, text := range malformedStatuses {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, text) })
+	}
+}
+
+// requireNoAnswer has a target send a text in place of the response to its second request. Nothing in it
+// may be believed, and its connection may not be used again.
+func requireNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	s := startTarget(t, func(c net.Conn, in *bufio.Reader, _ int) {
+		for {
+			r, _, err := readRequest(in)
+			if err != nil {
+				return
+			}
+			if id := r.Header.Get("X-Id"); id != "own" {
+				_, _ = io.WriteString(c, responseTo(id, "ok"))
+				continue
+			}
+			_, _ = io.WriteString(c, text)
+			_ = c.(*net.TCPConn).CloseWrite()
+		}
+	})
+	pool := s.pool(2)
+	response, err := pool.Do(t.Context(), request("before"), false)
+	require.NoError(t, err)
+	require.Equal(t, "ok", readAll(t, response))
+	sent := request("own")
+	var believed []int
+	sent.OnHead = func(status int, _ http.Header) { believed = append(believed, status) }
+	response, err = pool.Do(t.Context(), sent, false)
+	if err == nil {
+		_, err = io.ReadAll(response)
+		response.Close()
+	} else {
+		require.Empty(t, believed)
+	}
+	require.Error(t, err)
+	var failed *ExchangeError
+	if response == nil {
+		require.ErrorAs(t, err, &failed)
+		require.True(t, failed.Sent, "the request may have run")
+	}
+	require.Zero(t, pool.IdleCount())
+}
--- /dev/null
+++ b/connection/engine/malformed_test.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/connection/integrity"
+)
+
+// ownAnswer is a sound response to the request "r".
+const ownAnswer = "HTTP/1.1 200 OK\r\n" + HeaderRequestID + ": r\r\nContent-Length: 3\r\n\r\nown"
+
+// malformedStatuses are responses of which one has a status that no response may have.
+var malformedStatuses = map[string]string{
+	"000 with a body":    "HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nown",
+	"000 without a body": "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+	"000 before a 200":   "HTTP/1.1 000 X\r\n\r\n" + ownAnswer,
+	"099 before a 200":   "HTTP/1.1 099 X\r\n\r\n" + ownAnswer,
+	"000 after a 100":    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n\r\n" + ownAnswer,
+	"101 nobody asked":   "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + ownAnswer,
+	"600 with a body":    "HTTP/1.1 600 X\r\nContent-Length: 3\r\n\r\nown",
+	"600 without a body": "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+}
+
+// TestMalformedStatusIsNoAnswer guards against an engine's response that is believed though its status is none,
+// and against another use of its connection.
+func TestMalformedStatusIsNoAnswer(t *testing.T) {
+	for name, text := range malformedStatuses {
+		t.Run(name, func(t *testing.T) { requireNoAnswer(t, text) })
+	}
+}
+
+// requireNoAnswer has an engine send a text in place of a response.
+func requireNoAnswer(t *testing.T, text string) {
+	t.Helper()
+	var connections atomic.Int64
+	client := startKept(t, func(c net.Conn, number int) {
+		if number == 1 {
+			connections.Add(1)
+		}
+		if connections.Load() == 1 && number == 2 {
+			_, _ = io.WriteString(c, text)
+			return
+		}
+		_, _ = io.WriteString(c, ownAnswer)
+	})
+	body, err := forward(t, client, nil)
+	require.NoError(t, err)
+	require.Equal(t, "own", body)
+	_, err = forward(t, client, nil)
+	var unreachable *UnreachableError
+	var malformed *integrity.HeadError
+	require.ErrorAs(t, err, &unreachable)
+	require.ErrorAs(t, err, &malformed)
+	body, err = forward(t, client, nil)
+	require.NoError(t, err)
+	require.Equal(t, "own", body)
+	require.Equal(t, int64(2), connections.Load(), "the connection of a malformed response was used again")
+}
+
+// startKept returns a client of an engine that keeps its connections. respond gets a connection and the number
+// of the request on it, from 1 on.
+func startKept(t *testing.T, respond func(c net.Conn, number int)) *Client {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for number := 1; ; number++ {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					respond(c, number)
+				}
+			}()
+		}
+	}()
+	client, err := NewClient("http://"+listener.Addr().String(), KindService)
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+	return client
+}
+
+// TestConnectionOfAMalformedResponseIsNeverUsedAgain guards against a request that gets the connection of a
+// malformed response without a body, which net/http offers before the response has been checked.
+func TestConnectionOfAMalformedResponseIsNeverUsedAgain(t *testing.T) {
+	const senders, requests = 8, 100
+	var usedAgain atomic.Int64
+	client := startKept(t, func(c net.Conn, number int) {
+		if number > 1 {
+			usedAgain.Add(1)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n")
+	})
+	var sending sync.WaitGroup
+	failures := make(chan string, senders*requests)
+	for range senders {
+		sending.Go(func() {
+			for range requests {
+				call := Call{ID: "r", Method: http.MethodGet, Path: "/", Header: http.Header{}, Remaining: time.Second}
+				if response, err := client.Forward(t.Context(), call); err == nil {
+					failures <- fmt.Sprint(response.StatusCode)
+				}
+			}
+		})
+	}
+	sending.Wait()
+	require.Empty(t, failures)
+	require.Zero(t, usedAgain.Load())
+}
--- a/connection/engine/reset_test.go
+++ b/connection/engine/reset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,8 @@
 	// resetRuns is how often each way to end a connection is played: its outcome must not depend on
 	// the order in which the upload and the response are handled.
 	resetRuns = 20
+	// forwardTimeout is the time of one request.
+	forwardTimeout = 5 * time.Second
 )
 
 // TestResetDuringUploadIsNotTheEnd guards against the part of an engine's response that reads as whole,
@@ -86,7 +89,9 @@
 func forward(t *testing.T, client *Client, upload []byte) (string, error) {
 	t.Helper()
 	call := Call{ID: "r", Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: upload, Remaining: time.Second}
-	response, err := client.Forward(t.Context(), call)
+	ctx, cancel := context.WithTimeout(t.Context(), forwardTimeout)
+	defer cancel()
+	response, err := client.Forward(ctx, call)
 	if err != nil {
 		return "", err
 	}
--- a/connection/integrity/conn.go
+++ b/connection/integrity/conn.go
@@ -35,6 +35,8 @@
 	request requestProgress
 	// writeErr is the error of a write.
 	writeErr error
+	// exchange is closed once the latest exchange of a Transport has ended, nil before the first one.
+	exchange chan struct{}
 	// endErr is what Read has returned at the end of the connection, nil before that.
 	endErr error
 }
@@ -60,6 +62,20 @@
 	c.request = requestProgress{bodyBytes: bodyBytes}
 }
 
+// beginExchange begins an exchange of a Transport, after the last one has ended. The caller must close the
+// channel that it returns.
+func (c *Conn) beginExchange() chan<- struct{} {
+	ended := make(chan struct{})
+	c.mu.Lock()
+	last := c.exchange
+	c.exchange = ended
+	c.mu.Unlock()
+	if last != nil {
+		<-last
+	}
+	return ended
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/internal/systemtest/brokenanswers_test.go
+++ b/internal/systemtest/brokenanswers_test.go
@@ -34,22 +34,33 @@
 	registrationTime = 500 * time.Millisecond
 )
 
-// brokenAnswer is a form of a broken response. send writes it to a connection of which the head of a request
-// has been read; head is that of a sound one up to its framing.
+// brokenAnswer is a form of a broken response. send writes it to the connection of a request whose body has
+// not been read; head is that of a sound one up to its framing.
 type brokenAnswer struct {
 	name string
-	send func(c *net.TCPConn, status, head string)
+	send func(c *net.TCPConn, r *http.Request, status, head string)
 }
 
 // brokenAnswers are the forms that callers have reported.
 var brokenAnswers = []brokenAnswer{
-	{"reset during the upload", func(c *net.TCPConn, status, head string) {
+	{"reset during the upload", func(c *net.TCPConn, _ *http.Request, status, head string) {
 		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+head+"\r\n"+partOfAnswer)
 		_ = c.SetLinger(0)
 	}},
-	{"closed during the upload", func(c *net.TCPConn, status, head string) {
+	{"closed during the upload", func(c *net.TCPConn, _ *http.Request, status, head string) {
 		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+head+"\r\n"+partOfAnswer)
 	}},
+	{"status 000", afterUpload("HTTP/1.1 000 X\r\nHEADContent-Length: 17\r\n\r\n" + partOfAnswer)},
+	{"status 000 before another", afterUpload("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 STATUS\r\nHEADContent-Length: 17\r\n\r\n" + partOfAnswer)},
+}
+
+// afterUpload returns a function that reads the body of a request and then writes a text, with the status
+// and head in place of STATUS and HEAD.
+func afterUpload(text string) func(c *net.TCPConn, r *http.Request, status, head string) {
+	return func(c *net.TCPConn, r *http.Request, status, head string) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = strings.NewReplacer("STATUS", status, "HEAD", head).WriteString(c, text)
+	}
 }
 
 // startBroken starts a server that serves one request a connection. respond gets its connection and head.
@@ -92,7 +103,7 @@
 					head := platform.HeaderAttemptID + ": " + r.Header.Get(platform.HeaderAttemptID) + "\r\n" + platform.HeaderSignature + ": seal\r\n"
 					if received.Add(1)%brokenShare == 0 {
 						broken.Add(1)
-						form.send(c, status, head)
+						form.send(c, r, status, head)
 						return
 					}
 					_, _ = io.Copy(io.Discard, r.Body)
