A malformed name of a field makes a response broken

What callers saw: a target sent a response in whose head the name of a field held a blank. The field had no effect: after "Content-Length : 4" callers got a body of another length, after "Transfer-Encoding : chunked" the framing of the chunks as a body, after "Content-Encoding : gzip" a body that was not the target's, all with its signature. The same on the product's own interface.

Cause: net/http keeps a field whose name holds a blank under that name and rejects only other bytes.

Change: integrity.CheckHead, which all readers of a peer's heads call, rejects a header with such a name, and CheckFields does for trailers, at the end of the body. A late response to an earlier request is looked at after its body and trailer only.

A tab, a control byte, a byte above 0x7f or no byte at all in a name, and control bytes in a value, were rejected before by net/http; the tests stay, nothing was changed for them.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -31,7 +31,8 @@
 	Delimited bool
 
 	exchange *exchange
-	body     io.ReadCloser
+	// received is the response as net/http reads it. Its trailer is set at the end of its body.
+	received *http.Response
 }
 
 // exchange is a request and its response on a connection.
@@ -158,37 +159,39 @@
 			return nil, err
 		}
 		e.conn.limits.unlimit()
-		if err := integrity.CheckHead(response.StatusCode); err != nil {
+		if err := integrity.CheckHead(response.StatusCode, response.Header); err != nil {
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		if request.OnHead != nil {
-			request.OnHead(response.StatusCode, response.Header)
-		}
 		id := response.Header.Get(request.IDHeader)
 		if id == request.ID && id != "" || id == "" && e.first {
 			e.sending.Close()
+			request.reportHead(response)
 			return e.newResponse(request, response), nil
 		}
 		if id == "" || !delimited(response) || request.Method == http.MethodHead {
 			return nil, &ResponseMismatchError{Want: request.ID, Got: id}
 		}
-		if err := discardLateBody(response.Body); err != nil {
+		if err := discardLateBody(response); err != nil {
 			return nil, err
 		}
+		request.reportHead(response)
 	}
 	return nil, &ResponseMismatchError{Want: request.ID}
 }
 
 // discardLateBody reads the body of a late response to its end.
-func discardLateBody(body io.Reader) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(body, maxLateBodyBytes+1))
-	if err == nil && n > maxLateBodyBytes {
-		err = &ResponseTooLongError{Limit: maxLateBodyBytes}
+func discardLateBody(response *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxLateBodyBytes+1))
+	switch {
+	case err != nil:
+		return err
+	case n > maxLateBodyBytes:
+		return &ResponseTooLongError{Limit: maxLateBodyBytes}
 	}
-	return err
+	return integrity.CheckFields(response.StatusCode, response.Trailer)
 }
 
 // delimited reports whether a response has a length or is chunked.
@@ -206,7 +209,7 @@
 	e.idleTimeout = idleTimeout(response.Header)
 	return &Response{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Delimited: delimited(response),
-		exchange: e, body: response.Body,
+		exchange: e, received: response,
 	}
 }
 
@@ -230,10 +233,15 @@
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (r *Response) Read(into []byte) (int, error) {
-	n, err := r.body.Read(into)
-	if errors.Is(err, io.EOF) {
-		r.exchange.end(true)
+	n, err := r.received.Body.Read(into)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if malformed := integrity.CheckFields(r.Status, r.received.Trailer); malformed != nil {
+		r.exchange.end(false)
+		return n, malformed
 	}
+	r.exchange.end(true)
 	return n, err
 }
 
--- a/connection/integrity/transport.go
+++ b/connection/integrity/transport.go
@@ -41,7 +41,7 @@
 		e.end()
 		return nil, err
 	}
-	if err := CheckHead(response.StatusCode); err != nil {
+	if err := CheckHead(response.StatusCode, response.Header); err != nil {
 		e.reject()
 		// The connection is closed already.
 		_ = response.Body.Close()
@@ -51,7 +51,7 @@
 		e.end()
 		return response, nil
 	}
-	response.Body = &body{ReadCloser: response.Body, exchange: e}
+	response.Body = &body{ReadCloser: response.Body, response: response, exchange: e}
 	return response, nil
 }
 
@@ -94,7 +94,7 @@
 
 // checkInterim returns why an interim response ends the exchange, nil if it does not. net/http does not limit
 // their number if they are checked.
-func (e *exchange) checkInterim(status int, _ textproto.MIMEHeader) error {
+func (e *exchange) checkInterim(status int, header textproto.MIMEHeader) error {
 	e.mu.Lock()
 	e.interimCount++
 	count := e.interimCount
@@ -102,7 +102,7 @@
 	if count > maxInterimResponses {
 		return &HeadError{Status: status, Reason: "too many interim responses"}
 	}
-	return CheckHead(status)
+	return CheckHead(status, http.Header(header))
 }
 
 // begin begins the exchange on a connection. It may have begun on another one, which failed before the
@@ -136,18 +136,25 @@
 	}
 }
 
-// body is the body of a response that ends its exchange.
+// body is the body of a response. Its end is that of the exchange.
 type body struct {
 	io.ReadCloser
+	// response has the trailer at the end of the body.
+	response *http.Response
 	exchange *exchange
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. It fails at the end of a response with a malformed trailer.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
-		b.exchange.end()
+	if err == nil {
+		return n, nil
+	}
+	if malformed := CheckFields(b.response.StatusCode, b.response.Trailer); malformed != nil {
+		b.exchange.reject()
+		return n, malformed
 	}
+	b.exchange.end()
 	return n, err
 }
 
--- a/internal/systemtest/brokenanswers_test.go
+++ b/internal/systemtest/brokenanswers_test.go
@@ -51,6 +51,10 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 "+status+"\r\n"+head+"\r\n"+partOfAnswer)
 	}},
 	{"status 000", afterUpload("HTTP/1.1 000 X\r\nHEADContent-Length: 17\r\n\r\n" + partOfAnswer)},
+	{"a blank in a length", afterUpload("HTTP/1.1 STATUS\r\nHEADContent-Length : 4\r\n\r\n" + partOfAnswer)},
+	{"a blank in an encoding", afterUpload("HTTP/1.1 STATUS\r\nHEADTransfer-Encoding : chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n")},
+	{"a blank in a name", afterUpload("HTTP/1.1 STATUS\r\nHEADX Field: a\r\nContent-Length: 17\r\n\r\n" + partOfAnswer)},
+	{"a control byte in a name", afterUpload("HTTP/1.1 STATUS\r\nHEADX\x01: a\r\nContent-Length: 17\r\n\r\n" + partOfAnswer)},
 	{"status 000 before another", afterUpload("HTTP/1.1 000 X\r\n\r\nHTTP/1.1 STATUS\r\nHEADContent-Length: 17\r\n\r\n" + partOfAnswer)},
 }
 
