A connection that was reset stays so for each read

What could happen: a response without a length whose connection was reset failed, and a second read of its body, to discard the rest, found the end of the connection. The response counted as whole then.

Cause: the kernel reports a reset to one read, and the end of the connection to those after it.

Change: integrity.Conn returns its first error again, unless that was a timeout.

--- a/connection/integrity/conn.go
+++ b/connection/integrity/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -37,7 +38,7 @@
 	writeErr error
 	// exchange is closed once the latest exchange of a Transport has ended, nil before the first one.
 	exchange chan struct{}
-	// endErr is what Read has returned at the end of the connection, nil before that.
+	// endErr is what Read returns after the end of the connection, nil before that.
 	endErr error
 }
 
@@ -88,19 +89,22 @@
 	return n, err
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. After an error other than a timeout it returns the same one: the kernel reports a
+// reset to one read only, and the end of the connection to those after it.
 func (c *Conn) Read(p []byte) (int, error) {
+	if ended := c.knownEnd(); ended != nil {
+		return 0, ended
+	}
 	n, err := c.Conn.Read(p)
-	if n > 0 || !errors.Is(err, io.EOF) || c.raw == nil {
+	if n > 0 || err == nil {
 		return n, err
 	}
-	if ended := c.knownEnd(); ended != nil {
-		return 0, ended
+	if errors.Is(err, io.EOF) && c.raw != nil {
+		err = c.awaitEnd(p)
+	}
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setEnd(err)
 	}
-	err = c.awaitEnd(p)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.endErr = err
 	return 0, err
 }
 
@@ -110,6 +114,12 @@
 	return c.endErr
 }
 
+func (c *Conn) setEnd(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endErr = err
+}
+
 // awaitEnd returns how a connection has ended from which no more bytes can be read. If the peer may
 // still reset it, awaitEnd waits up to resetWait. The end of the read deadline ends the wait.
 func (c *Conn) awaitEnd(p []byte) error {
--- a/connection/integrity/conn_test.go
+++ b/connection/integrity/conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -68,6 +69,22 @@
 	}
 }
 
+// TestResetIsReportedToEachRead guards against a response that is whole for whoever reads on after the error.
+func TestResetIsReportedToEachRead(t *testing.T) {
+	own, peer := pair(t)
+	own.BeginRequest(0)
+	_, err := io.WriteString(own, "GET / HTTP/1.1\r\n\r\n")
+	require.NoError(t, err)
+	_, err = io.ReadFull(peer, make([]byte, 18))
+	require.NoError(t, err)
+	require.NoError(t, peer.SetLinger(0))
+	require.NoError(t, peer.Close())
+	for range 3 {
+		_, err = own.Read(make([]byte, 1))
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+	}
+}
+
 // TestDeadlineEndsTheWaitForAReset guards against reads that go on after their deadline.
 func TestDeadlineEndsTheWaitForAReset(t *testing.T) {
 	own, peer := pair(t)
