A refusal that is cut short is not believed

What callers saw: a target began a refusal (503, 429, 408, 421 or any status with the header that says "not run") and broke off within the body. An order was sent to the next target, or its caller was told that it had not run. A lookup ended with 502 after a 404 that broke off, though another target could serve it. A target that named a limit, a pause or its leaving in such a response got no more requests.

Cause: the head alone decided what the response says.

What a target says of itself is recorded once its response is whole; the head of a stream is believed when it arrives, since its end may be far. direct.Request.OnLate has the heads of late responses only.

--- a/connection/direct/exchange.go
+++ b/connection/direct/exchange.go
@@ -168,7 +168,6 @@
 		id := response.Header.Get(request.IDHeader)
 		if id == request.ID && id != "" || id == "" && e.first {
 			e.sending.Close()
-			request.reportHead(response)
 			return e.newResponse(request, response), nil
 		}
 		if id == "" || !delimited(response) || request.Method == http.MethodHead {
@@ -177,7 +176,9 @@
 		if err := discardLateBody(response); err != nil {
 			return nil, err
 		}
-		request.reportHead(response)
+		if request.OnLate != nil {
+			request.OnLate(response.StatusCode, response.Header)
+		}
 	}
 	return nil, &ResponseMismatchError{Want: request.ID}
 }
--- a/connection/direct/malformed_test.go
+++ b/connection/direct/malformed_test.go
@@ -119,7 +119,7 @@
 	require.Equal(t, "ok", readAll(t, response))
 	sent := request("own")
 	var believed []int
-	sent.OnHead = func(status int, _ http.Header) { believed = append(believed, status) }
+	sent.OnLate = func(status int, _ http.Header) { believed = append(believed, status) }
 	response, err = pool.Do(t.Context(), sent, false)
 	if err == nil {
 		_, err = io.ReadAll(response)
--- a/connection/direct/request.go
+++ b/connection/direct/request.go
@@ -29,16 +29,9 @@
 	// Pace is the least progress of the target in reading a large body and in sending the head
 	// of a response that it has begun; zero for none.
 	Pace pace.Rate
-	// OnHead, if not nil, is called with the head of each whole response that arrives on the
-	// connection before the one to this request, and of that one, whose body is yet to be read.
-	OnHead func(status int, header http.Header)
-}
-
-// reportHead calls OnHead.
-func (r *Request) reportHead(response *http.Response) {
-	if r.OnHead != nil {
-		r.OnHead(response.StatusCode, response.Header)
-	}
+	// OnLate, if not nil, is called with the head of each late response to an earlier request that arrives on
+	// the connection before the one to this request. It is whole.
+	OnLate func(status int, header http.Header)
 }
 
 // maxSmallBodyBytes is the size up to which a body is written before the response is
--- a/request/forward/deadline_test.go
+++ b/request/forward/deadline_test.go
@@ -39,8 +39,9 @@
 	c.request, c.deadline = request, now.Add(50*time.Millisecond)
 	c.attempts.Begin()
 	late := context.Background() // ends later than the connection, here never
-	response, v := h.send(late, late, c, to)
-	require.Nil(t, response)
+	src := &streamSource{target: to, ctx: late, sent: clock.Now()}
+	v := h.send(late, c, src)
+	require.Nil(t, src.response)
 	require.Equal(t, failure.DeadlineExceeded, v.failure.Kind)
 	require.Equal(t, failure.Unknown, v.failure.Outcome)
 	require.Equal(t, dispatch.Abandoned, v.result)
--- a/request/forward/handler.go
+++ b/request/forward/handler.go
@@ -270,9 +270,8 @@
 func (h *Handler) attemptStream(ctx context.Context, w http.ResponseWriter, c *call, t *dispatch.Target) (shouldRetry bool, failed *failure.Error) {
 	h.beginStreamAttempt(c, t)
 	attemptCtx, watchdog := h.startWatchdog(ctx, c, t, nil)
-	sent := h.clock.Now()
-	response, v := h.send(ctx, attemptCtx, c, t)
-	src := &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog, sent: sent}
+	src := &streamSource{target: t, ctx: attemptCtx, watchdog: watchdog, sent: h.clock.Now()}
+	v := h.send(ctx, c, src)
 	if v.success() {
 		return h.relayStream(ctx, w, c, src)
 	}
@@ -289,29 +288,38 @@
 // discard ends an attempt whose response, if there is one, does not go to the caller.
 func (h *Handler) discard(c *call, src *streamSource, v verdict) {
 	if src.response != nil {
-		h.drainResponse(src.response)
+		// The call goes on without it. The connection is closed if it has not ended.
+		_ = h.drain(c, src, discardBound)
 	}
 	if v.result == dispatch.Abandoned {
 		h.dispatcher.RecordResponse(src.target, h.clock.Since(src.sent), false, h.clock.Now())
 	}
 }
 
-// send sends a call to a target and returns the verdict on the head of the
-// response. The response is nil if none arrived. attemptCtx is the attempt's
-// context, derived from ctx.
-func (h *Handler) send(ctx, attemptCtx context.Context, c *call, t *dispatch.Target) (*direct.Response, verdict) {
-	sent := h.clock.Now()
-	request := c.outgoingRequest(&h.headers, h.pace, t, sent)
-	request.OnHead = func(status int, header http.Header) { h.recordNotice(c, t, sent, status, header) }
-	response, err := h.connections(t).Do(attemptCtx, request, false)
+// send sends a call to the target of an attempt and returns the verdict on its response, which the attempt
+// has then if one arrived. ctx is the call's context.
+func (h *Handler) send(ctx context.Context, c *call, src *streamSource) verdict {
+	t := src.target
+	request := c.outgoingRequest(&h.headers, h.pace, t, src.sent)
+	request.OnLate = func(status int, header http.Header) { h.recordNotice(c, t, src.sent, status, header) }
+	response, err := h.connections(t).Do(src.ctx, request, false)
 	if err != nil {
-		v := withWatchdogCause(attemptCtx, classifyError(err, h.ended(ctx, c)))
-		h.updateCrashEvidence(c, t, sent, err, v)
-		return nil, v
+		v := withWatchdogCause(src.ctx, classifyError(err, h.ended(ctx, c)))
+		h.updateCrashEvidence(c, t, src.sent, err, v)
+		return v
 	}
+	src.response = response
 	v := classifyResponse(&h.headers, response.Status, response.Header, t.ID())
-	h.updateCrashEvidence(c, t, sent, nil, v)
-	return response, v
+	if err := h.confirm(c, src, v); err != nil {
+		v = h.truncatedVerdict(src.ctx, c, err)
+		h.updateCrashEvidence(c, t, h.clock.Now(), err, v)
+		return v
+	}
+	h.updateCrashEvidence(c, t, src.sent, nil, v)
+	if v.success() && c.route.Direct.Streams {
+		h.recordOwnNotice(c, src)
+	}
+	return v
 }
 
 // ended reports whether the caller of a call has disconnected or its deadline has passed. On a
@@ -339,30 +347,6 @@
 	c.firstEvent, c.ran = time.Time{}, false
 }
 
-// drainResponse reads a short response to its end and closes it, so that the
-// connection can be reused. It gives up after drainTimeout: the call waits meanwhile, and the target
-// may never send what it has stated.
-func (h *Handler) drainResponse(response *direct.Response) {
-	defer response.Close()
-	if response.Length < 0 || response.Length > drainLimit {
-		return
-	}
-	timer := time.AfterFunc(drainTimeout, response.Close)
-	defer timer.Stop()
-	buffer := make([]byte, drainLimit+1)
-	for {
-		if _, err := response.Read(buffer); err != nil {
-			return
-		}
-	}
-}
-
-// drainLimit is the longest body, in bytes, that is read only to reuse the connection.
-const drainLimit = 4 << 10
-
-// drainTimeout limits the time for that. A short body comes with its head or soon after.
-const drainTimeout = 50 * time.Millisecond
-
 // finalFailure returns the failure of a call whose last attempt failed with the
 // given verdict.
 func (h *Handler) finalFailure(ctx context.Context, c *call, v verdict) *failure.Error {
--- a/request/forward/notice.go
+++ b/request/forward/notice.go
@@ -82,6 +82,11 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
+// recordOwnNotice is recordNotice for the response to a call itself, which is whole, or a stream that has begun.
+func (h *Handler) recordOwnNotice(c *call, src *streamSource) {
+	h.recordNotice(c, src.target, src.sent, src.response.Status, src.response.Header)
+}
+
 // recordNotice passes on what a target says in the head of a response to a call, or to an
 // earlier request on the connection. sent is when the call was sent.
 func (h *Handler) recordNotice(c *call, t *dispatch.Target, sent time.Time, status int, header http.Header) {
--- a/request/forward/relay.go
+++ b/request/forward/relay.go
@@ -20,8 +20,7 @@
 // call's context, from which that of src is derived.
 func (h *Handler) relayFailure(ctx context.Context, w http.ResponseWriter, c *call, src *streamSource, v verdict) *failure.Error {
 	defer src.response.Close()
-	body, err := h.readWhole(c, src)
-	if err != nil {
+	if err := h.readWhole(c, src); err != nil {
 		truncated := h.truncatedVerdict(src.ctx, c, err)
 		h.updateCrashEvidence(c, src.target, h.clock.Now(), err, truncated)
 		h.release(c, src.target, truncated.result)
@@ -29,15 +28,18 @@
 	}
 	src.watchdog.progress()
 	h.release(c, src.target, v.result)
-	h.deliver(w, c, src.response, body)
+	h.deliver(w, c, src)
 	return nil
 }
 
 // readWhole reads the whole body of a response before any of it is written, so that the caller never
-// receives part of a truncated one.
-func (h *Handler) readWhole(c *call, src *streamSource) ([]byte, error) {
+// receives part of a truncated one. It has no effect if the body has been read.
+func (h *Handler) readWhole(c *call, src *streamSource) error {
+	if src.whole {
+		return nil
+	}
 	if src.response.Length > responseLimit {
-		return nil, errResponseTooLong
+		return errResponseTooLong
 	}
 	reading := h.beginReading(c, src)
 	bounded := &accountedReader{response: src.response, reading: reading, now: h.clock.Now}
@@ -45,10 +47,12 @@
 	src.watchdog.received(0, false)
 	reading.Close()
 	if err != nil {
-		return nil, err
+		return err
 	}
+	src.body, src.whole = body, true
 	c.held.Set(memory.Response, int64(cap(body)), h.clock.Now())
-	return body, nil
+	h.recordOwnNotice(c, src)
+	return nil
 }
 
 // accountedReader reads a response and accounts for what its body takes. It fails with
@@ -83,17 +87,17 @@
 	})
 }
 
-// deliver writes a response with its whole body to the caller.
-func (h *Handler) deliver(w http.ResponseWriter, c *call, response *direct.Response, body []byte) {
+// deliver writes a response whose whole body has been read to the caller.
+func (h *Handler) deliver(w http.ResponseWriter, c *call, src *streamSource) {
 	h.metrics.ObserveFirstByte(c.organisationName(), c.class(), h.clock.Since(c.started))
 	h.dropBody(c)
-	copyHeaders(w, response)
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(response.Status)
+	copyHeaders(w, src.response)
+	w.Header().Set("Content-Length", strconv.Itoa(len(src.body)))
+	w.WriteHeader(src.response.Status)
 	out := h.newOutput(w, c)
 	defer out.close()
 	out.allowEnd(true)
-	c.undelivered = out.write(body)
+	c.undelivered = out.write(src.body)
 }
 
 // dropBody frees the body of a call that will not be sent again. The caller may take long to
@@ -121,10 +125,15 @@
 	}
 }
 
-// streamSource is the attempt that the events of a stream are read from.
+// streamSource is an attempt, from which a body or the events of a stream are read.
 type streamSource struct {
-	target   *dispatch.Target
+	target *dispatch.Target
+	// response is nil until one has arrived.
 	response *direct.Response
+	// body is the whole body of the response if whole is set.
+	body  []byte
+	whole bool
+	// ctx is the attempt's context, derived from the call's.
 	ctx      context.Context
 	watchdog *watchdog
 	// sent is when the attempt began.
@@ -206,16 +215,18 @@
 		}
 		h.beginStreamAttempt(c, t)
 		attemptCtx, watchdog := h.startWatchdog(ctx, c, t, nil)
-		response, v := h.send(ctx, attemptCtx, c, t)
-		if v.success() && !out.continues(response) {
+		src := &streamSource{target: t, ctx: attemptCtx, watchdog: watchdog, sent: h.clock.Now()}
+		v := h.send(ctx, c, src)
+		if v.success() && !out.continues(src.response) {
 			v = incomplete(dispatch.Failed, "response does not continue the stream")
 		}
 		if v.success() {
 			out.resumed = true
-			return &streamSource{target: t, response: response, ctx: attemptCtx, watchdog: watchdog}
+			return src
 		}
-		if response != nil {
-			h.drainResponse(response)
+		if src.response != nil {
+			// The stream goes on without it.
+			_ = h.drain(c, src, discardBound)
 		}
 		watchdog.stop()
 		h.release(c, t, v.result)
--- a/request/forward/verdict.go
+++ b/request/forward/verdict.go
@@ -8,6 +8,7 @@
 	"verbenaseam.example/verbenaseam/connection/direct"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/dispatch"
+	"verbenaseam.example/verbenaseam/request/retry"
 )
 
 // verdict classifies the head of a response, or the error that came instead.
@@ -49,6 +50,14 @@
 	return v.result == dispatch.Failed && v.failure != nil && v.failure.Outcome != failure.NotRun
 }
 
+// refused reports whether the target states that the request has not run.
+func (v verdict) refused() bool { return v.failure != nil && v.failure.Outcome == failure.NotRun }
+
+// final reports whether the response is a failure that goes to the caller without another attempt.
+func (v verdict) final() bool {
+	return v.failure != nil && v.deliver && !retry.Retriable(v.failure.Kind)
+}
+
 // noAnswer reports whether the target failed without an answer that may be delivered.
 func (v verdict) noAnswer() bool { return v.result == dispatch.Failed && !v.deliver }
 
@@ -58,7 +67,7 @@
 	if v.result == dispatch.AddressReused {
 		return true
 	}
-	return err != nil && v.failure != nil && v.failure.Outcome == failure.NotRun
+	return err != nil && v.refused()
 }
 
 // abandoned returns the verdict on an attempt that ended because the caller
--- a/request/forward/whole.go
+++ b/request/forward/whole.go
@@ -20,9 +20,8 @@
 	run *finish.Run
 	// stalled is why another attempt was begun beside this one, nil if none was.
 	stalled error
-	// verdict and body are set when the attempt has ended; body only after a success.
+	// verdict is set when the attempt has ended.
 	verdict verdict
-	body    []byte
 	// panicked is set if the attempt has panicked; the call then panics too.
 	panicked *attemptPanic
 }
@@ -111,17 +110,14 @@
 		}
 		r.ended <- x
 	}()
-	x.response, x.verdict = h.send(r.ctx, x.ctx, c, x.target)
+	x.verdict = h.send(r.ctx, c, x.streamSource)
 	if !x.verdict.success() {
 		return
 	}
-	body, err := h.readWhole(c, x.streamSource)
-	if err != nil {
+	if err := h.readWhole(c, x.streamSource); err != nil {
 		x.verdict = h.truncatedVerdict(x.ctx, c, err)
 		h.updateCrashEvidence(c, x.target, h.clock.Now(), err, x.verdict)
-		return
 	}
-	x.body = body
 }
 
 // hedge begins another attempt beside one whose target has stalled, if a target is free and the
@@ -175,7 +171,7 @@
 	r.endOthers()
 	// The others, which account for the same part, have set it to 0.
 	c.held.Set(memory.Response, int64(cap(x.body)), h.clock.Now())
-	h.deliver(w, c, x.response, x.body)
+	h.deliver(w, c, x.streamSource)
 }
 
 // fail ends the last exchange, which has failed. It delivers the target's response if there is one
