Broken answers of engines: the product's own interface, as processes

Four entries and 15 agents run as processes in front of a pool of three back ends, of which one sends one in four of its responses broken, in each form that callers reported.

Lookups and orders got "part of an answer", the framing of chunks, and statuses of broken responses; after a status of 000 the entry's handler panicked and callers got a closed connection.

--- a/internal/systemtest/brokenanswers_test.go
+++ b/internal/systemtest/brokenanswers_test.go
@@ -7,6 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,6 +17,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"verbenaseam.example/verbenaseam/connection/engine"
 	"verbenaseam.example/verbenaseam/internal/soak"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/platform/standin"
@@ -128,6 +132,73 @@
 	}
 }
 
+// TestBrokenAnswersOfEnginesReachNoCaller is the same for entries and agents of the product's own interface, as
+// processes. One of the three back ends of a pool sends a part of its responses broken.
+func TestBrokenAnswersOfEnginesReachNoCaller(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts 19 processes")
+	}
+	var form atomic.Pointer[brokenAnswer]
+	var status atomic.Value
+	var received atomic.Int64
+	respond := func(faulty bool) func(c *net.TCPConn, r *http.Request) {
+		return func(c *net.TCPConn, r *http.Request) {
+			head := engine.HeaderRequestID + ": " + r.Header.Get(engine.HeaderRequestID) + "\r\n"
+			if faulty && r.Method == http.MethodPost && received.Add(1)%brokenShare == 0 {
+				form.Load().send(c, r, status.Load().(string), head)
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+wholeAnswer)
+		}
+	}
+	f := startFleetWith(t, "himal", func(f *fleet) {
+		for n := range 3 {
+			f.setEngine(fmt.Sprintf("agent-floor-app-%d.ini", n+1), startBroken(t, "127.0.0.1:0", respond(n == 0)))
+		}
+	})
+	for i := range entryCount {
+		f.awaitReady(entryStatusOffset + i)
+	}
+	f.mustRunTool("tables", "apply", f.directory+"/tables.ini", "--expect-version", "0")
+	for i := range agentCount {
+		f.awaitReady(agentStatusOffset + i)
+	}
+	upload := bytes.Repeat([]byte("a"), uploadBytes)
+	for _, broken := range brokenAnswers {
+		for _, code := range []string{"200 OK", "500 Internal Server Error"} {
+			t.Run(broken.name+"/"+code, func(t *testing.T) {
+				form.Store(&broken)
+				status.Store(code)
+				before := received.Load()
+				for n := range brokenRequests {
+					code, _, body, err := send(f.newRequest(http.MethodPost, f.url(n%entryCount)+"/stock", upload, ""))
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, code, "lookup %d: %q", n, body)
+					require.Equal(t, wholeAnswer, string(body), "lookup %d", n)
+					code, _, body, err = send(f.newRequest(http.MethodPost, f.url(n%entryCount)+"/orders", upload, fmt.Sprintf("%s %d", t.Name(), n)))
+					require.NoError(t, err)
+					if code == http.StatusOK {
+						require.Equal(t, wholeAnswer, string(body), "order %d", n)
+						continue
+					}
+					require.Equal(t, http.StatusBadGateway, code, "order %d: %q", n, body)
+				}
+				require.GreaterOrEqual(t, received.Load()-before, int64(brokenShare), "no response was broken")
+			})
+		}
+	}
+}
+
+// setEngine sets the address of an agent's back end.
+func (f *fleet) setEngine(file, address string) {
+	path := filepath.Join(f.directory, file)
+	content, err := os.ReadFile(path)
+	require.NoError(f.t, err)
+	changed := regexp.MustCompile(`url = http://\S+`).ReplaceAll(content, []byte("url = http://"+address))
+	require.NoError(f.t, os.WriteFile(path, changed, 0o600))
+}
+
 // startEntryFor starts a store and one entry whose configuration allows large bodies.
 func startEntryFor(t *testing.T) *platformSystem {
 	t.Helper()
--- a/internal/systemtest/fleet_test.go
+++ b/internal/systemtest/fleet_test.go
@@ -45,6 +45,12 @@
 
 // startFleet builds the programs and starts every process of an example.
 func startFleet(t *testing.T, example string) *fleet {
+	t.Helper()
+	return startFleetWith(t, example, func(*fleet) {})
+}
+
+// startFleetWith is startFleet with a change of the agents' settings.
+func startFleetWith(t *testing.T, example string, change func(*fleet)) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, example: example, binaries: buildPrograms(t), directory: t.TempDir(),
@@ -56,6 +62,7 @@
 	f.standins, err = dev.StartStandins(f.directory)
 	require.NoError(t, err)
 	t.Cleanup(f.stop)
+	change(f)
 	for _, file := range f.settingsFiles("agent-*.ini") {
 		f.start("verbenaseam-agent", file)
 	}
