A malformed field in a handshake opens no link

What could happen: the response to the handshake of a link between our processes held a field with a blank in its name. The link was opened as if the field had not been sent.

Cause: the head is read with net/http's parser, which keeps such fields under a name of their own.

Change: link.Dial checks the fields like all other readers of a peer's heads.

Evidence: TestMalformedHandshakeOpensNoLink failed before in 2 of its 4 malformed cases. A tab or a control byte was rejected already.

--- a/connection/link/dial.go
+++ b/connection/link/dial.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/gorilla/websocket"
+
+	"verbenaseam.example/verbenaseam/connection/integrity"
 )
 
 // Dial opens a link to the process at address, an IP:port pair. ctx applies only
@@ -56,6 +58,10 @@
 	if err != nil {
 		return nil, agreement{}, &TransportError{Operation: "dial", Cause: err}
 	}
+	if err := integrity.CheckFields(response.StatusCode, response.Header); err != nil {
+		_ = socket.Close()
+		return nil, agreement{}, &TransportError{Operation: "dial", Cause: err}
+	}
 	version, err := agreedVersion(config.Versions, socket.Subprotocol(), nil)
 	if err != nil {
 		_ = socket.Close()
