The incarnation in an answer of an engine is believed once the answer is whole

What could happen: an engine's answer named another incarnation and broke off. Its agent reported the crash of the engine, with the requests that it was running as suspects.

Cause: the agent looked at the head before it read the body.

Change: it looks at the end of the body; for an event stream, whose end may be far, still at its head.

Evidence: TestIncarnationOfACutAnswerIsNotBelieved failed before in 3 of its 4 cases; the fourth is rejected with its head.

--- a/daemon/agent/forward.go
+++ b/daemon/agent/forward.go
@@ -53,7 +53,6 @@
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	f.monitor.observeIncarnation(response.Header.Get(engine.HeaderIncarnation))
 	err = f.relay(response, s, ticket, started)
 	f.inFlight.end(head.Fingerprint, err != nil && ctx.Err() == nil)
 	if err == nil {
@@ -120,11 +119,18 @@
 	if err != nil {
 		return err
 	}
+	f.monitor.observeIncarnation(response.Header.Get(engine.HeaderIncarnation))
 	ticket.FirstToken(time.Since(started))
 	return s.SendHead(responseHead(response), body, true)
 }
 
+// relayStream relays an answer as it arrives. Its incarnation is believed with its head if it is an event stream,
+// whose end may be far, and otherwise at its end.
 func (f *forwarder) relayStream(response *http.Response, s *link.Stream, ticket *admissionTicket, started time.Time) error {
+	incarnation := response.Header.Get(engine.HeaderIncarnation)
+	if isEventStream(response) {
+		f.monitor.observeIncarnation(incarnation)
+	}
 	if err := s.SendHead(responseHead(response), nil, false); err != nil {
 		return err
 	}
@@ -142,6 +148,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			f.monitor.observeIncarnation(incarnation)
 			return s.CloseWrite()
 		}
 		if err != nil {
--- a/daemon/agent/once_orders.go
+++ b/daemon/agent/once_orders.go
@@ -11,6 +11,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"verbenaseam.example/verbenaseam/connection/engine"
 	"verbenaseam.example/verbenaseam/connection/link"
 	"verbenaseam.example/verbenaseam/process/failure"
 	"verbenaseam.example/verbenaseam/request/admit"
@@ -120,11 +121,11 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	o.agent.monitor.observeIncarnation(responseHead(response).EngineIncarnation)
 	answer, err := io.ReadAll(io.LimitReader(response.Body, maxOrderAnswerBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	o.agent.monitor.observeIncarnation(response.Header.Get(engine.HeaderIncarnation))
 	ticket.FirstToken(time.Since(started))
 	if len(answer) > maxOrderAnswerBytes {
 		return nil, failure.New(failure.TooLarge, failure.Unknown, "the order's answer is over the limit")
