A probe whose answer is cut short has failed

What could happen: a plain service that answered a probe with a head and broke off counted as alive, and as restarted if the head named another incarnation.

Cause: the error of reading the body was ignored.

Change: it is that of the probe.

Evidence: TestProbeOfACutAnswerFails failed before with a length, with chunks and with a malformed trailer.

--- a/connection/engine/client.go
+++ b/connection/engine/client.go
@@ -196,7 +196,7 @@
 	}, nil
 }
 
-// probeService probes a plain service. Any HTTP response counts as success.
+// probeService probes a plain service. Any whole HTTP response counts as success.
 func (c *Client) probeService(ctx context.Context, start time.Time) (State, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"/incarnation", nil)
 	if err != nil {
@@ -207,7 +207,9 @@
 		return State{}, &UnreachableError{Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, probeDrainBytes))
+	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, probeDrainBytes)); err != nil {
+		return State{}, &UnreachableError{Cause: err}
+	}
 	return State{Incarnation: response.Header.Get(HeaderIncarnation), Latency: time.Since(start)}, nil
 }
 
--- a/connection/engine/malformed_test.go
+++ b/connection/engine/malformed_test.go
@@ -87,6 +87,26 @@
 	require.Equal(t, int64(2), connections.Load(), "the connection of a malformed response was used again")
 }
 
+// TestProbeOfACutAnswerFails guards against a service that counts as alive, or as restarted, because of the head of
+// an answer that is not whole.
+func TestProbeOfACutAnswerFails(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\n" + HeaderIncarnation + ": next\r\n"
+	for name, text := range map[string]string{
+		"length":  head + "Content-Length: 9\r\n\r\npart",
+		"chunks":  head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"trailer": head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nX Sum: 1\r\n\r\n",
+		"field":   head + "X Field: a\r\nContent-Length: 0\r\n\r\n",
+		"status":  "HTTP/1.1 000 X\r\n" + HeaderIncarnation + ": next\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := startScripted(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, text) })
+			_, err := client.Probe(t.Context())
+			var unreachable *UnreachableError
+			require.ErrorAs(t, err, &unreachable)
+		})
+	}
+}
+
 // startKept returns a client of an engine that keeps its connections. respond gets a connection and the number
 // of the request on it, from 1 on.
 func startKept(t *testing.T, respond func(c net.Conn, number int)) *Client {
