Requests to engines over TLS go on

What would have happened: with an https URL of its engine, which settings allow, an agent would have panicked at its first request since, as the connection of such a request is not the one of the socket.

Change: the exchange is that of the connection below TLS. TLS itself tells an end from a cut, so the end of the connection is not checked a second time.

--- a/connection/integrity/conn.go
+++ b/connection/integrity/conn.go
@@ -56,11 +56,11 @@
 func (c *Conn) NetConn() net.Conn { return c.Conn }
 
 // BeginRequest must be called before a request is written. bodyBytes is the length of its body, or
-// negative if that is not known.
+// negative if that is not known. It is not called for requests over TLS, which tells an end from a reset itself.
 func (c *Conn) BeginRequest(bodyBytes int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.request = requestProgress{bodyBytes: bodyBytes}
+	c.request = requestProgress{begun: true, bodyBytes: bodyBytes}
 }
 
 // beginExchange begins an exchange of a Transport, after the last one has ended. The caller must close the
@@ -146,8 +146,11 @@
 // read would have received the reset, as no write was left to receive it.
 func (c *Conn) requestReceived() (bool, error) {
 	c.mu.Lock()
-	written, writeErr := c.request.complete(), c.writeErr
+	begun, written, writeErr := c.request.begun, c.request.complete(), c.writeErr
 	c.mu.Unlock()
+	if !begun {
+		return true, nil
+	}
 	if writeErr != nil {
 		return false, &ResetError{}
 	}
--- a/connection/integrity/request.go
+++ b/connection/integrity/request.go
@@ -5,6 +5,8 @@
 
 // requestProgress follows how much of a request has been written.
 type requestProgress struct {
+	// begun is set if there is a request.
+	begun bool
 	// bodyBytes is the length of the body, negative if it is not known.
 	bodyBytes int64
 	// headMatched is how many bytes of headEnd the last bytes of the head are.
--- a/connection/integrity/transport.go
+++ b/connection/integrity/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -87,7 +88,7 @@
 // trace returns the hooks that net/http calls during the exchange.
 func (e *exchange) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:        func(info httptrace.GotConnInfo) { e.begin(info.Conn.(*Conn)) },
+		GotConn:        func(info httptrace.GotConnInfo) { e.begin(info.Conn) },
 		Got1xxResponse: e.checkInterim,
 	}
 }
@@ -105,12 +106,18 @@
 	return CheckHead(status, http.Header(header))
 }
 
-// begin begins the exchange on a connection. It may have begun on another one, which failed before the
-// request was written.
-func (e *exchange) begin(c *Conn) {
+// begin begins the exchange on a connection of the Transport. It may have begun on another one, which failed
+// before the request was written.
+func (e *exchange) begin(connection net.Conn) {
 	e.end()
+	c, plain := connection.(*Conn)
+	if !plain {
+		c = connection.(*tls.Conn).NetConn().(*Conn)
+	}
 	ended := c.beginExchange()
-	c.BeginRequest(e.bodyBytes)
+	if plain {
+		c.BeginRequest(e.bodyBytes)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.conn, e.ended = c, ended
