--- a/daemon/direct/configuration_exchange.go
+++ b/daemon/direct/configuration_exchange.go
@@ -186,3 +186,33 @@
 	}
 	return value, nil
 }
+
+// sendConfiguration sends the configuration in force to a peer that has asked for it.
+func (h *heartbeater) sendConfiguration(peer presence.Peer, request configurationRequest) {
+	number, value := h.entry.operator.configuration()
+	if number < request.Number {
+		return
+	}
+	log := h.log.WithFields(logrus.Fields{"peer": peer.Name, "configuration": number})
+	parts, err := splitConfiguration(number, value)
+	if err != nil {
+		log.WithError(err).Error("configuration not sent to a peer that lacks it")
+		return
+	}
+	log.WithField("parts", len(parts)).Info("configuration sent to a peer that lacks it")
+	for i := range parts {
+		h.sendMessage(peer.PeerAddress, datagram{ConfigurationPart: &parts[i]})
+	}
+}
+
+// takeConfiguration takes over a part of a configuration that a peer has sent.
+func (h *heartbeater) takeConfiguration(peer presence.Peer, part configurationPart) {
+	value, err := h.entry.configurations.take(part)
+	if err != nil {
+		h.log.WithError(err).WithField("peer", peer.Name).Warn("configuration of a peer dropped")
+		return
+	}
+	if value != nil {
+		h.entry.operator.adopt(value, peer.Name)
+	}
+}
