Tests share the server that writes responses byte by byte

internal/standin/raw accepts connections and hands each to a function. Nothing that is tested changes.

--- a/connection/engine/malformed_test.go
+++ b/connection/engine/malformed_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/standin/raw"
 )
 
 // ownAnswer is a sound response to the request "r".
@@ -111,33 +113,17 @@
 // of the request on it, from 1 on.
 func startKept(t *testing.T, respond func(c net.Conn, number int)) *Client {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
+	return newTestClient(t, raw.Start(t, func(c *net.TCPConn) {
+		in := bufio.NewReader(c)
+		for number := 1; ; number++ {
+			r, err := http.ReadRequest(in)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for number := 1; ; number++ {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					respond(c, number)
-				}
-			}()
+			_, _ = io.Copy(io.Discard, r.Body)
+			respond(c, number)
 		}
-	}()
-	client, err := NewClient("http://"+listener.Addr().String(), KindService)
-	require.NoError(t, err)
-	t.Cleanup(client.Close)
-	return client
+	}))
 }
 
 // TestConnectionOfAMalformedResponseIsNeverUsedAgain guards against a request that gets the connection of a
--- a/connection/engine/reset_test.go
+++ b/connection/engine/reset_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/standin/raw"
 )
 
 const (
@@ -62,24 +63,13 @@
 // the head.
 func startScripted(t *testing.T, respond func(c *net.TCPConn, r *http.Request)) *Client {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					respond(c.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	client, err := NewClient("http://"+listener.Addr().String(), KindService)
+	return newTestClient(t, raw.StartOnce(t, respond))
+}
+
+// newTestClient returns a client of the engine at an address.
+func newTestClient(t *testing.T, address string) *Client {
+	t.Helper()
+	client, err := NewClient("http://"+address, KindService)
 	require.NoError(t, err)
 	t.Cleanup(client.Close)
 	return client
--- a/connection/link/handshake_test.go
+++ b/connection/link/handshake_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"verbenaseam.example/verbenaseam/internal/standin/raw"
 )
 
 // TestMalformedHandshakeOpensNoLink guards against a link to a process whose handshake response has a field with
@@ -34,19 +36,11 @@
 	})
 }
 
-// addToHead returns the address of a process that passes on one connection to another address, and adds a line
-// to the head of the response.
+// addToHead returns the address of a server that passes on connections to another address, and adds a line to the
+// head of the response.
 func addToHead(t *testing.T, address, line string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
+	return raw.Start(t, func(c *net.TCPConn) {
 		to, err := net.Dial("tcp", address)
 		if err != nil {
 			return
@@ -60,6 +54,5 @@
 		}
 		_, _ = io.WriteString(c, status+line)
 		_, _ = io.Copy(c, response)
-	}()
-	return listener.Addr().String()
+	})
 }
--- a/daemon/agent/once_orders_test.go
+++ b/daemon/agent/once_orders_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"verbenaseam.example/verbenaseam/connection/engine"
+	"verbenaseam.example/verbenaseam/internal/standin/raw"
 	"verbenaseam.example/verbenaseam/process/logs"
 	"verbenaseam.example/verbenaseam/request/admit"
 	"verbenaseam.example/verbenaseam/request/stream"
@@ -28,7 +28,10 @@
 		"a blank in a field": "X Field: a\r\nContent-Length: 4\r\n\r\npart",
 	} {
 		t.Run(name, func(t *testing.T) {
-			client, err := engine.NewClient("http://"+answerOnce(t, "HTTP/1.1 200 OK\r\n"+engine.HeaderIncarnation+": next\r\n"+rest), engine.KindService)
+			address := raw.StartOnce(t, func(c *net.TCPConn, _ *http.Request) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+engine.HeaderIncarnation+": next\r\n"+rest)
+			})
+			client, err := engine.NewClient("http://"+address, engine.KindService)
 			require.NoError(t, err)
 			t.Cleanup(client.Close)
 			gate := admit.NewGate(admit.GateConfig{ColdLimit: 1, Maximum: 1, Kind: table.KindService})
@@ -44,22 +47,3 @@
 		})
 	}
 }
-
-// answerOnce returns the address of a server that answers one request with a text.
-func answerOnce(t *testing.T, text string) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		c, err := listener.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.WriteString(c, text)
-		}
-	}()
-	return listener.Addr().String()
-}
--- a/internal/systemtest/brokenanswers_test.go
+++ b/internal/systemtest/brokenanswers_test.go
@@ -1,7 +1,6 @@
 package systemtest
 
 import (
-	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -19,6 +18,7 @@
 
 	"verbenaseam.example/verbenaseam/connection/engine"
 	"verbenaseam.example/verbenaseam/internal/soak"
+	"verbenaseam.example/verbenaseam/internal/standin/raw"
 	"verbenaseam.example/verbenaseam/platform"
 	"verbenaseam.example/verbenaseam/platform/standin"
 )
@@ -71,29 +71,6 @@
 	}
 }
 
-// startBroken starts a server that serves one request a connection. respond gets its connection and head.
-func startBroken(t *testing.T, address string, respond func(c *net.TCPConn, r *http.Request)) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", address)
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			c, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					respond(c.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestBrokenAnswersOfTargetsReachNoCaller runs an entry as a process in front of two targets, of which one sends
 // a part of its responses broken. It guards against a caller that gets a part of a response, or one that was
 // never sent, as a whole one, against orders that are sent twice and against lookups that fail for that.
@@ -107,7 +84,7 @@
 				t.Parallel()
 				s := startEntryFor(t)
 				var received, broken atomic.Int64
-				s.registerPlain("broken", startBroken(t, "127.0.0.1:0", func(c *net.TCPConn, r *http.Request) {
+				s.registerPlain("broken", raw.StartOnce(t, func(c *net.TCPConn, r *http.Request) {
 					head := platform.HeaderAttemptID + ": " + r.Header.Get(platform.HeaderAttemptID) + "\r\n" + platform.HeaderSignature + ": seal\r\n"
 					if received.Add(1)%brokenShare == 0 {
 						broken.Add(1)
@@ -119,7 +96,7 @@
 				}))
 				s.requireWholeAnswers("/order/x", http.StatusBadGateway)
 				require.Equal(t, int64(brokenRequests), received.Load(), "each order is sent once")
-				s.registerPlain("sound", startBroken(t, "127.0.0.1:0", func(c *net.TCPConn, r *http.Request) {
+				s.registerPlain("sound", raw.StartOnce(t, func(c *net.TCPConn, r *http.Request) {
 					_, _ = io.Copy(io.Discard, r.Body)
 					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platform.HeaderAttemptID+": "+r.Header.Get(platform.HeaderAttemptID)+
 						"\r\n"+platform.HeaderSignature+": seal\r\n\r\n"+wholeAnswer)
@@ -154,7 +131,7 @@
 	}
 	f := startFleetWith(t, "himal", func(f *fleet) {
 		for n := range 3 {
-			f.setEngine(fmt.Sprintf("agent-floor-app-%d.ini", n+1), startBroken(t, "127.0.0.1:0", respond(n == 0)))
+			f.setEngine(fmt.Sprintf("agent-floor-app-%d.ini", n+1), raw.StartOnce(t, respond(n == 0)))
 		}
 	})
 	for i := range entryCount {
