Soak: a request that ends at its caller's deadline is not cut off by a stop

Cause: a caller states 4 s as its deadline and waits for 4 s itself. The entry ends the request at that deadline. If its end arrives before the caller's own timer has run, ctx.Err() is still nil, and the check took the request for one whose caller still waited.

TestCutAtTheDeadlineIsNoCutOfAStop failed before ("after the deadline").

Change: the caller compares the time with its deadline, in one place for the three ends of a request. A violation now tells when and how the request was cut off.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -141,9 +142,7 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		c.addresses = nil
-		if ctx.Err() == nil {
-			c.records.wasNotAnswered(sent)
-		}
+		c.notAnswered(ctx, sent, err)
 		return "no response", retryPause, c.kind.repeatable()
 	}
 	defer response.Body.Close()
@@ -157,6 +156,22 @@
 	return strconv.Itoa(response.StatusCode), retryPause, c.kind.repeatable()
 }
 
+// notAnswered records an attempt without a whole answer, if the caller still waited. ctx is that of
+// the request.
+func (c *caller) notAnswered(ctx context.Context, sent attempt, cause error) {
+	if isWaiting(ctx) {
+		c.records.wasNotAnswered(sent, cause)
+	}
+}
+
+// isWaiting reports whether the caller of a request still waits for its answer. It compares times: an
+// entry ends a request at the deadline that the caller states, which may be before the timer of ctx
+// runs.
+func isWaiting(ctx context.Context) bool {
+	deadline, limited := ctx.Deadline()
+	return ctx.Err() == nil && (!limited || time.Now().Before(deadline))
+}
+
 // promptParts returns the parts of the prompt of an attempt. changed is set once requests with
 // crashingPart come.
 func promptParts(sent attempt, changed bool) string {
@@ -186,17 +201,15 @@
 			response.Header.Get(platform.HeaderAttemptID), response.Header.Get(platform.HeaderSignature))
 	}
 	if c.kind == chat {
-		outcome := c.receiveStream(sent, response.Body)
-		if outcome == cutOutcome && response.Request.Context().Err() == nil {
-			c.records.wasNotAnswered(sent)
+		outcome, err := c.receiveStream(sent, response.Body)
+		if outcome == cutOutcome {
+			c.notAnswered(response.Request.Context(), sent, err)
 		}
 		return outcome, 0, false
 	}
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
-		if response.Request.Context().Err() == nil {
-			c.records.wasNotAnswered(sent)
-		}
+		c.notAnswered(response.Request.Context(), sent, err)
 		return cutOutcome, retryPause, c.kind.repeatable()
 	}
 	if string(body) != standin.Answer {
@@ -206,8 +219,9 @@
 }
 
 // receiveStream reads a stream and checks that its events have the IDs from 1, and that it
-// does not look complete before the last one.
-func (c *caller) receiveStream(sent attempt, body io.Reader) string {
+// does not look complete before the last one. It returns the outcome, and the error that cut the
+// stream off.
+func (c *caller) receiveStream(sent attempt, body io.Reader) (outcome string, cut error) {
 	lines := bufio.NewReader(body)
 	events := 0
 	for {
@@ -217,9 +231,9 @@
 				c.records.broken(StreamIsWhole, "%s looks complete after %d of %d events", sent.id, events, streamEvents)
 			}
 			if events == streamEvents {
-				return Served
+				return Served, nil
 			}
-			return cutOutcome
+			return cutOutcome, fmt.Errorf("after event %d: %w", events, err)
 		}
 		id, isID := strings.CutPrefix(strings.TrimSpace(line), "id: ")
 		if !isID {
@@ -228,7 +242,7 @@
 		events++
 		if id != strconv.Itoa(events) {
 			c.records.broken(StreamIsWhole, "%s has event %s in place of %d", sent.id, id, events)
-			return "disordered"
+			return "disordered", nil
 		}
 	}
 }
--- a/internal/soak/records.go
+++ b/internal/soak/records.go
@@ -86,6 +86,20 @@
 	path string
 	// entry is the number of the entry that it was sent to.
 	entry int
+	// at is when it was sent.
+	at time.Time
+}
+
+// cutAttempt is how an attempt ended that had no whole answer.
+type cutAttempt struct {
+	// at is the time of the day, took the time since the attempt was sent.
+	at, took time.Duration
+	cause    error
+}
+
+// String describes the end of the attempt.
+func (c cutAttempt) String() string {
+	return fmt.Sprintf("%v, %.2f s after it was sent, at %.2f s", c.cause, c.took.Seconds(), c.at.Seconds())
 }
 
 // maxViolations bounds the violations that are kept.
@@ -101,8 +115,8 @@
 	// run.
 	sent    map[string]attempt
 	refused map[string]int
-	// cut holds the attempts that had no whole answer though their callers still waited.
-	cut        map[string]bool
+	// cut holds the attempts that had no whole answer though their callers still waited, by ID.
+	cut        map[string]cutAttempt
 	violations []Violation
 	// outcomes counts requests by kind and outcome, samples are the requests themselves.
 	outcomes map[requestKind]map[string]int
@@ -119,14 +133,14 @@
 }
 
 func newRecords() *records {
-	return &records{started: time.Now(), sent: map[string]attempt{}, refused: map[string]int{}, cut: map[string]bool{}, outcomes: map[requestKind]map[string]int{}}
+	return &records{started: time.Now(), sent: map[string]attempt{}, refused: map[string]int{}, cut: map[string]cutAttempt{}, outcomes: map[requestKind]map[string]int{}}
 }
 
 // begin records an attempt and gives it an ID.
 func (r *records) begin(kind requestKind, path string, entry int) attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	sent := attempt{id: fmt.Sprintf("%s-%d", kind, len(r.sent)), kind: kind, path: path, entry: entry}
+	sent := attempt{id: fmt.Sprintf("%s-%d", kind, len(r.sent)), kind: kind, path: path, entry: entry, at: time.Now()}
 	if kind == crashing {
 		sent.path += sent.id
 	}
@@ -142,17 +156,19 @@
 	r.refused[sent.id] = status
 }
 
-// wasNotAnswered records that an attempt had no whole answer.
-func (r *records) wasNotAnswered(sent attempt) {
+// wasNotAnswered records that an attempt had no whole answer, with the error that its caller saw.
+func (r *records) wasNotAnswered(sent attempt, cause error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut[sent.id] = true
+	r.cut[sent.id] = cutAttempt{at: time.Since(r.started), took: time.Since(sent.at), cause: cause}
 }
 
-func (r *records) wasCut(id string) bool {
+// cutOf returns how an attempt was cut off, if it was.
+func (r *records) cutOf(id string) (cutAttempt, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.cut[id]
+	cut, wasCut := r.cut[id]
+	return cut, wasCut
 }
 
 // latencyObjective is that of the routes of lookups and orders, see standin.Configuration.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -78,7 +79,7 @@
 		}},
 		"request is cut off by a stop": {StopCutsNothing, func(r *records) {
 			sent := r.begin(slowOrder, paths[slowOrder], 0)
-			r.wasNotAnswered(sent)
+			r.wasNotAnswered(sent, io.ErrUnexpectedEOF)
 			r.checkCuts([]standin.ExecutedRequest{run(sent)}, Day{Stops: true})
 		}},
 		"unknown request runs": {RequestIsUnchanged, func(r *records) {
@@ -142,6 +143,42 @@
 	return all
 }
 
+// expiredContext is past its deadline, and its timer has not run yet.
+type expiredContext struct{ context.Context }
+
+func (expiredContext) Deadline() (time.Time, bool) { return time.Now().Add(-time.Millisecond), true }
+
+// TestCutAtTheDeadlineIsNoCutOfAStop guards against blaming a stop for a request that the entry
+// ends at the deadline that its caller has stated, before the caller's own timer runs.
+func TestCutAtTheDeadlineIsNoCutOfAStop(t *testing.T) {
+	waiting, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	for desc, test := range map[string]struct {
+		ctx    context.Context
+		counts bool
+	}{
+		"before the deadline":    {waiting, true},
+		"without a deadline":     {t.Context(), true},
+		"after the deadline":     {expiredContext{t.Context()}, false},
+		"the caller has left it": {canceledContext(t), false},
+	} {
+		t.Run(desc, func(t *testing.T) {
+			r := newRecords()
+			c := newCaller(chat, r, 1, nil, nil, nil)
+			sent := r.begin(chat, paths[chat], 0)
+			c.notAnswered(test.ctx, sent, io.ErrUnexpectedEOF)
+			_, counted := r.cutOf(sent.id)
+			require.Equal(t, test.counts, counted)
+		})
+	}
+}
+
+func canceledContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return ctx
+}
+
 // receiveFrom lets a caller receive an answer for the given attempt, its own one if empty.
 func receiveFrom(t *testing.T, r *records, attemptID, body string) {
 	t.Helper()
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -94,9 +94,9 @@
 	reported := map[string]bool{}
 	for _, request := range executed {
 		sent := r.sentAttempt(request.AttemptID)
-		if r.wasCut(sent.id) && !reported[sent.id] {
+		if cut, wasCut := r.cutOf(sent.id); wasCut && !reported[sent.id] {
 			reported[sent.id] = true
-			r.broken(StopCutsNothing, "%s to entry %d ran and had no whole answer", sent.id, sent.entry)
+			r.broken(StopCutsNothing, "%s to entry %d ran and had no whole answer: %v", sent.id, sent.entry, cut)
 		}
 	}
 }
