Tests of many entries: no long poll of the configuration is left from the start

Cause: the test's setup. Its entries begin long polls of the configuration's table, of up to 15 s, before they know which of them follow it; requireRoles ended only those of the targets' table. When the test then changes the configuration, the store answers these polls while heartbeats of the others already tell of the change. An entry that hears one first abandons its poll, which the store may have lost, and asks with a call of its own. This is meant so, and ends with the polls of the start.

Change: requireRoles also writes the configuration's row again and waits until all entries have seen that. The bound of 4 calls stays, and now holds for a fleet that relies on what is forwarded alone.

--- a/daemon/direct/many_entries_test.go
+++ b/daemon/direct/many_entries_test.go
@@ -143,9 +143,24 @@
 	require.Eventually(f.t, func() bool { return len(f.pollers()) == frequentPollers }, 5*time.Second, 10*time.Millisecond)
 	// Ends the long polls that have begun before the roles were known.
 	f.awaitTarget(9, f.entries)
+	f.awaitConfigurationRow()
 	time.Sleep(time.Second)
 }
 
+// awaitConfigurationRow writes the configuration's row again and waits until the entries have seen
+// the change.
+func (f *fleet) awaitConfigurationRow() {
+	f.t.Helper()
+	known := map[*fleetEntry]uint64{}
+	for _, e := range f.entries {
+		known[e] = e.storeWatch.operator.Change().Number
+	}
+	f.store.Put(platform.TableOperator, platform.KeyConfiguration, standin.Configuration(1, "/look/"))
+	require.Eventually(f.t, func() bool {
+		return !slices.ContainsFunc(f.entries, func(e *fleetEntry) bool { return e.storeWatch.operator.Change().Number <= known[e] })
+	}, 20*time.Second, 5*time.Millisecond)
+}
+
 // awaitTarget adds a target and returns how long it takes until the entries know it.
 func (f *fleet) awaitTarget(n int, entries []*fleetEntry) time.Duration {
 	f.t.Helper()
