--- a/connection/direct/cut_test.go
+++ b/connection/direct/cut_test.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		var failed *ExchangeError
 		require.ErrorAs(t, err, &failed)
-		require.True(t, failed.Sent, "the request may have run")
+		require.True(t, failed.Sent, "the request may have run: %v", err)
 		require.Zero(t, pool.IdleCount())
 		return
 	}
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -218,6 +218,19 @@
 	return Served, 0, false
 }
 
+// streamCutError means that a stream broke off.
+type streamCutError struct {
+	// Events is the number of events that came whole.
+	Events int
+	Cause  error
+}
+
+// Error implements error.
+func (e *streamCutError) Error() string { return fmt.Sprintf("after event %d: %v", e.Events, e.Cause) }
+
+// Unwrap returns the error of reading the stream.
+func (e *streamCutError) Unwrap() error { return e.Cause }
+
 // receiveStream reads a stream and checks that its events have the IDs from 1, and that it
 // does not look complete before the last one. It returns the outcome, and the error that cut the
 // stream off.
@@ -233,7 +246,7 @@
 			if events == streamEvents {
 				return Served, nil
 			}
-			return cutOutcome, fmt.Errorf("after event %d: %w", events, err)
+			return cutOutcome, &streamCutError{Events: events, Cause: err}
 		}
 		id, isID := strings.CutPrefix(strings.TrimSpace(line), "id: ")
 		if !isID {
