Test of broken answers as processes: it waits until the entry knows a target

TestBrokenAnswersOfTargetsReachNoCaller slept for 500 ms after it had registered a target, which a busy machine may not keep; it was not seen to fail. It now sends requests without a body until one has reached the target, which counts only those with a body, and writes whole responses in one place.

--- a/internal/systemtest/brokenanswers_test.go
+++ b/internal/systemtest/brokenanswers_test.go
@@ -34,8 +34,8 @@
 	wholeAnswer = "whole answer"
 	// brokenShare is one in how many responses is broken.
 	brokenShare = 4
-	// registrationTime is the time in which an entry learns of a target.
-	registrationTime = 500 * time.Millisecond
+	// registrationTimeout is the time in which an entry must learn of a target.
+	registrationTimeout = 10 * time.Second
 )
 
 // brokenAnswer is a form of a broken response. send writes it to the connection of a request whose body has
@@ -84,24 +84,17 @@
 				t.Parallel()
 				s := startEntryFor(t)
 				var received, broken atomic.Int64
-				s.registerPlain("broken", raw.StartOnce(t, func(c *net.TCPConn, r *http.Request) {
-					head := platform.HeaderAttemptID + ": " + r.Header.Get(platform.HeaderAttemptID) + "\r\n" + platform.HeaderSignature + ": seal\r\n"
+				s.startUploadTarget("broken", func(c *net.TCPConn, r *http.Request) {
 					if received.Add(1)%brokenShare == 0 {
 						broken.Add(1)
-						form.send(c, r, status, head)
+						form.send(c, r, status, signedFields(r))
 						return
 					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+head+"\r\n"+wholeAnswer)
-				}))
+					sendWholeAnswer(c, r)
+				})
 				s.requireWholeAnswers("/order/x", http.StatusBadGateway)
 				require.Equal(t, int64(brokenRequests), received.Load(), "each order is sent once")
-				s.registerPlain("sound", raw.StartOnce(t, func(c *net.TCPConn, r *http.Request) {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+platform.HeaderAttemptID+": "+r.Header.Get(platform.HeaderAttemptID)+
-						"\r\n"+platform.HeaderSignature+": seal\r\n\r\n"+wholeAnswer)
-				}))
-				time.Sleep(registrationTime)
+				s.startUploadTarget("sound", sendWholeAnswer)
 				s.requireWholeAnswers("/look/x", http.StatusOK)
 				require.Positive(t, broken.Load())
 			})
@@ -188,6 +181,36 @@
 	return s
 }
 
+// signedFields returns the fields of a sound response to a request.
+func signedFields(r *http.Request) string {
+	return platform.HeaderAttemptID + ": " + r.Header.Get(platform.HeaderAttemptID) + "\r\n" + platform.HeaderSignature + ": seal\r\n"
+}
+
+// sendWholeAnswer reads the body of a request and responds to it.
+func sendWholeAnswer(c *net.TCPConn, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n"+signedFields(r)+"\r\n"+wholeAnswer)
+}
+
+// startUploadTarget starts a target, whose respond gets all requests that have a body, and waits until the
+// entry knows it.
+func (s *platformSystem) startUploadTarget(id string, respond func(c *net.TCPConn, r *http.Request)) {
+	s.t.Helper()
+	var reached atomic.Bool
+	s.registerPlain(id, raw.StartOnce(s.t, func(c *net.TCPConn, r *http.Request) {
+		if r.ContentLength <= 0 {
+			reached.Store(true)
+			sendWholeAnswer(c, r)
+			return
+		}
+		respond(c, r)
+	}))
+	require.Eventually(s.t, func() bool {
+		_, _, err := s.sendBody(s.entries[0], "/look/x", "")
+		return err == nil && reached.Load()
+	}, registrationTimeout, 10*time.Millisecond)
+}
+
 // registerPlain registers a target of the service for lookups and orders.
 func (s *platformSystem) registerPlain(id, address string) {
 	registration := &standin.Target{ID: id, Service: "plain", FailureDomain: "z1"}
@@ -199,11 +222,6 @@
 func (s *platformSystem) requireWholeAnswers(path string, allowed int) {
 	s.t.Helper()
 	upload := strings.Repeat("a", uploadBytes)
-	require.Eventually(s.t, func() bool {
-		status, _, err := s.sendBody(s.entries[0], "/nowhere/", "")
-		return err == nil && status == http.StatusNotFound
-	}, 10*time.Second, 10*time.Millisecond)
-	time.Sleep(registrationTime)
 	for n := range brokenRequests {
 		status, body, err := s.sendBody(s.entries[0], path, upload)
 		require.NoError(s.t, err)
