review/13: a moved route is served by the old service after connections to the store went silent

A script with 4 entries, the project's store and runners, and a proxy whose open connections go silent once.

--- a/review/_standins-3/client.go
+++ b/review/_standins-3/client.go
@@ -23,6 +23,7 @@
 // client sends idempotent requests to the entries in turn, over kept connections.
 type client struct {
 	record *record
+	key    string
 	http   *http.Client
 	number atomic.Int64
 
@@ -31,7 +32,7 @@
 }
 
 func newClient(r *record) *client {
-	return &client{record: r, sent: map[string]sent{}, http: &http.Client{
+	return &client{record: r, key: standin.APIKey, sent: map[string]sent{}, http: &http.Client{
 		Transport: &http.Transport{MaxIdleConnsPerHost: 32}, Timeout: 2 * time.Second,
 	}}
 }
@@ -60,7 +61,7 @@
 		return
 	}
 	request.Host = standin.Hostname
-	request.Header.Set(platform.HeaderAuthorization, platform.KeyScheme+standin.APIKey)
+	request.Header.Set(platform.HeaderAuthorization, platform.KeyScheme+c.key)
 	request.Header.Set(platform.HeaderAttemptID, id)
 	request.Header.Set(platform.HeaderDeadline, "1000")
 	s := sent{at: time.Now(), entry: e.name}
--- a/review/_standins-3/link.go
+++ b/review/_standins-3/link.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // link forwards TCP connections from one loopback address to another.
@@ -19,8 +20,9 @@
 // linked is a forwarded connection.
 type linked struct {
 	in, out net.Conn
-	// silent is set if no more bytes pass; both ends stay open.
-	silent atomic.Bool
+	// silent is set if no more bytes pass; both ends stay open. used is set once the entry has sent
+	// something since.
+	silent, used atomic.Bool
 }
 
 func newLink(target string) (*link, error) {
@@ -71,6 +73,8 @@
 		n, err := from.Read(buffer)
 		if n > 0 && !c.silent.Load() {
 			_, _ = to.Write(buffer[:n])
+		} else if n > 0 && from == c.in {
+			c.used.Store(true)
 		}
 		if err == nil {
 			continue
@@ -91,10 +95,19 @@
 	defer l.mu.Unlock()
 	for c := range l.open {
 		c.silent.Store(true)
+		time.AfterFunc(keepAliveTime, func() {
+			if !c.used.Load() {
+				_ = c.in.Close()
+			}
+		})
 	}
 	return len(l.open)
 }
 
+// keepAliveTime is when the entry's TCP keep-alive (probes after 1, 2 and 3 s) would end a silent
+// connection that it doesn't use. A proxy cannot leave the probes unanswered, so it closes such ones.
+const keepAliveTime = 3 * time.Second
+
 func (l *link) close() {
 	_ = l.listener.Close()
 	l.mu.Lock()
--- a/review/_standins-3/main.go
+++ b/review/_standins-3/main.go
@@ -19,6 +19,7 @@
 // cases are the scripted cases by number. Each returns whether the rule was broken.
 var cases = map[string]func(*system, bool) (bool, error){
 	"12": silentConnections,
+	"13": silentMove,
 }
 
 // errUsage means that the command line names no case.
--- a/review/_standins-3/system.go
+++ b/review/_standins-3/system.go
@@ -107,7 +107,7 @@
 	}
 	s.configure(1)
 	for n := range runners {
-		if err := s.addRunner(fmt.Sprintf("i-%d", n+1), zones[n%len(zones)]); err != nil {
+		if err := s.addRunner(fmt.Sprintf("i-%d", n+1), "plain", zones[n%len(zones)]); err != nil {
 			return err
 		}
 	}
@@ -127,10 +127,14 @@
 
 // configure writes a version of the configuration, as the operator does.
 func (s *system) configure(version int) {
-	s.store.Put(platform.TableOperator, platform.KeyConfiguration, standin.Configuration(version, "/look/"))
+	s.putConfiguration(standin.Configuration(version, "/look/"))
 	s.record.note("the operator writes version %d of the configuration", version)
 }
 
+func (s *system) putConfiguration(value []byte) {
+	s.store.Put(platform.TableOperator, platform.KeyConfiguration, value)
+}
+
 func (s *system) serve(handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -142,8 +146,8 @@
 	return listener.Addr().String(), nil
 }
 
-func (s *system) addRunner(id, zone string) error {
-	r := &runner{Target: &standin.Target{ID: id, Service: "plain", FailureDomain: zone}}
+func (s *system) addRunner(id, service, zone string) error {
+	r := &runner{Target: &standin.Target{ID: id, Service: service, FailureDomain: zone}}
 	r.SetFaults(standin.TargetFaults{Delay: 30 * time.Millisecond})
 	var err error
 	if r.address, err = s.serve(r.Target); err != nil {
