--- a/review/_standins-3/client.go
+++ b/review/_standins-3/client.go
@@ -20,7 +20,7 @@
 	status int
 }
 
-// client sends idempotent requests to the entries in turn, over kept connections.
+// client sends requests to the entries, over kept connections.
 type client struct {
 	record *record
 	key    string
@@ -37,14 +37,14 @@
 	}}
 }
 
-// run sends a request every interval to each entry until ctx is done, and waits for the answers.
+// run sends a look-up every interval to each entry until ctx is done, and waits for the answers.
 func (c *client) run(ctx context.Context, entries []*entry, interval time.Duration) {
 	var pending sync.WaitGroup
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		for _, e := range entries {
-			pending.Go(func() { c.send(e) })
+			pending.Go(func() { c.send(http.MethodGet, "/look/", e) })
 		}
 		select {
 		case <-ctx.Done():
@@ -54,9 +54,20 @@
 	pending.Wait()
 }
 
-func (c *client) send(e *entry) {
+// order sends a round of orders, so many to each entry at the same time, and waits for the answers.
+func (c *client) order(entries []*entry, each int) {
+	var pending sync.WaitGroup
+	for range each {
+		for _, e := range entries {
+			pending.Go(func() { c.send(http.MethodPost, "/order/", e) })
+		}
+	}
+	pending.Wait()
+}
+
+func (c *client) send(method, path string, e *entry) {
 	id := fmt.Sprintf("r%d", c.number.Add(1))
-	request, err := http.NewRequest(http.MethodGet, "http://"+e.callers+"/look/"+id, nil)
+	request, err := http.NewRequest(method, "http://"+e.callers+path+id, nil)
 	if err != nil {
 		return
 	}
@@ -76,7 +87,7 @@
 	c.mu.Lock()
 	c.sent[id] = s
 	c.mu.Unlock()
-	c.record.noteAt(s.at, "request %s sent to %s: %d after %d ms", id, e.name, s.status, time.Since(s.at).Milliseconds())
+	c.record.noteAt(s.at, "%s %s sent to %s: %d after %d ms", method, id, e.name, s.status, time.Since(s.at).Milliseconds())
 }
 
 func (c *client) request(id string) sent {
--- a/review/_standins-3/system.go
+++ b/review/_standins-3/system.go
@@ -62,6 +62,9 @@
 // zones are those of the entries and the runners.
 var zones = []string{"thamel", "patan", "bhaktapur"}
 
+// work is how long a runner works on a request.
+const work = 30 * time.Millisecond
+
 // Bounds of the users' sheet.
 const (
 	contact = 3 * time.Second
@@ -90,6 +93,8 @@
 type runner struct {
 	*standin.Target
 	address string
+	// exit ends the runner's process: its connections are closed, and its address refuses new ones.
+	exit func()
 }
 
 func newSystem(directory string, r *record) *system {
@@ -101,7 +106,7 @@
 
 // start starts the store, the runners and the entries, and waits until all are ready.
 func (s *system) start(entries, runners int) error {
-	storeAddress, err := s.serve(s.store)
+	storeAddress, _, err := s.serve(s.store)
 	if err != nil {
 		return err
 	}
@@ -135,22 +140,24 @@
 	s.store.Put(platform.TableOperator, platform.KeyConfiguration, value)
 }
 
-func (s *system) serve(handler http.Handler) (string, error) {
+// serve serves a stand-in at a free address until end is called.
+func (s *system) serve(handler http.Handler) (address string, end func(), err error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
+		return "", nil, err
 	}
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
-	s.closers = append(s.closers, func() { _ = server.Close() })
-	return listener.Addr().String(), nil
+	end = func() { _ = server.Close() }
+	s.closers = append(s.closers, end)
+	return listener.Addr().String(), end, nil
 }
 
 func (s *system) addRunner(id, service, zone string) error {
 	r := &runner{Target: &standin.Target{ID: id, Service: service, FailureDomain: zone}}
-	r.SetFaults(standin.TargetFaults{Delay: 30 * time.Millisecond})
+	r.SetFaults(standin.TargetFaults{Delay: work})
 	var err error
-	if r.address, err = s.serve(r.Target); err != nil {
+	if r.address, r.exit, err = s.serve(r.Target); err != nil {
 		return err
 	}
 	s.store.Put(platform.TableTargets, id, r.RegistrationValue(r.address, "ready"))
