review/14: a sound first part is refused for minutes after two unrelated crashes

The first entry of KNOWN-RED.txt, shown with the programs of the deploy file: after two runners crash for another reason while they run a trial, no sound request with the part begins.

--- a/review/_standins-3/main.go
+++ b/review/_standins-3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(*system, bool) (bool, error){
 	"12": silentConnections,
 	"13": silentMove,
+	"14": soundPart,
 }
 
 // errUsage means that the command line names no case.
--- a/review/_standins-3/system.go
+++ b/review/_standins-3/system.go
@@ -165,14 +165,24 @@
 	return nil
 }
 
-// freeAddress returns a loopback address with a port that is free for TCP and UDP.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddresses returns addresses on a loopback host whose ports are free for TCP and UDP. Other
+// processes and outgoing connections have addresses of other hosts.
+func freeAddresses(host string, count int) ([]string, error) {
+	var addresses []string
+	for len(addresses) < count {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		socket, err := net.ListenPacket("udp", listener.Addr().String())
+		if err != nil {
+			continue
+		}
+		defer socket.Close()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return addresses, nil
 }
 
 func (s *system) addEntry(name, zone, storeAddress string) error {
@@ -182,11 +192,9 @@
 	}
 	s.storeLinks = append(s.storeLinks, storeLink)
 	s.closers = append(s.closers, storeLink.close)
-	var addresses [5]string
-	for i := range addresses {
-		if addresses[i], err = freeAddress(); err != nil {
-			return err
-		}
+	addresses, err := freeAddresses(fmt.Sprintf("127.0.21.%d", len(s.entries)+1), 5)
+	if err != nil {
+		return err
 	}
 	settings := filepath.Join(s.directory, name+".ini")
 	text := fmt.Sprintf(settingsFormat, name, zone, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], storeLink.address())
