--- a/review/_standins-3/main.go
+++ b/review/_standins-3/main.go
@@ -21,6 +21,7 @@
 	"12": silentConnections,
 	"13": silentMove,
 	"14": soundPart,
+	"15": restoredRunner,
 }
 
 // errUsage means that the command line names no case.
