--- a/review/_standins-3/main.go
+++ b/review/_standins-3/main.go
@@ -18,10 +18,10 @@
 
 // cases are the scripted cases by number. Each returns whether the rule was broken.
 var cases = map[string]func(*system, bool) (bool, error){
-	"12": silentConnections,
+	"11": silentConnections,
 	"13": silentMove,
-	"14": soundPart,
-	"15": restoredRunner,
+	"15": soundPart,
+	"14": restoredRunner,
 }
 
 // errUsage means that the command line names no case.
--- a/review/_standins-3/parts.go
+++ b/review/_standins-3/parts.go
@@ -134,7 +134,7 @@
 
 func (t *tally) share() float64 { return float64(t.began) / float64(max(t.sent, 1)) }
 
-// soundPart is case 14: a part of prompts crashes runners; two runners crash for another reason while they
+// soundPart is case 15: a part of prompts crashes runners; two runners crash for another reason while they
 // run a sound request with a part that came with it.
 func soundPart(s *system, trouble bool) (broken bool, err error) {
 	m := &modelService{system: s}
--- a/review/_standins-3/restored.go
+++ b/review/_standins-3/restored.go
@@ -16,7 +16,7 @@
 	heartbeat = 1200 * time.Millisecond
 )
 
-// restoredRunner is case 15: a runner leaves, and the store then comes back from a copy that still holds its
+// restoredRunner is case 14: a runner leaves, and the store then comes back from a copy that still holds its
 // entry.
 func restoredRunner(s *system, trouble bool) (broken bool, err error) {
 	if err := s.start(4, 4); err != nil {
--- a/review/_standins-3/silent.go
+++ b/review/_standins-3/silent.go
@@ -18,7 +18,7 @@
 	servesOn = 3500 * time.Millisecond
 )
 
-// silentConnections is case 12: all open connections between the entries and the store go silent for
+// silentConnections is case 11: all open connections between the entries and the store go silent for
 // good, while new ones work, and a runner leaves without reporting it to the store.
 func silentConnections(s *system, trouble bool) (broken bool, err error) {
 	if err := s.start(4, 4); err != nil {
